Let leased units use the ceiling part of a gateway that has run for long

Cause: each gateway keeps its part of a plan's hard ceiling, and every new account began with an empty part, because a gateway may have been restarted.

Leased units are on the counter, which outlives a restart, so they may use the whole part. Units that the counter has not heard of still wait until the part has filled since the gateway's start. An account that is new at a gateway that has run for long has a full part.

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -58,7 +58,8 @@
     heard_at: int = -60 * SECOND
     usual: float = 0.0  # lambda: units newly asked a second, averaged over the store's time to fill
     demand_at: int = 0
-    ceiling: float = 0.0  # part of the hard ceiling; empty at first, as this gateway may have been restarted
+    ceiling: float = 0.0  # left of this gateway's part of the hard ceiling, had it run for long: for leases
+    sure: float = 0.0  # the same if all was spent before a restart: for units the counter has not heard of
     window_us: int = SECOND
     slot: int = 0
     ring: deque[list[float]] = field(default_factory=deque)  # slots, present first: A spare, B booked over
@@ -76,7 +77,8 @@
         fill = self.window_us / SECOND
         self.usual = self.usual * math.exp(-gone / fill) + (0.0 if again else units / fill)
         self.share = min(max(units, plan.burst * part), self.share + plan.rate * part * gone)  # one fits
-        self.ceiling = min(plan.ceiling_burst * part, self.ceiling + plan.ceiling_rate * part * gone)
+        most, fill = plan.ceiling_burst * part, plan.ceiling_rate * part * gone
+        self.ceiling, self.sure = min(most, self.ceiling + fill), min(most, self.sure + fill)
 
     def bound(self, now: int) -> float:  # the most the shared store can hold; unspent leases count
         grown = self.level + self.plan.rate * (now - self.level_at) / SECOND
@@ -237,6 +239,7 @@
         self.flying: dict[tuple[int, int], tuple[Request, Attempt]] = {}
         self.calls: dict[int, deque[tuple[Account, int, float, bool]]] = {}  # unanswered, by name, in order
         self.crowd, self.call_at, self.swept_at, self.now = 1.0, -SECOND, 0, 0
+        self.began = -1  # the first moment heard of
         self.unasked, self.speaks = 0, 1.0  # requests since the last call, and how many a call speaks for
         self.pace = settings.counter.timeout * settings.fleet_size / CALLS_OUT  # us a call while not crowded
         self.most = max(1.0, min(32.0, 1.5 * SECOND / max(1.0, self.pace)))  # a trial call a second or so
@@ -245,6 +248,7 @@
 
     def handle(self, now: int, event: it.Event) -> list[it.Action]:
         self.now, self.actions = now, []
+        self.began = now if self.began < 0 else self.began
         match event:
             case it.RequestArrived():
                 self.arrived(event)
@@ -276,7 +280,9 @@
             return
         if account is None:
             spread = min(s.fleet_size, max(1, event.spread))
-            account = Account(s.plans[event.plan], spread, self.slot_us, self.now)
+            plan, age = s.plans[event.plan], (self.now - self.began) / SECOND
+            account = Account(plan, spread, self.slot_us, self.now, ceiling=plan.ceiling_burst / spread)
+            account.sure = min(account.ceiling, plan.ceiling_rate / spread * age)
         cls, self.accounts[event.customer] = s.classes[event.cls], account
         span = cls.deadline if cls.late_worth >= 0.5 or cls.aim_stretch > 0 else cls.aim  # worth a wait
         request = Request(event, cls, account, self.now + min(event.time_left, span))
@@ -294,7 +300,7 @@
             self.overflow(request)  # the cap on attempts at once: beyond the quota whatever the store holds
         elif not plan.rate or (account.tokens >= units and not account.waiting):
             account.level, account.level_at = account.bound(self.now), self.now
-            account.tokens -= units if self.send(request) else 0.0
+            account.tokens -= units if self.send(request, leased=True) else 0.0
         elif answered or (not tight and account.bound(self.now) + account.tokens < units):
             self.overflow(request)  # the store cannot hold it, whatever the siblings did: no call needed
         elif late or (tight and (known or request.event.is_retry or plan.beyond_earns > plan.beyond_costs)):
@@ -393,17 +399,18 @@
         same = {Scope.ALL: True, Scope.ZONE: here.zone == there.zone, Scope.CELL: here.cell == there.cell}
         return cls.repeat is Repeat.KEYED and same[cls.scope] and self.now + tick < sent + cls.memory
 
-    def send(self, request: Request) -> bool:
+    def send(self, request: Request, leased: bool = False) -> bool:
         event, account, cls, first = request.event, request.account, request.cls, not request.attempts
         over = len(request.attempts) >= self.settings.limits.max_attempts or self.now >= request.cut
         if first and account.plan.ceiling_rate:  # kept by fixed parts, whatever the counter says
-            over = over or account.ceiling < event.units
+            over = over or (account.ceiling if leased else account.sure) < event.units
         backend = None if over else self.fleet.pick(self.now, event.cls, lambda b: self.may_send(request, b))
         if backend is None:
             if first:
                 self.end(request, it.Refuse(event.request, self.slot_us))
             return False
-        account.ceiling -= event.units if first else 0.0
+        spent = event.units if first else 0.0
+        account.ceiling, account.sure = account.ceiling - spent, account.sure - spent
         number, timeout = len(request.attempts), request.cut - self.now
         patience = int(max(4 * (self.fleet.usual[event.cls] or cls.aim / 6), cls.aim / 3))  # older: stuck
         more = cls.repeat is not Repeat.UNSAFE and number + 1 < self.settings.limits.max_attempts
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -180,6 +180,21 @@
     assert len(sent) > 5
 
 
+def test_fresh_gateway_sends_on_a_ceiling_plans_first_request_once_it_is_leased() -> None:
+    actions = settle(gateway(), SECOND, arrival(1, plan=3), Counter())
+    assert of(actions, it.SendAttempt) and not of(actions, it.Refuse)
+
+
+def test_units_the_counter_has_not_heard_of_wait_until_a_restart_is_made_up_for() -> None:
+    def sent_unheard(age: int) -> bool:
+        g = gateway()
+        (add,) = of(g.handle(age, arrival(1, plan=3)), it.AddToCounter)
+        return bool(of(g.handle(age, it.CountAnswered(add.name, it.Outcome.TIMEOUT, 0.0, 1)), it.SendAttempt))
+
+    assert not sent_unheard(age=0)  # the part that a gateway before this one may have spent
+    assert sent_unheard(age=SECOND)
+
+
 @pytest.mark.parametrize("broken", [{"classes": ()}, {"fleet_size": 0}, {"limits": {"max_attempts": 0}}])
 def test_settings_without_sense_are_refused(broken: dict[str, object]) -> None:
     with pytest.raises(ValueError, match=next(iter(broken))):
