Forget a request whichever event ends it, so that refused ones do not stay

Cause: the engine forgot a finished request only after an event that names one.

Ruled out: accounts, which are swept, and timers, which end within a request's time.

--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -209,8 +209,6 @@
                         self._carry_out(action)
                 except Exception:  # one event's failure must not end the process; deadlines answer the client
                     log.exception("while handling %s", type(event).__name__)
-                if isinstance(event, it.AttemptEnded | it.RequestArrived | it.ClientGone):
-                    self._forget(event.request)
         finally:
             self._busy = False
 
@@ -250,14 +248,14 @@
         if request.timer:
             request.timer.cancel()
         self.open -= 1
+        self._forget(request)
         if self.open == 0:
             self.idle()
 
-    def _forget(self, number: int) -> None:
-        """The id is free again once nothing of the request is under way."""
-        request = self._requests.get(number)
-        if request and request.over and request.out == 0:
-            del self._requests[number], self._ids[request.wanted.id]
+    def _forget(self, request: Request) -> None:
+        """The id is free again once nothing of the request is under way, whichever event ended it."""
+        if request.over and request.out == 0 and request.number in self._requests:
+            del self._requests[request.number], self._ids[request.wanted.id]
 
     def _overdue(self, request: Request) -> None:
         if not request.over:
@@ -311,6 +309,7 @@
         if answer.outcome is Outcome.OK and not request.over:
             self._close(request)
             request.client.serve(answer)
+        self._forget(request)
         load = self.names.load(answer.load) if answer.load else ()
         latency = self.now() - attempt.sent
         event = it.AttemptEnded(
--- a/tests/test_net_engine.py
+++ b/tests/test_net_engine.py
@@ -136,6 +136,18 @@
     assert world.answers == ["late"] and len(world.script.of(it.ClientGone)) == 1
 
 
+def test_a_request_refused_after_the_counters_answer_leaves_nothing_behind() -> None:
+    def rule(event: it.Event) -> list[it.Action]:
+        if isinstance(event, it.RequestArrived):
+            return [it.AddToCounter(5, 1.0, 1000)]
+        return [it.Refuse(1)] if isinstance(event, it.CountAnswered) else []
+
+    world = World(Script(rule))
+    world.ask()
+    assert world.answers == [0] and not world.engine._requests
+    assert world.ask()  # the id is free again
+
+
 def test_an_attempt_never_written_is_not_called_a_time_out() -> None:
     world = World(Script(sender(timeout=1000)))
     world.ask()
