Close clients' connections that stand unused, and let them make room first

Cause: a client's connection without a request was kept for good, and one that had sent no whole request for 10 to 12.5 s, where a peer is owed an end within 3 s.

A client's connection is closed after 2 s with no open request, a peer that has sent no whole request gets its error 2 to 2.5 s after connecting, and under pressure clients' idle connections go before the servers'.

Ruled out: a leak of descriptors (all are counted in the pools), a limit too low for the load (65 connections to servers at once, at most).

--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -14,7 +14,9 @@
 from ironledge.net.http import HttpConnection, Message
 from ironledge.net.sockets import Sockets, unread
 
-HALF_SENT = 10.0  # s for a request to come whole; past that its connection is closed
+HALF_SENT = 2.0  # s for a request to come whole, the first from connecting on: peers are owed an end in 3 s
+IDLE = 2.0  # s that a connection may stand with no open request
+LOOK = 0.5  # s between looks for connections past either
 BACKLOG = 1024
 QUEUED = 8  # requests on one connection that wait for the answer to the one before
 REASONS = {
@@ -98,15 +100,15 @@
         self.engine, self.sockets, self.now = engine, sockets, now
         self.deadlines = tuple(c.deadline for c in engine.settings.classes)
         self.stopping = False
-        # The longest idle first. One that has carried nothing yet is not among them: its first request is
-        # on the way, and a client sends again only once.
-        self.idle: dict[ClientConnection, None] = {}
+        # The longest idle first, with the clock since when. One that has carried nothing yet is not among
+        # them: its first request is on the way, and a client sends again only once.
+        self.idle: dict[ClientConnection, int] = {}
         self.connections: set[ClientConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweep: asyncio.TimerHandle | None = None
         self._socket: socket.socket | None = None
         self._resuming: asyncio.Task[None] | None = None
-        sockets.on_crowded(self._evict)
+        sockets.on_crowded(self._evict, first=True)
         sockets.freed = self._resume
 
     async def listen(self, host: str, port: int) -> int:
@@ -154,11 +156,14 @@
             connection.close_if_quiet()
 
     def _tick(self) -> None:
-        """A client that never finishes sending would hold its descriptor for good."""
-        oldest = self.now() - int(HALF_SENT * 1e6)
+        """A client that never finishes sending, or keeps a connection it does not use, would hold its
+        descriptor for good."""
+        now = self.now()
         for connection in list(self.connections):
-            connection.close_if_stuck(oldest)
-        self._sweep = asyncio.get_running_loop().call_later(HALF_SENT / 4, self._tick)
+            connection.close_if_stuck(now - int(HALF_SENT * 1e6))
+        for connection in [c for c, since in self.idle.items() if since < now - int(IDLE * 1e6)]:
+            connection.close_if_quiet()
+        self._sweep = asyncio.get_running_loop().call_later(LOOK, self._tick)
 
     def _evict(self) -> bool:
         return any(connection.close_if_quiet() for connection in list(self.idle))
@@ -273,7 +278,7 @@
         elif self._waiting:
             asyncio.get_running_loop().call_soon(self._resume)
         elif not self._begun:
-            self._listener.idle[self] = None
+            self._listener.idle[self] = self._listener.now()
 
     def _resume(self) -> None:
         if self._waiting and self._current is None and not self.transport.is_closing():
--- a/ironledge/net/sockets.py
+++ b/ironledge/net/sockets.py
@@ -19,9 +19,10 @@
         self.freed: Callable[[], None] = lambda: None  # called when one has been closed
         self._evict: list[Callable[[], bool]] = []
 
-    def on_crowded(self, evict: Callable[[], bool]) -> None:
-        """`evict` closes one idle connection, or returns False where there is none."""
-        self._evict.append(evict)
+    def on_crowded(self, evict: Callable[[], bool], first: bool = False) -> None:
+        """`evict` closes one idle connection, or returns False where there is none. Clients' go first: one to
+        a backend costs it work to make anew, and the next request time."""
+        self._evict.insert(0 if first else len(self._evict), evict)
 
     def closed(self) -> None:
         self.open -= 1
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -241,3 +241,56 @@
     writer.write(request("second")[20:])
     assert (await read_answer(reader)).startswith(b"HTTP/1.1 200 ")
     writer.close()
+
+
+def look_later(ingress: Ingress, seconds: float) -> None:
+    """The listener's next look at its connections, with the clock that much further."""
+    now = ingress.listener.now
+    ingress.listener.now = lambda: now() + int(seconds * 1e6)
+    if ingress.listener._sweep:
+        ingress.listener._sweep.cancel()
+    ingress.listener._tick()
+
+
+@pytest.mark.parametrize("sent", [b"", b"GET /read/x HTTP/1.1\r\nHost:"])
+async def test_a_peer_that_sends_no_whole_request_gets_an_end_within_three_seconds(
+    ingress: Ingress, sent: bytes
+) -> None:
+    reader, writer = await asyncio.open_connection(HOST, ingress.port)
+    writer.write(sent)
+    while not ingress.listener.connections:
+        await asyncio.sleep(0)
+    (connection,) = ingress.listener.connections
+    while sent and not connection._begun:
+        await asyncio.sleep(0)
+    look_later(ingress, 2.5)  # the look after this one may come half a second later
+    assert connection.transport.is_closing()
+    assert (await read_answer(reader)).startswith(b"HTTP/1.1 408 ")
+    async with asyncio.timeout(10):
+        assert await reader.read() == b""
+    writer.close()
+
+
+async def test_a_connection_long_without_a_request_is_closed_and_a_fresh_one_kept(ingress: Ingress) -> None:
+    ends = [await asyncio.open_connection(HOST, ingress.port) for _ in range(2)]
+    ends[0][1].write(request())
+    assert (await read_answer(ends[0][0])).startswith(b"HTTP/1.1 200 ")
+    look_later(ingress, 1.9)
+    assert len(ingress.listener.idle) == 1
+    look_later(ingress, 0.2)
+    async with asyncio.timeout(10):
+        assert await ends[0][0].read() == b""
+    for _, writer in ends:
+        writer.close()
+
+
+async def test_idle_clients_make_room_before_idle_connections_to_backends(ingress: Ingress) -> None:
+    reader, writer = await asyncio.open_connection(HOST, ingress.port)
+    writer.write(request())
+    assert (await read_answer(reader)).startswith(b"HTTP/1.1 200 ")
+    ingress.sockets.cap = ingress.sockets.open  # one idle client and one backend's
+    assert ingress.sockets.room()
+    async with asyncio.timeout(10):
+        assert await reader.read() == b""
+    assert [len(pool.idle) for pool in ingress.backends._pools.values()] == [1]
+    writer.close()
