Take up new addresses of discovery and the counter on SIGHUP

Cause: the program had no handler for SIGHUP, so the signal that tells of a replaced configuration file ended it, which counts as a crash.

On SIGHUP the file is read again. The watch goes on at the new address from the version held. New calls to the counter wait for a connection to the new address; those that are out keep their time for an answer on the old one. A file that cannot be read is logged, and all stays as it was.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -79,6 +79,16 @@
         raise ConfigError(str(error)) from None
 
 
+def read_addresses(path: str) -> tuple[Address, Address | None]:
+    """Discovery's and the counter's in a file that was replaced; the environment still has those before."""
+    try:
+        top = json.loads(Path(path).read_bytes())
+        counter = _address(top["counter"], "counter") if top.get("counter") else None
+        return _address(top["discovery"], "discovery"), counter
+    except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
+        raise ConfigError(str(error)) from None
+
+
 async def serve(config: Config) -> None:
     loop, clock, sockets = asyncio.get_running_loop(), Clock(), Sockets(config.sockets)
     names = Names(config.settings, config.raw)
@@ -94,6 +104,19 @@
     discovery = Discovery(config.discovery, config.known.index, engine.listed)
     discovery.start()
     listener = Listener(engine, sockets, clock.now)
+
+    def reload() -> None:
+        try:
+            discovery_at, counter_at = read_addresses(os.environ.get("EDGE_CONFIG", ""))
+        except ConfigError as error:
+            log.warning("the configuration stays as it was: %s", error)
+            return
+        log.info("discovery at %s:%d", *discovery_at)
+        discovery.move(discovery_at)
+        if counter and counter_at:
+            counter.move(counter_at)
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
--- a/ironledge/net/counter.py
+++ b/ironledge/net/counter.py
@@ -40,6 +40,7 @@
         self.address, self.timeout = address, timeout_us / 1e6
         self._line: CounterLine | None = None
         self._held: dict[Call, bytes] | None = None  # calls while a line that was well is made anew
+        self._left: CounterLine | None = None  # at the address before, with calls that may yet be answered
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -48,8 +49,22 @@
     def stop(self) -> None:
         if self._task:
             self._task.cancel()
+        for line in (self._line, self._left):
+            if line:
+                line.transport.abort()
+
+    def move(self, address: tuple[str, int]) -> None:
+        """The counter is elsewhere from now on: new calls wait for a connection there, and those that are out
+        have their time for an answer."""
+        if address == self.address:
+            return
+        self.address, self._held = address, self._held or {}
         if self._line:
-            self._line.transport.abort()
+            self._left, self._line = self._line, None
+            asyncio.get_running_loop().call_later(self.timeout, self._left.transport.abort)
+        if self._task:
+            self._task.cancel()
+            self.start()
 
     def add(self, name: int, amount: float, ttl_us: int, answered: Answered) -> None:
         loop, ttl = asyncio.get_running_loop(), min(MAX_TTL_MS, max(1, ttl_us // 1000))
--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -63,6 +63,13 @@
         if self._task:
             self._task.cancel()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery is elsewhere from now on: watches there from the version held."""
+        if address != self.address:
+            self.address = address
+            self.stop()
+            self.start()
+
     def told(self, line: bytes) -> None:
         listing = Listing(json.loads(line))
         self.index = listing.index
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -146,6 +146,24 @@
     calls.counter.stop()
 
 
+async def test_a_counter_that_moves_gets_the_new_calls_and_answers_the_old(server: PeerServer) -> None:
+    calls, other = Calls(server, LONG), await PeerServer().start()
+    await calls.connect()
+    calls.add("old")
+    await lines(server, 1)
+    calls.counter.move((HOST, other.port))
+    calls.add("new")
+    await lines(other, 1)
+    other.peers[0].transport.write(b"ok 2\r\n")
+    await calls.answered(1)
+    server.peers[0].transport.write(b"ok 1\r\n")
+    assert await calls.answered(2) == [("new", Outcome.OK, 2.0), ("old", Outcome.OK, 1.0)]
+    assert len(server.peers) == 1
+    calls.counter.stop()
+    await server.until(lambda: len(server.closed) == 1)
+    other.stop()
+
+
 async def test_an_idle_connection_is_pinged_and_a_silent_one_given_up(
     server: PeerServer, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_net_main.py
+++ b/tests/test_net_main.py
@@ -1,4 +1,4 @@
-"""The program as it is started: bad configuration, `/up`, SIGTERM."""
+"""The program as it is started: bad configuration, `/up`, SIGTERM, SIGHUP."""
 
 from __future__ import annotations
 
@@ -93,6 +93,37 @@
     server.stop()
 
 
+@pytest.mark.parametrize("broken", [False, True])
+async def test_sighup_takes_up_new_addresses_and_survives_a_broken_file(tmp_path: Path, broken: bool) -> None:
+    olds, news = [[await PeerServer().start() for _ in range(2)] for _ in range(2)]
+    path = tmp_path / "config.json"
+
+    def write(discovery: PeerServer, counter: PeerServer) -> None:
+        at = {"discovery": f"{HOST}:{discovery.port}", "counter": f"{HOST}:{counter.port}"}
+        path.write_text(json.dumps(config(**at)))
+
+    write(*olds)
+    ran = start(path)
+    await asyncio.to_thread(listens, ran)
+    for server in olds:
+        await server.until(lambda server=server: len(server.peers) == 1)  # type: ignore[misc]
+    if broken:
+        path.write_text("{")
+        ran.send_signal(signal.SIGHUP)
+        assert ran.stderr and "stays as it was" in await asyncio.to_thread(ran.stderr.readline)
+    write(*news)
+    ran.send_signal(signal.SIGHUP)
+    await news[0].until(lambda: bool(news[0].peers) and b"watch=1&from=1 " in news[0].peers[0].data)
+    await news[1].until(lambda: len(news[1].peers) == 1)
+    for server in olds:
+        await server.until(lambda server=server: len(server.closed) == 1)  # type: ignore[misc]
+    ran.send_signal(signal.SIGTERM)
+    _, errors = await asyncio.to_thread(ran.communicate, timeout=60)
+    assert ran.returncode == 0 and "Traceback" not in errors
+    for server in (*olds, *news):
+        server.stop()
+
+
 async def ask(port: int, data: bytes) -> bytes:
     reader, writer = await asyncio.open_connection(HOST, port)
     writer.write(data)
