Let a gateway's leases take 1.5 even parts of a ceiling, as traffic is uneven

Cause: leased units, which the counter holds within the quota, were refused where a member's traffic came mostly through one gateway: its fixed even part of the ceiling (1/spread) was spent. The even parts stay for units that the counter has not heard of.

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -22,6 +22,7 @@
 CROWDED = 1.2  # calls turned away or unanswered of late: some in ten, and not just one
 KNOWN = 4  # windows for which a total heard tells more of a customer than quota / spread
 WIDE = 12  # gateways a customer: with more, what one leases ahead is seldom spent, and few know of the store
+UNEVEN = 1.5  # even parts of a ceiling that one gateway's leases may take: the counter keeps the sum of all
 FIRST_LIMIT = 16.0  # attempts out at a backend by all gateways to begin with: a few a core
 TARGET = 0.19  # latency, as a share of the aim, at which a backend counts as full: tails run four times that
 COLD_PART = 0.8  # of the cold budget that is used: requests differ in work, and lists come at different times
@@ -77,8 +78,9 @@
         fill = self.window_us / SECOND
         self.usual = self.usual * math.exp(-gone / fill) + (0.0 if again else units / fill)
         self.share = min(max(units, plan.burst * part), self.share + plan.rate * part * gone)  # one fits
-        most, fill = plan.ceiling_burst * part, plan.ceiling_rate * part * gone
-        self.ceiling, self.sure = min(most, self.ceiling + fill), min(most, self.sure + fill)
+        most, fill, lead = plan.ceiling_burst, plan.ceiling_rate * gone, min(1.0, UNEVEN * part)
+        self.ceiling = min(most * lead, self.ceiling + fill * lead)
+        self.sure = min(most * part, self.sure + fill * part)
 
     def bound(self, now: int) -> float:  # the most the shared store can hold; unspent leases count
         grown = self.level + self.plan.rate * (now - self.level_at) / SECOND
@@ -281,8 +283,8 @@
         if account is None:
             spread = min(s.fleet_size, max(1, event.spread))
             plan, age = s.plans[event.plan], (self.now - self.began) / SECOND
-            account = Account(plan, spread, self.slot_us, self.now, ceiling=plan.ceiling_burst / spread)
-            account.sure = min(account.ceiling, plan.ceiling_rate / spread * age)
+            account = Account(plan, spread, self.slot_us, self.now, ceiling=plan.ceiling_burst)
+            account.sure = min(plan.ceiling_burst, plan.ceiling_rate * age) / spread
         cls, self.accounts[event.customer] = s.classes[event.cls], account
         span = cls.deadline if cls.late_worth >= 0.5 or cls.aim_stretch > 0 else cls.aim  # worth a wait
         request = Request(event, cls, account, self.now + min(event.time_left, span))
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -185,6 +185,13 @@
     assert of(actions, it.SendAttempt) and not of(actions, it.Refuse)
 
 
+def test_leases_may_take_more_than_the_even_part_of_a_ceiling() -> None:
+    g, counter, sent = gateway(fleet_size=4), Counter(), 0
+    for n in range(4):  # an even part holds 2, the quota 4
+        sent += len(of(settle(g, n * 1000, arrival(n, plan=3, spread=4), counter), it.SendAttempt))
+    assert sent == 3
+
+
 def test_units_the_counter_has_not_heard_of_wait_until_a_restart_is_made_up_for() -> None:
     def sent_unheard(age: int) -> bool:
         g = gateway()
