Await an answer that is under way past the aim, for one aim more

Cause: an attempt was given up when the aim had passed.

An attempt is now awaited until one aim past the aim, at most the client's time. Nothing new is sent past the aim, as before, and once no attempt is out the request is refused at once.

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -221,7 +221,8 @@
     event: it.RequestArrived
     cls: it.RequestClass
     account: Account
-    cut: int  # no answer after this is worth its work
+    cut: int  # no answer after this is worth new work
+    end: int  # an answer under way is awaited until here: what it costs the backend is spent
     attempts: list[Attempt] = field(default_factory=list)
 
     def ran(self) -> Attempt | None:
@@ -287,7 +288,8 @@
             account.sure = min(plan.ceiling_burst, plan.ceiling_rate * age) / spread
         cls, self.accounts[event.customer] = s.classes[event.cls], account
         span = cls.deadline if cls.late_worth >= 0.5 or cls.aim_stretch > 0 else cls.aim  # worth a wait
-        request = Request(event, cls, account, self.now + min(event.time_left, span))
+        cut, end = self.now + min(event.time_left, span), self.now + min(event.time_left, span + cls.aim)
+        request = Request(event, cls, account, cut, end)
         self.requests[event.request] = request
         account.arrive(self.now, event.units, event.is_retry)
         self.admit(request)
@@ -414,12 +416,12 @@
             return False
         spent = event.units if first else 0.0
         account.ceiling, account.sure = account.ceiling - spent, account.sure - spent
-        number, timeout = len(request.attempts), request.cut - self.now
+        number, left, timeout = len(request.attempts), request.cut - self.now, request.end - self.now
         patience = int(max(4 * (self.fleet.usual[event.cls] or cls.aim / 6), cls.aim / 3))  # older: stuck
         more = cls.repeat is not Repeat.UNSAFE and number + 1 < self.settings.limits.max_attempts
-        if more and self.settings.limits.may_duplicate and patience < timeout:
+        if more and self.settings.limits.may_duplicate and patience < left:
             self.actions.append(it.SetTimer(event.request, self.now + patience))
-        elif more and timeout > 1.5 * patience:
+        elif more and left > 1.5 * patience:
             timeout = patience
         self.actions.append(it.SendAttempt(event.request, backend.info.id, max(1, timeout)))
         request.attempts.append(Attempt(backend, self.now))
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -192,6 +192,16 @@
     assert sent == 3
 
 
+def test_an_answer_under_way_is_awaited_past_the_aim_but_nothing_new_is_sent_then() -> None:
+    g = gateway(limits={"may_duplicate": False, "max_attempts": 1})
+    (sent,) = of(settle(g, 0, arrival(1), Counter()), it.SendAttempt)
+    assert sent.timeout == 2 * SECOND  # the aim is 1 s, the client waits for 3 s
+    g = gateway()
+    (sent,) = of(settle(g, 0, arrival(1), Counter()), it.SendAttempt)
+    end = it.AttemptEnded(1, 0, sent.backend, it.Outcome.RESET, 1_100_000, final=False)
+    assert g.handle(1_100_000, end) == [it.Refuse(1)]  # given up: told at once
+
+
 def test_units_the_counter_has_not_heard_of_wait_until_a_restart_is_made_up_for() -> None:
     def sent_unheard(age: int) -> bool:
         g = gateway()
