Advise a return after a usual latency where no server has room, not the longest wait

Cause: a refusal for want of a server named the longest wait that clients heed. By the usual latency from now some attempt out has ended. A refusal at the ceiling or past the aim names the longest wait as before.

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -411,8 +411,9 @@
             over = over or (account.ceiling if leased else account.sure) < event.units
         backend = None if over else self.fleet.pick(self.now, event.cls, lambda b: self.may_send(request, b))
         if backend is None:
-            if first:
-                self.end(request, it.Refuse(event.request, self.slot_us))
+            if first:  # by the usual latency from now some attempt has ended
+                wait = self.slot_us if over else int(self.fleet.usual[event.cls])
+                self.end(request, it.Refuse(event.request, min(self.slot_us, wait or self.slot_us)))
             return False
         spent = event.units if first else 0.0
         account.ceiling, account.sure = account.ceiling - spent, account.sure - spent
