Take operators' calls at an address of their own, and keep maintenance over restarts

GET /status, POST /maintenance/enter and /maintenance/exit. A server out is drained whatever the list says; put back it is cold. Kept by name in $TMPDIR before the yes. Eight callers at once, 2 s for a call to come.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -11,6 +11,7 @@
 import sys
 from dataclasses import dataclass
 from pathlib import Path
+from tempfile import gettempdir
 from typing import Any
 
 import uvloop
@@ -22,12 +23,14 @@
 from ironledge.net.counter import Counter
 from ironledge.net.discovery import Discovery, Listing
 from ironledge.net.engine import Clock, Engine, Names
+from ironledge.net.ops import Maintenance, Ops
 from ironledge.net.sockets import Sockets
 from ironledge.wire import WireError, settings_from_json
 
 ACCEPTS_ON = 0.55  # s after SIGTERM: new connections go on coming for 0.4 s
 LONGEST_STOP = 3.0  # s: the longest deadline that the platform waits for, and ...
 STOP_MARGIN = 0.4  # ... what it waits beyond that, less a margin
+KEPT = "ironledge-maintenance.json"  # in $TMPDIR
 
 Address = tuple[str, int]
 log = logging.getLogger("ironledge")
@@ -42,6 +45,7 @@
     listen: Address
     discovery: Address
     counter: Address | None
+    ops: Address | None
     seed: int
     sockets: int
     known: Listing
@@ -66,6 +70,7 @@
             listen=_address(os.environ.get("EDGE_LISTEN") or top["listen"], "listen"),
             discovery=_address(os.environ.get("EDGE_DISCOVERY") or top["discovery"], "discovery"),
             counter=_address(top["counter"], "counter") if top.get("counter") else None,
+            ops=_address(ops, "ops") if (ops := os.environ.get("EDGE_OPS") or top.get("ops")) else None,
             seed=int(str(top["seed"]), 16),
             sockets=int(top.get("limits", {}).get("sockets", 1024)),
             known=Listing(known),
@@ -116,6 +121,11 @@
         if counter and counter_at:
             counter.move(counter_at)
 
+    maintenance = Maintenance(engine, Path(os.environ.get("TMPDIR") or gettempdir()) / KEPT)
+    maintenance.recall()
+    ops = Ops(engine, maintenance, lambda: listener.accepting() and engine.can_serve())
+    if config.ops:  # heard before clients are: /status says no until they are
+        await ops.listen(*config.ops)
     loop.add_signal_handler(signal.SIGHUP, reload)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -129,6 +139,7 @@
     discovery.stop()
     if counter:
         counter.stop()
+    ops.stop()
     backends.stop()
 
 
--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -9,7 +9,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ironledge import interface as it
 from ironledge.interface import BackendState, ListKind, Outcome, Repeat, Scope
@@ -126,6 +126,8 @@
         self.settings, self.rng, self.first = settings, rng, FIRST_LIMIT / settings.fleet_size
         self.backends: dict[int, Backend] = {}
         self.ready: list[Backend] = []
+        self.withdrawn: set[int] = set()  # taken out by operators, apart from what is listed
+        self.returned: dict[int, int] = {}  # put back by operators: cold as if started then
         self.usual = [0.0] * len(settings.classes)  # usual latency of an answer, by class
         self.typical = [1.0] * len(settings.classes)  # what `slow` is on average
         self.out, self.more, self.sends = 0, 0.0, 0.0
@@ -137,15 +139,34 @@
 
     def listed(self, event: it.BackendsListed) -> None:
         for info in event.backends:
+            info = replace(info, started=max(info.started, self.returned.get(info.id, 0)))
             known = self.backends.setdefault(info.id, Backend(info))
-            if known.limit == 0 or info.started > known.info.started:  # sends are earned out of step
-                known.limit, known.slow = self.first, self.typical[:]
-                known.credit, known.credit_at = max(self.rng.random(), min(1.0, self.first)), self.sends
+            if known.limit == 0 or info.started > known.info.started:
+                self.begin(known)
             known.info = info
         whole = event.kind in (ListKind.FULL, ListKind.CACHED)
         named = {info.id for info in event.backends} if whole else self.backends.keys()
         self.backends = {n: b for n, b in self.backends.items() if n in named}
-        self.ready = [b for b in self.backends.values() if b.info.state is BackendState.READY]
+        self.sort_out()
+
+    def sort_out(self) -> None:
+        fit = (b for b in self.backends.values() if b.info.id not in self.withdrawn)
+        self.ready = [b for b in fit if b.info.state is BackendState.READY]
+
+    def begin(self, backend: Backend) -> None:  # as new; its sends are earned out of step with the siblings'
+        backend.limit, backend.slow = self.first, self.typical[:]
+        backend.credit, backend.credit_at = max(self.rng.random(), min(1.0, self.first)), self.sends
+
+    def maintained(self, now: int, event: it.MaintenanceChanged) -> None:
+        if event.out:
+            self.withdrawn.add(event.backend)
+        elif event.backend in self.withdrawn:
+            self.withdrawn.discard(event.backend)
+            self.returned[event.backend] = now  # it was restarted meanwhile, whatever the list knows of that
+            if known := self.backends.get(event.backend):
+                known.info = replace(known.info, started=now)
+                self.begin(known)
+        self.sort_out()
 
     def warmth(self, backend: Backend, now: int) -> float:  # the part of its capacity it has for sure
         safety, started = self.settings.safety, backend.info.started
@@ -266,6 +287,8 @@
                 self.fleet.listed(event)
                 if self.settings.must_ask and kind in (ListKind.FAILED, ListKind.CACHED):
                     self.actions.append(it.Subscribe(True))
+            case it.MaintenanceChanged():
+                self.fleet.maintained(now, event)
             case it.ClientGone(number):
                 self.finish(number)
             case it.StreamStarted(number, attempt):
--- a/ironledge/interface.py
+++ b/ironledge/interface.py
@@ -200,6 +200,14 @@
     backends: tuple[ListedBackend, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class MaintenanceChanged:
+    """Operators take a backend out of service or put it back, whatever the list says of it meanwhile."""
+
+    backend: int
+    out: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeAnswered:
     backend: int
@@ -222,6 +230,7 @@
     | TimerFired
     | CountAnswered
     | BackendsListed
+    | MaintenanceChanged
     | ProbeAnswered
     | PeerMessage
 )
--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -140,15 +140,19 @@
 class Pool:
     """The connections to one backend."""
 
-    __slots__ = ("address", "busy", "dials", "idle", "name", "ready", "sockets", "stale", "started")
+    __slots__ = ("address", "busy", "dials", "held", "idle", "name", "sockets", "stale", "started", "up")
 
-    def __init__(self, entry: Entry, sockets: Sockets) -> None:
+    def __init__(self, entry: Entry, sockets: Sockets, held: bool) -> None:
         self.name, self.address, self.sockets = entry.name, entry.address, sockets
-        self.ready, self.started, self.stale = entry.status == "up", entry.since_us, False
+        self.up, self.held, self.started, self.stale = entry.status == "up", held, entry.since_us, False
         self.idle: list[Link] = []  # the most recently used last
         self.busy: set[Link] = set()
         self.dials: set[Exchange] = set()
 
+    @property
+    def ready(self) -> bool:
+        return self.up and not self.held
+
     def rest(self, link: Link) -> None:
         self.busy.discard(link)
         if self.ready and link.address == self.address:
@@ -191,6 +195,7 @@
         self._sockets, self._idle = sockets, conn_idle_us / 1e6 * IDLE_PART
         self._connect_timeout = connect_timeout_us / 1e6
         self._pools: dict[int, Pool] = {}
+        self._held: set[int] = set()  # out for maintenance, apart from what is listed
         self._loop = asyncio.get_running_loop()
         self._sweep: asyncio.TimerHandle | None = None
         sockets.on_crowded(self._evict)
@@ -210,9 +215,9 @@
         pool = self._pools.get(backend)
         if pool is None:
             if entry.status != "removed":
-                self._pools[backend] = Pool(entry, self._sockets)
+                self._pools[backend] = Pool(entry, self._sockets, backend in self._held)
             return
-        pool.ready = entry.status == "up"
+        pool.up = entry.status == "up"
         if entry.status != "removed":  # a new start or address: what was connected leads to the one before
             pool.stale = pool.address != entry.address or pool.started != entry.since_us
             pool.address, pool.started = entry.address, entry.since_us
@@ -220,13 +225,20 @@
     def settle(self, gone: Iterable[int]) -> None:
         for backend in gone:
             if pool := self._pools.pop(backend, None):
-                pool.ready = False
+                pool.up = False
                 pool.withdraw()
         for pool in self._pools.values():
             if pool.stale or not pool.ready:
                 pool.stale = False
                 pool.withdraw()
 
+    def hold(self, backend: int, out: bool) -> None:
+        (self._held.add if out else self._held.discard)(backend)
+        if pool := self._pools.get(backend):
+            pool.held = out
+            if out:
+                pool.withdraw()
+
     # Attempts.
 
     def send(self, backend: int, data: bytes, ended: Ended) -> Exchange:
--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -11,7 +11,7 @@
 import httptools
 
 from ironledge.net.engine import Answer, Engine, Names, Wanted
-from ironledge.net.http import HttpConnection, Message
+from ironledge.net.http import HttpConnection, Message, plain
 from ironledge.net.sockets import Sockets, unread
 
 HALF_SENT = 2.0  # s for a request to come whole, the first from connecting on: peers are owed an end in 3 s
@@ -19,12 +19,6 @@
 LOOK = 0.5  # s between looks for connections past either
 BACKLOG = 1024
 QUEUED = 8  # requests on one connection that wait for the answer to the one before
-REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    409: b"Conflict",
-    413: b"Content Too Large", 429: b"Too Many Requests", 431: b"Request Header Fields Too Large",
-    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
-}  # fmt: skip
 ID = re.compile(rb"[!-~]{1,128}")
 CUSTOMER = re.compile(rb"(?:^|[;,])\s*customer=([0-9a-fA-F]{16})\s*(?=[;,]|$)")
 TIMEOUT = re.compile(rb"([0-9]{1,12})([mu])")
@@ -125,6 +119,10 @@
             lambda: ClientConnection(self), sock=listening.dup(), backlog=BACKLOG
         )
 
+    def accepting(self) -> bool:
+        """False before it listens and once it stops; a pause for want of descriptors is neither."""
+        return self._socket is not None and not self.stopping
+
     def pause(self) -> None:
         """Accepting with no descriptor left would close what comes in, requests and all; in the listener's
         line it waits for the moments until others are closed."""
@@ -267,11 +265,7 @@
     def _write(self, status: int, headers: bytes, body: bytes) -> None:
         self._current = None
         keep = self._keep and not self._listener.stopping and not self._lost_framing
-        close = b"" if keep else b"Connection: close\r\n"
-        self.transport.write(
-            b"HTTP/1.1 %d %b\r\n%b%bContent-Length: %d\r\n\r\n%b"
-            % (status, REASONS[status], headers, close, len(body), body)
-        )
+        self.transport.write(plain(status, body, headers, close=not keep))
         if not keep:
             self._waiting.clear()
             self.transport.close()
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -62,6 +62,9 @@
     def settle(self, gone: Iterable[int]) -> None:
         """Closes and withdraws what the entries taken in have made void, and forgets those gone."""
 
+    def hold(self, backend: int, out: bool) -> None:
+        """Out for maintenance: as a drain, whatever the list says, until it is put back."""
+
     def send(self, backend: int, data: bytes, ended: Callable[[Answer], None]) -> Exchange: ...
     def probe(self, backend: int, ended: Callable[[Answer], None]) -> None: ...
     def close_idle(self, backend: int) -> None: ...
@@ -136,6 +139,8 @@
         self._next = 0
         self._backends: dict[str, int] = {}  # by name, for good: a name keeps its number
         self._listed: set[str] = set()
+        self._up: set[str] = set()  # of these, the ones that take new work
+        self.maintained: set[str] = set()  # backends that operators have taken out
         self._events: deque[it.Event] = deque()
         self._busy = False
 
@@ -181,10 +186,34 @@
         gone = {e.name for e in listing.entries if e.status == "removed"}
         gone |= self._listed - here if listing.whole else set()
         self._listed = (self._listed | here) - gone
+        up = {e.name for e in listing.entries if e.status == "up"}
+        self._up = up if listing.whole else (self._up - {e.name for e in listing.entries}) | up
         self._events.append(it.BackendsListed(kind, listing.index, tuple(found)))
         self.servers.settle([self._backends[n] for n in gone if n in self._backends])
         self._drain()
 
+    def maintain(self, name: str, out: bool) -> bool:
+        """An operator's call, taken apart from the list; False if no backend of that name was ever listed."""
+        if name not in self._backends:
+            return False
+        (self.maintained.add if out else self.maintained.discard)(name)
+        self._events.append(it.MaintenanceChanged(self._backends[name], out))
+        self.servers.hold(self._backends[name], out)
+        self._drain()
+        return True
+
+    def recall(self, names: Iterable[str]) -> None:
+        """Backends that were out before this process began, listed by now or not."""
+        for name in names:
+            self._backends.setdefault(name, len(self._backends) + 1)
+            self.maintain(name, True)
+
+    def knows(self, name: str) -> bool:
+        return name in self._backends
+
+    def can_serve(self) -> bool:
+        return bool(self._up - self.maintained)
+
     def give_up(self) -> None:
         """Fails all that is open: the process is about to end."""
         for request in list(self._requests.values()):
--- a/ironledge/net/http.py
+++ b/ironledge/net/http.py
@@ -9,6 +9,19 @@
 
 MAX_HEAD = 16 * 1024
 MAX_BODY = 64 * 1024
+REASONS = {
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
+    409: b"Conflict", 413: b"Content Too Large", 429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
+    503: b"Service Unavailable", 504: b"Gateway Timeout",
+}  # fmt: skip
+
+
+def plain(status: int, body: bytes, headers: bytes = b"", close: bool = False) -> bytes:
+    """A whole answer of known length."""
+    end = b"Connection: close\r\n" if close else b""
+    head = b"HTTP/1.1 %d %b\r\n%b%bContent-Length: %d\r\n\r\n"
+    return head % (status, REASONS[status], headers, end, len(body)) + body
 
 
 class Message:
--- /dev/null
+++ b/ironledge/net/ops.py
@@ -0,0 +1,146 @@
+"""The operators' side: a listener of its own for their calls, and what they have taken out."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+from collections.abc import Callable
+from pathlib import Path
+from urllib.parse import parse_qs
+
+import httptools
+
+from ironledge.net.engine import Engine
+from ironledge.net.http import HttpConnection, Message, plain
+
+CALLERS = 8  # at once: of more, the one that has waited longest without a whole call gives way
+PATIENCE = 2.0  # s for a call to come whole
+MAX_ID = 256
+
+log = logging.getLogger(__name__)
+
+
+class Maintenance:
+    """Backends that operators have taken out, by name; kept in a file, so that a new process knows them."""
+
+    def __init__(self, engine: Engine, path: Path) -> None:
+        self._engine, self._path, self._turn = engine, path, asyncio.Lock()
+        self.changed: Callable[[str, bool], None] = lambda name, out: None  # told after each change made here
+
+    def recall(self) -> None:
+        try:
+            names = json.loads(self._path.read_bytes())
+            if not (isinstance(names, list) and all(isinstance(n, str) for n in names)):
+                raise ValueError("not a list of names")
+        except FileNotFoundError:
+            return
+        except (OSError, ValueError) as error:
+            log.warning("maintenance: %s: %s", self._path.name, error)
+            return
+        self._engine.recall(names)
+
+    async def change(self, name: str, out: bool) -> None:
+        """Kept on file before it is acted on: once the operator hears yes, it outlives this process."""
+        async with self._turn:
+            names = self._engine.maintained | {name} if out else self._engine.maintained - {name}
+            await asyncio.to_thread(self._keep, sorted(names))
+            self._engine.maintain(name, out)
+        self.changed(name, out)
+        log.info("maintenance: %s is %s", name, "out" if out else "back")
+
+    def _keep(self, names: list[str]) -> None:
+        made = self._path.with_suffix(f".{os.getpid()}")
+        made.write_text(json.dumps(names))
+        made.replace(self._path)
+
+
+class Ops:
+    def __init__(self, engine: Engine, maintenance: Maintenance, serving: Callable[[], bool]) -> None:
+        self._engine, self._maintenance, self._serving = engine, maintenance, serving
+        self.callers: dict[Caller, None] = {}  # the longest waiting first
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def listen(self, host: str, port: int) -> int:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Caller(self), host, port)
+        bound: int = self._server.sockets[0].getsockname()[1]
+        return bound
+
+    def stop(self) -> None:
+        if self._server:
+            self._server.close()
+        for caller in list(self.callers):
+            caller.transport.abort()
+
+    def came(self, caller: Caller) -> None:
+        self.callers[caller] = None
+        if len(self.callers) > CALLERS:
+            next(iter(self.callers)).transport.abort()
+
+    def call(self, caller: Caller, message: Message) -> None:
+        path, _, query = message.target.decode("latin-1").partition("?")
+        wanted = {"/status": b"GET", "/maintenance/enter": b"POST", "/maintenance/exit": b"POST"}.get(path)
+        names = parse_qs(query).get("who", [])
+        if wanted is None:
+            caller.answer(404, "no such call")
+        elif message.method != wanted:
+            caller.answer(405, f"only {wanted.decode()} is known here")
+        elif path == "/status":
+            yes = self._serving()
+            caller.answer(200 if yes else 503, "serving" if yes else "not serving")
+        elif len(names) != 1 or len(names[0]) > MAX_ID:
+            caller.answer(400, "who=ID is missing")
+        elif not self._engine.knows(names[0]):
+            caller.answer(404, "no such profile server")
+        else:
+            out = path == "/maintenance/enter"
+            task = asyncio.get_running_loop().create_task(self._change(caller, names[0], out))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _change(self, caller: Caller, name: str, out: bool) -> None:
+        try:
+            await self._maintenance.change(name, out)
+        except OSError as error:
+            log.warning("maintenance: %s stays as it was: %s", name, error)
+            caller.answer(500, "could not be kept; nothing has changed")
+            return
+        caller.answer(200, "out" if out else "back")
+
+
+class Caller(HttpConnection):
+    """One connection, one call, one answer."""
+
+    def __init__(self, ops: Ops) -> None:
+        super().__init__(httptools.HttpRequestParser)
+        self._ops, self._heard = ops, False
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._timer = asyncio.get_running_loop().call_later(PATIENCE, self.garbage, 408)
+        self._ops.came(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._timer:
+            self._timer.cancel()
+        self._ops.callers.pop(self, None)
+
+    def received(self, message: Message) -> None:
+        if not self._heard:
+            self._heard = True
+            self._ops.callers.pop(self, None)  # a whole call is owed its answer, and never gives way
+            self._ops.call(self, message)
+
+    def garbage(self, status: int) -> None:
+        if not self._heard:
+            self._heard = True
+            self.answer(status, "not understood")
+
+    def answer(self, status: int, text: str) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(plain(status, text.encode() + b"\n", close=True))
+            self.transport.close()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,9 +1,12 @@
 """Choice of backend, health, drains, cold budget, bound on what is out."""
 
+import random
+
 import pytest
 
 from ironledge import Gateway
 from ironledge import interface as it
+from ironledge.brain import Fleet
 from tests.helpers import DRAINING, GONE, PLANS, SECOND, arrival, backend, listed, of, settings
 
 FREE = (it.Plan("free", rate=0.0, burst=0.0),)
@@ -132,3 +135,27 @@
         for s in of(g.handle(n, arrival(n)), it.SendAttempt):
             g.handle(n, it.AttemptEnded(n, 0, s.backend, it.Outcome.TIMEOUT, 900_000, True))
     assert 1 <= len(sends(g, 100, range(100, 200))) <= 4  # of eight backends, at sixteen gateways
+
+
+def test_a_server_out_for_maintenance_gets_nothing_whatever_is_listed_until_put_back() -> None:
+    fleet = Fleet(settings(), random.Random(1))
+    fleet.listed(listed(backend(1), backend(2)))
+    for _ in range(2):
+        fleet.maintained(SECOND, it.MaintenanceChanged(1, True))
+    fleet.listed(listed(backend(1), backend(2)))
+    assert [b.info.id for b in fleet.ready] == [2]
+    fleet.maintained(2 * SECOND, it.MaintenanceChanged(1, False))
+    assert {b.info.id for b in fleet.ready} == {1, 2}
+
+
+def test_a_server_put_back_is_cold_even_if_the_list_tells_of_no_start() -> None:
+    fleet = Fleet(settings(), random.Random(1))
+    fleet.listed(listed(backend(1), backend(2)))
+    fleet.backends[1].limit = 50.0
+    for out in (True, False):
+        fleet.maintained(20 * SECOND, it.MaintenanceChanged(1, out))
+    fleet.listed(listed(backend(1), backend(2), kind=it.ListKind.DELTA))
+    assert fleet.warmth(fleet.backends[1], 20 * SECOND) == settings().safety.cold_share
+    assert fleet.backends[1].limit == fleet.first
+    fleet.maintained(25 * SECOND, it.MaintenanceChanged(1, False))  # it was not out: nothing to undo
+    assert fleet.warmth(fleet.backends[1], 30 * SECOND) == 1.0
--- a/tests/test_net_engine.py
+++ b/tests/test_net_engine.py
@@ -60,6 +60,8 @@
 
     def know(self, entry: Entry, backend: int) -> None: ...
 
+    def hold(self, backend: int, out: bool) -> None: ...
+
     def settle(self, gone: Iterable[int]) -> None:
         self.settled += gone
         for exchange in self.sent:
--- a/tests/test_net_main.py
+++ b/tests/test_net_main.py
@@ -20,7 +20,8 @@
 
 
 def start(path: Path) -> subprocess.Popen[str]:
-    env = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")} | {"EDGE_CONFIG": str(path)}
+    env = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
+    env |= {"EDGE_CONFIG": str(path), "TMPDIR": str(path.parent)}
     command = [sys.executable, "-m", "ironledge"]
     return subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
 
