--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -4,15 +4,12 @@
 
 import asyncio
 import gc
-import json
 import logging
 import os
 import signal
 import sys
-from dataclasses import dataclass
 from pathlib import Path
 from tempfile import gettempdir
-from typing import Any
 
 import uvloop
 
@@ -20,80 +17,21 @@
 from ironledge.brain import Gateway
 from ironledge.net.backends import Backends
 from ironledge.net.clients import Listener
+from ironledge.net.config import Config, ConfigError, read_config
 from ironledge.net.counter import Counter
-from ironledge.net.discovery import Discovery, Listing
+from ironledge.net.discovery import Discovery
 from ironledge.net.engine import Clock, Engine, Names
 from ironledge.net.ops import Maintenance, Ops
 from ironledge.net.sockets import Sockets
-from ironledge.wire import WireError, settings_from_json
 
 ACCEPTS_ON = 0.55  # s after SIGTERM: new connections go on coming for 0.4 s
 LONGEST_STOP = 3.0  # s: the longest deadline that the platform waits for, and ...
 STOP_MARGIN = 0.4  # ... what it waits beyond that, less a margin
 KEPT = "ironledge-maintenance.json"  # in $TMPDIR
 
-Address = tuple[str, int]
 log = logging.getLogger("ironledge")
 
 
-class ConfigError(Exception):
-    pass
-
-
-@dataclass(frozen=True, slots=True)
-class Config:
-    listen: Address
-    discovery: Address
-    counter: Address | None
-    ops: Address | None
-    seed: int
-    sockets: int
-    known: Listing
-    settings: it.Settings
-    raw: dict[str, Any]  # the settings as they came
-    conn_idle: int
-
-
-def _address(value: Any, what: str) -> Address:
-    host, colon, port = str(value).rpartition(":")
-    if not (host and colon and port.isdecimal() and int(port) < 65536):
-        raise ConfigError(f"{what}: {value!r} is not HOST:PORT")
-    return host, int(port)
-
-
-def read_config(path: str) -> Config:
-    try:
-        top = json.loads(Path(path).read_bytes())
-        raw = top["settings"]
-        known = top.get("known") or {"index": 0, "snapshot": True, "endpoints": []}
-        return Config(
-            listen=_address(os.environ.get("EDGE_LISTEN") or top["listen"], "listen"),
-            discovery=_address(os.environ.get("EDGE_DISCOVERY") or top["discovery"], "discovery"),
-            counter=_address(top["counter"], "counter") if top.get("counter") else None,
-            ops=_address(ops, "ops") if (ops := os.environ.get("EDGE_OPS") or top.get("ops")) else None,
-            seed=int(str(top["seed"]), 16),
-            sockets=int(top.get("limits", {}).get("sockets", 1024)),
-            known=Listing(known),
-            settings=settings_from_json(json.dumps(raw).encode()),
-            raw=raw,
-            conn_idle=int(raw["ceilings"].get("conn_idle", 15_000_000)),
-        )
-    except KeyError as error:
-        raise ConfigError(f"{error.args[0]} is missing") from None
-    except (OSError, ValueError, TypeError, AttributeError, WireError) as error:
-        raise ConfigError(str(error)) from None
-
-
-def read_addresses(path: str) -> tuple[Address, Address | None]:
-    """Discovery's and the counter's in a file that was replaced; the environment still has those before."""
-    try:
-        top = json.loads(Path(path).read_bytes())
-        counter = _address(top["counter"], "counter") if top.get("counter") else None
-        return _address(top["discovery"], "discovery"), counter
-    except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
-        raise ConfigError(str(error)) from None
-
-
 async def serve(config: Config) -> None:
     loop, clock, sockets = asyncio.get_running_loop(), Clock(), Sockets(config.sockets)
     names = Names(config.settings, config.raw)
@@ -111,15 +49,20 @@
     listener = Listener(engine, sockets, clock.now)
 
     def reload() -> None:
+        nonlocal config
         try:
-            discovery_at, counter_at = read_addresses(os.environ.get("EDGE_CONFIG", ""))
+            config = read_config(os.environ.get("EDGE_CONFIG", ""), config)
         except ConfigError as error:
             log.warning("the configuration stays as it was: %s", error)
             return
-        log.info("discovery at %s:%d", *discovery_at)
-        discovery.move(discovery_at)
-        if counter and counter_at:
-            counter.move(counter_at)
+        log.info("new settings; discovery at %s:%d", *config.discovery)
+        engine.retune(config.settings, config.raw)
+        sockets.tune(config.sockets)
+        backends.tune(config.conn_idle, config.settings.limits.connect_timeout)
+        discovery.move(config.discovery)
+        if counter and config.counter:
+            counter.tune(config.settings.counter.timeout)
+            counter.move(config.counter)
 
     maintenance = Maintenance(engine, Path(os.environ.get("TMPDIR") or gettempdir()) / KEPT)
     maintenance.recall()
--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -70,8 +70,12 @@
 
     def __post_init__(self) -> None:
         self.level, self.share, self.demand_at = self.plan.burst, self.plan.burst, self.level_at
-        if self.plan.rate:  # a store left alone for a window is full: nothing need be carried further
-            self.window_us = max(SECOND, int(self.plan.burst / self.plan.rate * SECOND))
+        self.follow(self.plan)
+
+    def follow(self, plan: it.Plan) -> None:
+        self.plan, self.level, self.share = plan, min(self.level, plan.burst), min(self.share, plan.burst)
+        if plan.rate:  # a store left alone for a window is full: nothing need be carried further
+            self.window_us = max(SECOND, int(plan.burst / plan.rate * SECOND))
 
     def arrive(self, now: int, units: float, again: bool) -> None:  # shares refill, the average fades
         gone, self.demand_at, plan, part = (now - self.demand_at) / SECOND, now, self.plan, 1 / self.spread
@@ -123,14 +127,22 @@
 
 class Fleet:
     def __init__(self, settings: it.Settings, rng: random.Random) -> None:
-        self.settings, self.rng, self.first = settings, rng, FIRST_LIMIT / settings.fleet_size
+        self.settings, self.rng = settings, rng
         self.backends: dict[int, Backend] = {}
         self.ready: list[Backend] = []
         self.withdrawn: set[int] = set()  # taken out by operators, apart from what is listed
         self.returned: dict[int, int] = {}  # put back by operators: cold as if started then
-        self.usual = [0.0] * len(settings.classes)  # usual latency of an answer, by class
-        self.typical = [1.0] * len(settings.classes)  # what `slow` is on average
+        self.usual: list[float] = []  # usual latency of an answer, by class
+        self.typical: list[float] = []  # what `slow` is on average
         self.out, self.more, self.sends = 0, 0.0, 0.0
+        self.follow(settings)
+
+    def follow(self, settings: it.Settings) -> None:  # classes keep their numbers; new ones come behind
+        self.settings, self.first = settings, FIRST_LIMIT / settings.fleet_size
+        new = len(settings.classes) - len(self.usual)
+        self.usual, self.typical = self.usual + [0.0] * new, self.typical + [1.0] * new
+        for backend in self.backends.values():
+            backend.slow += [1.0] * new
 
     def used(self) -> float:  # the part out of what may be out at all backends: one at each jams them
         fails = min((t for t, u in zip(self.typical, self.usual, strict=True) if u), default=1.0)
@@ -244,20 +256,26 @@
     account: Account
     cut: int  # no answer after this is worth new work
     end: int  # an answer under way is awaited until here: what it costs the backend is spent
+    limits: it.Limits  # those it began with
     attempts: list[Attempt] = field(default_factory=list)
 
     def ran(self) -> Attempt | None:
         return next((a for a in self.attempts if a.may_have_run), None)
 
 
+def check(settings: it.Settings) -> None:
+    """Raises ValueError for settings that nobody can keep."""
+    plans = all(0 <= p.rate < math.inf and 0 <= p.burst < math.inf for p in settings.plans)
+    classes = settings.classes and all(c.aim > 0 and c.deadline > 0 for c in settings.classes)
+    if not (plans and classes and settings.fleet_size > 0 < settings.limits.max_attempts):
+        raise ValueError("settings: classes, plans, fleet_size or limits make no sense")
+
+
 class Gateway:
     def __init__(self, settings: it.Settings, seed: int) -> None:
-        limits = settings.limits
-        plans = all(0 <= p.rate < math.inf and 0 <= p.burst < math.inf for p in settings.plans)
-        classes = settings.classes and all(c.aim > 0 and c.deadline > 0 for c in settings.classes)
-        if not (plans and classes and settings.fleet_size > 0 < limits.max_attempts):
-            raise ValueError("settings: classes, plans, fleet_size or limits make no sense")
-        self.settings, self.fleet = settings, Fleet(settings, random.Random(seed))
+        check(settings)
+        self.settings = settings
+        self.fleet = Fleet(settings, random.Random(seed))
         self.accounts: dict[int, Account] = {}
         self.requests: dict[int, Request] = {}
         self.flying: dict[tuple[int, int], tuple[Request, Attempt]] = {}
@@ -265,10 +283,18 @@
         self.crowd, self.call_at, self.swept_at, self.now = 1.0, -SECOND, 0, 0
         self.began = -1  # the first moment heard of
         self.unasked, self.speaks = 0, 1.0  # requests since the last call, and how many a call speaks for
+        self.actions: list[it.Action] = []
+        self.follow(settings)
+
+    def follow(self, settings: it.Settings) -> None:
+        """Other rules for what is to come: accounts, leases and what is known of the fleet stay."""
+        for account in self.accounts.values():
+            account.follow(settings.plans[self.settings.plans.index(account.plan)])
+        limits, self.settings = settings.limits, settings
+        self.fleet.follow(settings)
         self.pace = settings.counter.timeout * settings.fleet_size / CALLS_OUT  # us a call while not crowded
         self.most = max(1.0, min(32.0, 1.5 * SECOND / max(1.0, self.pace)))  # a trial call a second or so
         self.slot_us = limits.advises_retry * limits.max_retry_after or SECOND  # d_0, T0: longest wait heeded
-        self.actions: list[it.Action] = []
 
     def handle(self, now: int, event: it.Event) -> list[it.Action]:
         self.now, self.actions = now, []
@@ -287,6 +313,8 @@
                 self.fleet.listed(event)
                 if self.settings.must_ask and kind in (ListKind.FAILED, ListKind.CACHED):
                     self.actions.append(it.Subscribe(True))
+            case it.SettingsChanged(settings):
+                self.follow(settings)
             case it.MaintenanceChanged():
                 self.fleet.maintained(now, event)
             case it.ClientGone(number):
@@ -312,7 +340,7 @@
         cls, self.accounts[event.customer] = s.classes[event.cls], account
         span = cls.deadline if cls.late_worth >= 0.5 or cls.aim_stretch > 0 else cls.aim  # worth a wait
         cut, end = self.now + min(event.time_left, span), self.now + min(event.time_left, span + cls.aim)
-        request = Request(event, cls, account, cut, end)
+        request = Request(event, cls, account, cut, end, s.limits)
         self.requests[event.request] = request
         account.arrive(self.now, event.units, event.is_retry)
         self.admit(request)
@@ -418,7 +446,7 @@
 
     def may_send(self, request: Request, backend: Backend) -> bool:
         """What may have run is repeated only if safe, or keyed within the scope and memory of its keys."""
-        ran, cls, alone = request.ran(), request.cls, not self.settings.limits.may_duplicate
+        ran, cls, alone = request.ran(), request.cls, not request.limits.may_duplicate
         if any(a.out and (a.backend is backend or alone) for a in request.attempts):
             return False
         if ran is None or cls.repeat is Repeat.SAFE:
@@ -429,7 +457,8 @@
 
     def send(self, request: Request, leased: bool = False) -> bool:
         event, account, cls, first = request.event, request.account, request.cls, not request.attempts
-        over = len(request.attempts) >= self.settings.limits.max_attempts or self.now >= request.cut
+        limits = request.limits
+        over = len(request.attempts) >= limits.max_attempts or self.now >= request.cut
         if first and account.plan.ceiling_rate:  # kept by fixed parts, whatever the counter says
             over = over or (account.ceiling if leased else account.sure) < event.units
         backend = None if over else self.fleet.pick(self.now, event.cls, lambda b: self.may_send(request, b))
@@ -442,8 +471,8 @@
         account.ceiling, account.sure = account.ceiling - spent, account.sure - spent
         number, left, timeout = len(request.attempts), request.cut - self.now, request.end - self.now
         patience = int(max(4 * (self.fleet.usual[event.cls] or cls.aim / 6), cls.aim / 3))  # older: stuck
-        more = cls.repeat is not Repeat.UNSAFE and number + 1 < self.settings.limits.max_attempts
-        if more and self.settings.limits.may_duplicate and patience < left:
+        more = cls.repeat is not Repeat.UNSAFE and number + 1 < limits.max_attempts
+        if more and limits.may_duplicate and patience < left:
             self.actions.append(it.SetTimer(event.request, self.now + patience))
         elif more and left > 1.5 * patience:
             timeout = patience
@@ -482,6 +511,6 @@
         if not (request := self.requests.pop(number, None)):
             return
         request.account.waiting = [r for r in request.account.waiting if r is not request]
-        for attempt in range(len(request.attempts) if self.settings.limits.may_cancel else 0):
+        for attempt in range(len(request.attempts) if request.limits.may_cancel else 0):
             if attempt != but and request.attempts[attempt].out:
                 self.actions.append(it.CancelAttempt(number, attempt))
--- a/ironledge/interface.py
+++ b/ironledge/interface.py
@@ -200,6 +200,14 @@
     backends: tuple[ListedBackend, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """Other settings from now on. Classes and plans keep their numbers; those dropped keep their place, as
+    open requests end by the rules they began with."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class MaintenanceChanged:
     """Operators take a backend out of service or put it back, whatever the list says of it meanwhile."""
@@ -230,6 +238,7 @@
     | TimerFired
     | CountAnswered
     | BackendsListed
+    | SettingsChanged
     | MaintenanceChanged
     | ProbeAnswered
     | PeerMessage
--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -192,8 +192,8 @@
 
 class Backends:
     def __init__(self, sockets: Sockets, conn_idle_us: int, connect_timeout_us: int) -> None:
-        self._sockets, self._idle = sockets, conn_idle_us / 1e6 * IDLE_PART
-        self._connect_timeout = connect_timeout_us / 1e6
+        self._sockets = sockets
+        self.tune(conn_idle_us, connect_timeout_us)
         self._pools: dict[int, Pool] = {}
         self._held: set[int] = set()  # out for maintenance, apart from what is listed
         self._loop = asyncio.get_running_loop()
@@ -201,6 +201,9 @@
         sockets.on_crowded(self._evict)
         self._tick()
 
+    def tune(self, conn_idle_us: int, connect_timeout_us: int) -> None:
+        self._idle, self._connect_timeout = conn_idle_us / 1e6 * IDLE_PART, connect_timeout_us / 1e6
+
     def stop(self) -> None:
         if self._sweep:
             self._sweep.cancel()
--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -6,10 +6,11 @@
 import math
 import re
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import httptools
 
+from ironledge import interface as it
 from ironledge.net.engine import Answer, Engine, Names, Wanted
 from ironledge.net.http import HttpConnection, Message, plain
 from ironledge.net.sockets import Sockets, unread
@@ -32,7 +33,7 @@
         self.status = status
 
 
-def read_request(message: Message, names: Names, deadlines: tuple[int, ...], began: int) -> Wanted:
+def read_request(message: Message, names: Names, classes: Sequence[it.RequestClass], began: int) -> Wanted:
     """The client's request, or BadRequest: a plain 4xx tells the client what is wrong with it."""
     headers = message.headers
     if message.method not in (b"GET", b"POST"):
@@ -54,7 +55,7 @@
     wait = TIMEOUT.fullmatch(headers.get(b"request-timeout", b""))
     if wait is None:
         raise BadRequest(400, "Request-Timeout is missing or invalid")
-    timeout = min(int(wait[1]) * (1000 if wait[2] == b"m" else 1), deadlines[cls])
+    timeout = min(int(wait[1]) * (1000 if wait[2] == b"m" else 1), classes[cls].deadline)
     units, spread, first = _quota(headers.get(b"x-quota", b""))
     retry = headers.get(b"client-retry") == b"1"
     head = _head(message, id)
@@ -92,7 +93,6 @@
 
     def __init__(self, engine: Engine, sockets: Sockets, now: Callable[[], int]) -> None:
         self.engine, self.sockets, self.now = engine, sockets, now
-        self.deadlines = tuple(c.deadline for c in engine.settings.classes)
         self.stopping = False
         # The longest idle first, with the clock since when. One that has carried nothing yet is not among
         # them: its first request is on the way, and a client sends again only once.
@@ -238,7 +238,7 @@
             self.refuse(0, status=503)
             return
         try:
-            wanted = read_request(message, self._engine.names, self._listener.deadlines, began)
+            wanted = read_request(message, self._engine.names, self._engine.settings.classes, began)
         except BadRequest as error:
             self._plain(error.status, str(error).encode() + b"\n")
             return
--- /dev/null
+++ b/ironledge/net/config.py
@@ -0,0 +1,95 @@
+"""The platform's configuration file, read and checked as a whole: at the start, and anew at SIGHUP."""
+
+from __future__ import annotations
+
+import json
+import os
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from ironledge import interface as it
+from ironledge.brain import check
+from ironledge.net.discovery import Listing
+from ironledge.wire import WireError, settings_from_json
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    listen: Address
+    discovery: Address
+    counter: Address | None
+    ops: Address | None
+    seed: int
+    sockets: int
+    known: Listing
+    settings: it.Settings
+    raw: dict[str, Any]  # the settings as they came
+    conn_idle: int
+
+
+def _address(value: Any, what: str) -> Address:
+    host, colon, port = str(value).rpartition(":")
+    if not (host and colon and port.isdecimal() and int(port) < 65536):
+        raise ConfigError(f"{what}: {value!r} is not HOST:PORT")
+    return host, int(port)
+
+
+def _lacks(before: Any, now: Any, where: str) -> str:
+    """The first key that settings had and have no longer: a cut-off file may be sound JSON, and a default in
+    a missing key's place would be a rule that nobody set. Named things may come and go."""
+    if isinstance(before, dict):
+        if not isinstance(now, dict):
+            return where
+        for key, value in before.items():
+            if key not in now:
+                return f"{where}.{key}"
+            if found := _lacks(value, now[key], f"{where}.{key}"):
+                return found
+    elif isinstance(before, list) and before and all(isinstance(b, dict) for b in before):
+        if not isinstance(now, list):
+            return where
+        shared = set.intersection(*(set(b) for b in before))
+        for number, entry in enumerate(now):
+            if lost := sorted(shared - set(entry) if isinstance(entry, dict) else shared):
+                return f"{where}[{number}].{lost[0]}"
+    return ""
+
+
+def read_config(path: str, before: Config | None = None) -> Config:
+    """The whole file, or ConfigError. Addresses in the environment hold at the start; a file that replaces
+    another names where discovery and the counter have moved, and has all that the first one had."""
+    env = os.environ if before is None else {}
+    try:
+        top = json.loads(Path(path).read_bytes())
+        raw = top["settings"]
+        if before and (lost := _lacks(before.raw, raw, "settings")):
+            raise ConfigError(f"{lost} is missing")
+        if before and before.counter and not top.get("counter"):
+            raise ConfigError("counter is missing")
+        known = top.get("known") or {"index": 0, "snapshot": True, "endpoints": []}
+        ops = env.get("EDGE_OPS") or top.get("ops")
+        settings = settings_from_json(json.dumps(raw).encode())
+        check(settings)
+        return Config(
+            listen=_address(env.get("EDGE_LISTEN") or top["listen"], "listen"),
+            discovery=_address(env.get("EDGE_DISCOVERY") or top["discovery"], "discovery"),
+            counter=_address(top["counter"], "counter") if top.get("counter") else None,
+            ops=_address(ops, "ops") if ops else None,
+            seed=int(str(top["seed"]), 16),
+            sockets=int(top.get("limits", {}).get("sockets", 1024)),
+            known=Listing(known),
+            settings=settings,
+            raw=raw,
+            conn_idle=int(raw["ceilings"].get("conn_idle", 15_000_000)),
+        )
+    except KeyError as error:
+        raise ConfigError(f"{error.args[0]} is missing") from None
+    except (OSError, ValueError, TypeError, AttributeError, WireError) as error:
+        raise ConfigError(str(error)) from None
--- a/ironledge/net/counter.py
+++ b/ironledge/net/counter.py
@@ -53,6 +53,12 @@
             if line:
                 line.transport.abort()
 
+    def tune(self, timeout_us: int) -> None:
+        """Another time-out, for calls written from now on."""
+        self.timeout = timeout_us / 1e6
+        if self._line:
+            self._line.timeout = self.timeout
+
     def move(self, address: tuple[str, int]) -> None:
         """The counter is elsewhere from now on: new calls wait for a connection there, and those that are out
         have their time for an answer."""
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -7,8 +7,8 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
-from typing import Any, Protocol
+from dataclasses import dataclass, replace
+from typing import Any, Protocol, TypeVar
 
 from ironledge import interface as it
 from ironledge.interface import Outcome
@@ -111,10 +111,11 @@
 
 
 class Request:
-    __slots__ = ("attempts", "client", "deadline", "number", "out", "over", "timer", "wanted")
+    __slots__ = ("attempts", "client", "deadline", "limits", "number", "out", "over", "timer", "wanted")
 
-    def __init__(self, number: int, wanted: Wanted, client: Client, deadline: int) -> None:
+    def __init__(self, number: int, wanted: Wanted, client: Client, deadline: int, limits: it.Limits) -> None:
         self.number, self.wanted, self.client, self.deadline = number, wanted, client, deadline
+        self.limits = limits  # those it began with
         self.over, self.out = False, 0
         self.attempts: list[Attempt] = []
         self.timer: Timer | None = None
@@ -156,7 +157,7 @@
             client.refuse(0)  # nothing was sent: harmless, and the module never hears of it
             return True
         self._next += 1
-        request = Request(self._next, wanted, client, now + left)
+        request = Request(self._next, wanted, client, now + left, self.settings.limits)
         self._requests[request.number], self._ids[wanted.id] = request, request.number
         self.open += 1
         request.timer = self._loop.call_later((left - ANSWER_MARGIN) / 1e6, self._overdue, request)
@@ -192,6 +193,17 @@
         self.servers.settle([self._backends[n] for n in gone if n in self._backends])
         self._drain()
 
+    def retune(self, settings: it.Settings, raw: dict[str, Any]) -> None:
+        """Other settings, in here and in the module at once. What is open ends by those it began with."""
+        before = self.settings
+        self.settings = replace(
+            settings,
+            classes=_follow(before.classes, settings.classes),
+            plans=_follow(before.plans, settings.plans),
+        )
+        self.names = Names(self.settings, raw, settings)
+        self._post(it.SettingsChanged(self.settings))
+
     def maintain(self, name: str, out: bool) -> bool:
         """An operator's call, taken apart from the list; False if no backend of that name was ever listed."""
         if name not in self._backends:
@@ -301,7 +313,7 @@
             self._events.append(it.AttemptEnded(number, 0, backend, Outcome.MOOT, 0, True))
             return
         left = request.deadline - LAST_ATTEMPT - now
-        limits, second = self.settings.limits, request.out > 0 and not self.settings.limits.may_duplicate
+        limits, second = request.limits, request.out > 0 and not request.limits.may_duplicate
         spent = len(request.attempts) >= limits.max_attempts
         request.attempts.append(attempt)
         request.out += 1
@@ -378,12 +390,23 @@
         )
 
 
+Named = TypeVar("Named", it.RequestClass, it.Plan)
+
+
+def _follow(before: Sequence[Named], now: Sequence[Named]) -> tuple[Named, ...]:
+    """A name keeps its number; what was dropped keeps its place, what is new comes behind."""
+    named: dict[str, Named] = {entry.name: entry for entry in now}
+    kept: list[Named] = [named.get(entry.name, entry) for entry in before]
+    return tuple(kept + [entry for entry in now if entry not in kept])
+
+
 class Names:
     """The settings' names for what the module knows by number."""
 
-    def __init__(self, settings: it.Settings, raw: dict[str, Any]) -> None:
-        self.classes = {c.name.encode(): n for n, c in enumerate(settings.classes)}
-        self.plans = {p.name.encode(): n for n, p in enumerate(settings.plans)}
+    def __init__(self, settings: it.Settings, raw: dict[str, Any], named: it.Settings | None = None) -> None:
+        named = named or settings  # what clients may name: not the classes and plans dropped since
+        self.classes = {c.name.encode(): n for n, c in enumerate(settings.classes) if c in named.classes}
+        self.plans = {p.name.encode(): n for n, p in enumerate(settings.plans) if p in named.plans}
         self.zones = _numbered(raw.get("failure_domains", ()))
         self.kinds = _numbered(raw.get("flavors", ()))
         fields = raw.get("telemetry", {}).get("fields", ())
--- a/ironledge/net/sockets.py
+++ b/ironledge/net/sockets.py
@@ -14,11 +14,14 @@
 
 class Sockets:
     def __init__(self, limit: int) -> None:
-        self.cap, self.top = int(limit * CAP) - BASE, int(limit * TOP) - BASE
+        self.tune(limit)
         self.open = 0
         self.freed: Callable[[], None] = lambda: None  # called when one has been closed
         self._evict: list[Callable[[], bool]] = []
 
+    def tune(self, limit: int) -> None:
+        self.cap, self.top = int(limit * CAP) - BASE, int(limit * TOP) - BASE
+
     def on_crowded(self, evict: Callable[[], bool], first: bool = False) -> None:
         """`evict` closes one idle connection, or returns False where there is none. Clients' go first: one to
         a backend costs it work to make anew, and the next request time."""
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -1,5 +1,7 @@
 """The mechanism step by step: bucket, lease, ring."""
 
+from dataclasses import replace
+
 import pytest
 
 from ironledge import Gateway
@@ -255,3 +257,22 @@
     account = g.accounts[7]
     assert account.tokens > 0
     assert account.bound(30 * SECOND) + account.tokens == pytest.approx(PLANS[0].burst)
+
+
+def test_other_settings_keep_leases_and_open_requests_keep_their_rules() -> None:
+    gateway, counter = Gateway(settings(), seed=1), Counter()
+    gateway.handle(0, listed(backend(1), backend(2)))
+    settle(gateway, SECOND, arrival(1), counter)
+    account = gateway.accounts[7]
+    account.tokens = 3.0
+    base = settings(limits={"max_attempts": 1})
+    fresh = replace(base.classes[0], name="fresh")
+    changed = replace(base, classes=(*base.classes, fresh), plans=(replace(PLANS[0], burst=2.0), *PLANS[1:]))
+    gateway.handle(SECOND, it.SettingsChanged(changed))
+    assert gateway.accounts[7] is account and account.tokens == 3.0 and account.plan.burst == 2.0
+    assert of(gateway.handle(SECOND, arrival(2, cls=3)), it.SendAttempt)  # the new class, from the old lease
+    for request, more in ((1, 1), (2, 0)):
+        (sent,) = [a for r, a in gateway.flying if r == request]
+        number = gateway.flying[request, sent][1].backend.info.id
+        ended = it.AttemptEnded(request, sent, number, it.Outcome.RESET, 1000, False)
+        assert len(of(gateway.handle(SECOND, ended), it.SendAttempt)) == more
--- a/tests/test_net_engine.py
+++ b/tests/test_net_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -194,6 +195,29 @@
     assert first.backends[0].started == 5000 and second.kind is it.ListKind.FULL
 
 
+def test_a_class_is_followed_by_name_and_an_open_request_keeps_the_rules_it_began_with() -> None:
+    world = World(Script(sender()))
+    world.ask()
+    read, order = SETTINGS.classes
+    changed = replace(
+        SETTINGS,
+        classes=(replace(read, name="fresh"), replace(order, deadline=9_000_000)),
+        limits=replace(SETTINGS.limits, max_attempts=1),
+    )
+    world.engine.retune(changed, RAW)
+    (told,) = world.script.of(it.SettingsChanged)
+    assert [c.name for c in told.settings.classes] == ["read", "order", "fresh"]
+    assert told.settings.classes[1].deadline == 9_000_000
+    assert world.engine.names.classes == {b"order": 1, b"fresh": 2}  # read is dropped, for what is new
+    world.ask(b"b")
+    world.sent[0].ended(Answer(Outcome.ERROR))
+    again: list[it.Action] = [it.SendAttempt(n, 1, 0) for n in (1, 2)]
+    world.script.rule = lambda event: again if isinstance(event, it.MaintenanceChanged) else []
+    world.engine.recall(["s"])
+    assert len(world.sent) == 3  # one more for the first request, none for the second
+    assert ends(world.script) == [(0, Outcome.ERROR, False), (1, Outcome.MOOT, False)]
+
+
 @pytest.mark.parametrize("text", [b"", b"queue=", b"other=1", b"queue=1e"])
 def test_a_load_report_that_says_nothing_is_none(text: bytes) -> None:
     assert Names(SETTINGS, RAW).load(text) == ()
--- a/tests/test_net_main.py
+++ b/tests/test_net_main.py
@@ -94,8 +94,30 @@
     server.stop()
 
 
-@pytest.mark.parametrize("broken", [False, True])
-async def test_sighup_takes_up_new_addresses_and_survives_a_broken_file(tmp_path: Path, broken: bool) -> None:
+def without(path: str, value: Any = None) -> str:
+    """The configuration with one key of the settings gone, or with another value."""
+    made = json.loads(json.dumps(config()))
+    *way, last = path.split(".")
+    at = made["settings"]
+    for key in way:
+        at = at[int(key) if key.isdecimal() else key]
+    del at[last]
+    if value is not None:
+        at[last] = value
+    return json.dumps(made)
+
+
+BROKEN = [
+    "", "{", json.dumps(config())[:-200], without("services.0.deadline"), without("ceilings.max_attempts"),
+    without("ceilings.cancel"), without("domain"), without("services.1.deadline", 0),
+    without("ceilings.max_attempts", 0), without("ceilings.max_attempts", "many"), without("services", []),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("broken", [None, *BROKEN])
+async def test_sighup_takes_up_new_addresses_and_survives_a_broken_file(
+    tmp_path: Path, broken: str | None
+) -> None:
     olds, news = [[await PeerServer().start() for _ in range(2)] for _ in range(2)]
     path = tmp_path / "config.json"
 
@@ -108,8 +130,8 @@
     await asyncio.to_thread(listens, ran)
     for server in olds:
         await server.until(lambda server=server: len(server.peers) == 1)  # type: ignore[misc]
-    if broken:
-        path.write_text("{")
+    if broken is not None:
+        path.write_text(broken)
         ran.send_signal(signal.SIGHUP)
         assert ran.stderr and "stays as it was" in await asyncio.to_thread(ran.stderr.readline)
     write(*news)
@@ -125,6 +147,31 @@
         server.stop()
 
 
+async def test_sighup_swaps_the_classes_in(tmp_path: Path) -> None:
+    path, classes = tmp_path / "config.json", RAW["services"]
+
+    def write(*services: dict[str, Any]) -> None:
+        path.write_text(json.dumps(config(settings=RAW | {"services": services})))
+
+    async def named(ran: subprocess.Popen[str], *services: dict[str, Any]) -> list[bytes]:
+        if services:
+            write(*services)
+            ran.send_signal(signal.SIGHUP)
+            assert ran.stderr and "new settings" in await asyncio.to_thread(ran.stderr.readline)
+        asks = [ask(port, request(cls=c)) for c in ("read", "order", "fresh")]
+        return [(await a).split()[1] for a in asks]
+
+    write(*classes)
+    ran = start(path)
+    port = await asyncio.to_thread(listens, ran)
+    assert await named(ran) == [b"429", b"429", b"404"]  # known, with no backend to send them to; unknown
+    assert await named(ran, *classes, classes[0] | {"name": "fresh"}) == [b"429"] * 3
+    assert await named(ran, classes[1], classes[0] | {"name": "fresh"}) == [b"404", b"429", b"429"]
+    ran.send_signal(signal.SIGTERM)
+    _, errors = await asyncio.to_thread(ran.communicate, timeout=60)
+    assert ran.returncode == 0 and "Traceback" not in errors
+
+
 async def ask(port: int, data: bytes) -> bytes:
     reader, writer = await asyncio.open_connection(HOST, port)
     writer.write(data)
