--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import logging
 import os
@@ -21,12 +22,16 @@
 from ironledge.net.counter import Counter
 from ironledge.net.discovery import Discovery
 from ironledge.net.engine import Clock, Engine, Names
+from ironledge.net.handover import Claim, Offer
 from ironledge.net.ops import Maintenance, Ops
 from ironledge.net.sockets import Sockets
 
 ACCEPTS_ON = 0.55  # s after SIGTERM: new connections go on coming for 0.4 s
 LONGEST_STOP = 3.0  # s: the longest deadline that the platform waits for, and ...
 STOP_MARGIN = 0.4  # ... what it waits beyond that, less a margin
+LOOK = 0.05  # s between looks whether all is finished
+COUNTER_WAIT = 0.5  # s for the counter to be there before another process is relieved
+OFFERED = "ironledge.sock"  # in $TMPDIR, as is ...
 KEPT = "ironledge-maintenance.json"  # in $TMPDIR
 
 log = logging.getLogger("ironledge")
@@ -35,18 +40,18 @@
 async def serve(config: Config) -> None:
     loop, clock, sockets = asyncio.get_running_loop(), Clock(), Sockets(config.sockets)
     names = Names(config.settings, config.raw)
-    engine = Engine(Gateway(config.settings, config.seed), config.settings, names, loop, clock.now)
+    gateway = Gateway(config.settings, config.seed)
+    engine = Engine(gateway, config.settings, names, loop, clock.now)
     limits = config.settings.limits
     backends = Backends(sockets, config.conn_idle, limits.connect_timeout)
     engine.servers = backends
-    engine.listed(config.known, it.ListKind.CACHED)
     counter = Counter(config.counter, config.settings.counter.timeout) if config.counter else None
     if counter:
         engine.counter = counter
         counter.start()
     discovery = Discovery(config.discovery, config.known.index, engine.listed)
-    discovery.start()
     listener = Listener(engine, sockets, clock.now)
+    temporary = Path(os.environ.get("TMPDIR") or gettempdir())
 
     def reload() -> None:
         nonlocal config
@@ -64,21 +69,46 @@
             counter.tune(config.settings.counter.timeout)
             counter.move(config.counter)
 
-    maintenance = Maintenance(engine, Path(os.environ.get("TMPDIR") or gettempdir()) / KEPT)
-    maintenance.recall()
+    maintenance = Maintenance(engine, temporary / KEPT)
     ops = Ops(engine, maintenance, lambda: listener.accepting() and engine.can_serve())
     if config.ops:  # heard before clients are: /status says no until they are
         await ops.listen(*config.ops)
+    claim, index = await Claim.find(temporary / OFFERED), None
+    if claim:
+        if counter:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(counter.up.wait(), COUNTER_WAIT)
+        index = await claim.take(engine, gateway, sockets)
+    if index is None:
+        maintenance.recall()
+        engine.listed(config.known, it.ListKind.CACHED)
+    discovery.start(index)
     loop.add_signal_handler(signal.SIGHUP, reload)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    port = await listener.listen(*config.listen)
+    if claim:
+        port = await listener.listen_on(claim.listening)
+        claim.serving(engine, sockets, maintenance)
+    else:
+        port = await listener.listen(*config.listen)
     log.info("listening on %s:%d", config.listen[0], port)
+    passed = asyncio.Event()
+    offer = Offer(temporary / OFFERED, engine, gateway, listener, sockets, discovery, maintenance, passed.set)
+    offer.open()
     gc.collect()
     gc.freeze()
-    await stop.wait()
-    await _finish(engine, listener)
+    ends = [loop.create_task(event.wait()) for event in (stop, passed)]
+    await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+    if passed.is_set():
+        await _leave(engine, listener, stop)
+    else:
+        await _finish(engine, listener, ACCEPTS_ON)
+    for task in ends:
+        task.cancel()
+    await offer.stop()
+    if claim:
+        claim.stop()
     discovery.stop()
     if counter:
         counter.stop()
@@ -86,13 +116,23 @@
     backends.stop()
 
 
-async def _finish(engine: Engine, listener: Listener) -> None:
+async def _leave(engine: Engine, listener: Listener, stop: asyncio.Event) -> None:
+    """Another process has taken over: what is here is finished, until SIGTERM with no hurry."""
+    listener.retire()
+    while not stop.is_set() and (engine.open or listener.connections):
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(stop.wait(), LOOK)
+    if engine.open or listener.connections:
+        await _finish(engine, listener, 0.0)
+
+
+async def _finish(engine: Engine, listener: Listener, accepts_on: float) -> None:
     """Accepts for the stated while, finishes what was taken, and ends before it is killed."""
     loop = asyncio.get_running_loop()
     longest = min(LONGEST_STOP, max(c.deadline for c in engine.settings.classes) / 1e6)
     end = loop.time() + longest + STOP_MARGIN
     listener.begin_stop()
-    await asyncio.sleep(ACCEPTS_ON)
+    await asyncio.sleep(accepts_on)
     listener.stop_listening()
     done = asyncio.Event()
     engine.idle = done.set
--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -66,6 +66,7 @@
     ring: deque[list[float]] = field(default_factory=deque)  # slots, present first: A spare, B booked over
     asking: bool = False
     open: int = 0  # attempts out
+    elsewhere: int = 0  # and those out from the process that this one takes over from
     waiting: list[Request] = field(default_factory=list)  # for the counter's answer
 
     def __post_init__(self) -> None:
@@ -77,11 +78,14 @@
         if plan.rate:  # a store left alone for a window is full: nothing need be carried further
             self.window_us = max(SECOND, int(plan.burst / plan.rate * SECOND))
 
-    def arrive(self, now: int, units: float, again: bool) -> None:  # shares refill, the average fades
+    def arrive(self, now: int, units: float, again: bool, retired: bool = False) -> None:
+        """Shares refill, unless another process has them; the average fades."""
         gone, self.demand_at, plan, part = (now - self.demand_at) / SECOND, now, self.plan, 1 / self.spread
         fill = self.window_us / SECOND
         self.usual = self.usual * math.exp(-gone / fill) + (0.0 if again else units / fill)
         self.share = min(max(units, plan.burst * part), self.share + plan.rate * part * gone)  # one fits
+        if retired:
+            return
         most, fill, lead = plan.ceiling_burst, plan.ceiling_rate * gone, min(1.0, UNEVEN * part)
         self.ceiling = min(most * lead, self.ceiling + fill * lead)
         self.sure = min(most * part, self.sure + fill * part)
@@ -118,6 +122,7 @@
     limit: float = 0.0  # attempts out at once
     slow: list[float] = field(default_factory=list)  # by class: latency over the usual; FAILED if none came
     out: int = 0
+    elsewhere: int = 0  # attempts out from the process that this one takes over from
     seen_at: int = 0  # its last answer, or the lack of one
     credit: float = 0.0  # sends earned by now, and what a backend had got on average then
     credit_at: float = 0.0
@@ -134,7 +139,8 @@
         self.returned: dict[int, int] = {}  # put back by operators: cold as if started then
         self.usual: list[float] = []  # usual latency of an answer, by class
         self.typical: list[float] = []  # what `slow` is on average
-        self.out, self.more, self.sends = 0, 0.0, 0.0
+        self.out, self.more, self.sends, self.elsewhere = 0, 0.0, 0.0, 0
+        self.retired = False  # another process has taken over, the cold backends' budgets too
         self.follow(settings)
 
     def follow(self, settings: it.Settings) -> None:  # classes keep their numbers; new ones come behind
@@ -147,7 +153,8 @@
     def used(self) -> float:  # the part out of what may be out at all backends: one at each jams them
         fails = min((t for t, u in zip(self.typical, self.usual, strict=True) if u), default=1.0)
         pooled = (1 + self.first * len(self.ready) / 2) / fails + self.more  # less if every class fails
-        return self.out / max(1.0, pooled if self.first < 1 else sum(b.limit for b in self.ready))
+        room = pooled if self.first < 1 else sum(b.limit for b in self.ready)
+        return (self.out + self.elsewhere) / max(1.0, room)
 
     def listed(self, event: it.BackendsListed) -> None:
         for info in event.backends:
@@ -193,7 +200,8 @@
         times = COLD_PART * self.settings.safety.tip_multiple if self.first >= 1 else 1.0
         earned = times * warmth * (self.sends - backend.credit_at)
         backend.credit, backend.credit_at = min(2.0, backend.credit + earned), self.sends
-        return backend.credit >= 1 and backend.out < max(1.0, backend.limit * warmth)
+        out = backend.out + backend.elsewhere
+        return not self.retired and backend.credit >= 1 and out < max(1.0, backend.limit * warmth)
 
     def pick(self, now: int, cls: int, allowed: Callable[[Backend], bool]) -> Backend | None:
         best, best_cost, far = None, math.inf, self.settings.cross_zone_price > 0
@@ -202,11 +210,12 @@
         mean = sum(fresh.values()) / max(1, len(fresh)) or 1.0
         for backend in some:
             warmth = max(0.01, self.warmth(backend, now))
-            full = backend.out >= max(1.0, backend.limit)
+            out = backend.out + backend.elsewhere
+            full = out >= max(1.0, backend.limit)
             if full or not allowed(backend) or (warmth < 1 and not self.cold_room(backend, warmth)):
                 continue
             slow = self.slowness(backend, cls, now)
-            load = backend.out / warmth + self.rng.expovariate(1.0) + fresh.get(backend.info.id, mean) / mean
+            load = out / warmth + self.rng.expovariate(1.0) + fresh.get(backend.info.id, mean) / mean
             cost = max(0.0, load - 1) * slow / max(backend.info.weight, 1e-3) + slow  # idle ones: by weight
             cost *= 1.1 if far and backend.info.zone != self.settings.zone else 1.0  # breaks ties
             if cost < best_cost:
@@ -282,6 +291,7 @@
         self.calls: dict[int, deque[tuple[Account, int, float, bool]]] = {}  # unanswered, by name, in order
         self.crowd, self.call_at, self.swept_at, self.now = 1.0, -SECOND, 0, 0
         self.began = -1  # the first moment heard of
+        self.retired = False  # another process has taken over; what is still open ends here
         self.unasked, self.speaks = 0, 1.0  # requests since the last call, and how many a call speaks for
         self.actions: list[it.Action] = []
         self.follow(settings)
@@ -313,6 +323,8 @@
                 self.fleet.listed(event)
                 if self.settings.must_ask and kind in (ListKind.FAILED, ListKind.CACHED):
                     self.actions.append(it.Subscribe(True))
+            case it.OtherBusy():
+                self.other_busy(event)
             case it.SettingsChanged(settings):
                 self.follow(settings)
             case it.MaintenanceChanged():
@@ -337,12 +349,14 @@
             plan, age = s.plans[event.plan], (self.now - self.began) / SECOND
             account = Account(plan, spread, self.slot_us, self.now, ceiling=plan.ceiling_burst)
             account.sure = min(plan.ceiling_burst, plan.ceiling_rate * age) / spread
+            if self.retired:  # this customer's ceiling is the other process's
+                account.ceiling = account.sure = 0.0
         cls, self.accounts[event.customer] = s.classes[event.cls], account
         span = cls.deadline if cls.late_worth >= 0.5 or cls.aim_stretch > 0 else cls.aim  # worth a wait
         cut, end = self.now + min(event.time_left, span), self.now + min(event.time_left, span + cls.aim)
         request = Request(event, cls, account, cut, end, s.limits)
         self.requests[event.request] = request
-        account.arrive(self.now, event.units, event.is_retry)
+        account.arrive(self.now, event.units, event.is_retry, self.retired)
         self.admit(request)
 
     def admit(self, request: Request, answered: bool = False) -> None:
@@ -351,7 +365,7 @@
         plan, tight, late = account.plan, self.tight(account), self.now + 2 * counter.timeout >= request.cut
         late = late or not counter.allowed or (not account.asking and self.call_at > self.now)
         known = self.now - account.heard_at < account.window_us
-        if plan.max_open and account.open >= plan.max_open:
+        if plan.max_open and account.open + account.elsewhere >= plan.max_open:
             self.overflow(request)  # the cap on attempts at once: beyond the quota whatever the store holds
         elif not plan.rate or (account.tokens >= units and not account.waiting):
             account.level, account.level_at = account.bound(self.now), self.now
@@ -387,6 +401,7 @@
         room, units = account.bound(self.now), account.waiting[0].event.units
         need = max(0.0, min(units - account.tokens, room))
         ahead = min(max(account.usual * LEASE_LIFE, units), (room - need) / (2 * account.spread)) * self.crowd
+        ahead = 0.0 if self.retired else ahead  # the customer's next requests come to the other process
         self.speaks, self.unasked = self.speaks + 0.1 * (1 + self.unasked - self.speaks), 0
         need *= self.speaks if self.tight(account) else 1.0
         account.asking, window = True, self.now // account.window_us
@@ -514,3 +529,10 @@
         for attempt in range(len(request.attempts) if request.limits.may_cancel else 0):
             if attempt != but and request.attempts[attempt].out:
                 self.actions.append(it.CancelAttempt(number, attempt))
+
+    def other_busy(self, event: it.OtherBusy) -> None:
+        for number, backend in self.fleet.backends.items():
+            backend.elsewhere = event.attempts.get(number, 0)
+        self.fleet.elsewhere = sum(event.attempts.values())
+        for customer, account in self.accounts.items():
+            account.elsewhere = event.customers.get(customer, 0)
--- a/ironledge/interface.py
+++ b/ironledge/interface.py
@@ -216,6 +216,14 @@
     out: bool
 
 
+@dataclass(frozen=True, slots=True)
+class OtherBusy:
+    """Attempts out from the process that this one takes over from; together they are one gateway."""
+
+    attempts: dict[int, int]  # by backend
+    customers: dict[int, int]
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeAnswered:
     backend: int
@@ -240,6 +248,7 @@
     | BackendsListed
     | SettingsChanged
     | MaintenanceChanged
+    | OtherBusy
     | ProbeAnswered
     | PeerMessage
 )
--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -94,23 +94,29 @@
     def __init__(self, engine: Engine, sockets: Sockets, now: Callable[[], int]) -> None:
         self.engine, self.sockets, self.now = engine, sockets, now
         self.stopping = False
+        self._aside = False  # another process accepts, or is about to
         # The longest idle first, with the clock since when. One that has carried nothing yet is not among
         # them: its first request is on the way, and a client sends again only once.
         self.idle: dict[ClientConnection, int] = {}
         self.connections: set[ClientConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweep: asyncio.TimerHandle | None = None
-        self._socket: socket.socket | None = None
+        self.socket: socket.socket | None = None
         self._resuming: asyncio.Task[None] | None = None
         sockets.on_crowded(self._evict, first=True)
-        sockets.freed = self._resume
+        sockets.freed = self.resume
 
     async def listen(self, host: str, port: int) -> int:
-        self._socket = socket.create_server((host, port), backlog=BACKLOG)
-        self._socket.setblocking(False)
-        await self._accept(self._socket)
+        # Shared, so that a new process can listen even where the old one passes nothing on.
+        made = socket.create_server((host, port), backlog=BACKLOG, reuse_port=True)
+        made.setblocking(False)
+        return await self.listen_on(made)
+
+    async def listen_on(self, listening: socket.socket) -> int:
+        self.socket = listening
+        await self._accept(listening)
         self._tick()
-        bound: int = self._socket.getsockname()[1]
+        bound: int = listening.getsockname()[1]
         return bound
 
     async def _accept(self, listening: socket.socket) -> None:
@@ -121,7 +127,7 @@
 
     def accepting(self) -> bool:
         """False before it listens and once it stops; a pause for want of descriptors is neither."""
-        return self._socket is not None and not self.stopping
+        return self.socket is not None and not self.stopping
 
     def pause(self) -> None:
         """Accepting with no descriptor left would close what comes in, requests and all; in the listener's
@@ -130,10 +136,23 @@
             self._server.close()
             self._server = None
 
-    def _resume(self) -> None:
-        paused = self._socket and self._server is None and (self._resuming is None or self._resuming.done())
-        if paused and self._socket and self.sockets.open < self.sockets.top:
-            self._resuming = asyncio.get_running_loop().create_task(self._accept(self._socket))
+    def resume(self) -> None:
+        idle = self._resuming is None or self._resuming.done()
+        if self.socket and self._server is None and idle and not self._aside and not self.sockets.at_top():
+            self._resuming = asyncio.get_running_loop().create_task(self._accept(self.socket))
+
+    def step_aside(self, aside: bool) -> None:
+        """What comes in waits in the listening socket's queue for the process that takes over."""
+        self._aside = aside
+        (self.pause if aside else self.resume)()
+
+    def retire(self) -> None:
+        """Another process accepts from here on. What this one has accepted is owed its first request: only
+        those that have carried one are closed."""
+        self.begin_stop()
+        if self.socket:
+            self.socket.close()
+            self.socket = None
 
     def begin_stop(self) -> None:
         """New connections still come in; each is closed after its answer, and those that are idle now."""
@@ -145,9 +164,9 @@
         self.pause()
         if self._resuming:
             self._resuming.cancel()
-        if self._socket:
-            self._socket.close()
-            self._socket = None
+        if self.socket:
+            self.socket.close()
+            self.socket = None
         if self._sweep:
             self._sweep.cancel()
         for connection in list(self.connections):
@@ -186,7 +205,7 @@
         listener.sockets.open += 1
         listener.connections.add(self)
         self._began = listener.now()
-        if listener.sockets.open >= listener.sockets.top:  # not even refusals can be afforded now
+        if listener.sockets.at_top():
             listener.pause()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/ironledge/net/counter.py
+++ b/ironledge/net/counter.py
@@ -42,6 +42,7 @@
         self._held: dict[Call, bytes] | None = None  # calls while a line that was well is made anew
         self._left: CounterLine | None = None  # at the address before, with calls that may yet be answered
         self._task: asyncio.Task[None] | None = None
+        self.up = asyncio.Event()  # set from the first connection on
 
     def start(self) -> None:
         self._task = asyncio.get_running_loop().create_task(self._keep_connected())
@@ -104,6 +105,7 @@
                     call.end(Outcome.CONNECT_FAILED)
             else:
                 self._line = line
+                self.up.set()
                 for call, text in self._release().items():
                     line.call(text, call)
                 await line.closed.wait()
--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -38,6 +38,15 @@
         self.since_us = int(raw.get("since_ms", 0)) * 1000
 
 
+    def raw(self) -> dict[str, Any]:
+        """As discovery would name it."""
+        return {
+            "name": self.name, "address": "{}:{}".format(*self.address), "zone": self.zone, "type": self.kind,
+            "group": self.group, "status": self.status, "weight": self.weight,
+            "since_ms": self.since_us // 1000,
+        }  # fmt: skip
+
+
 class Listing:
     """The whole list, or the entries that changed."""
 
@@ -56,7 +65,8 @@
         self.address, self.index, self._changed = address, index, changed
         self._task: asyncio.Task[None] | None = None
 
-    def start(self) -> None:
+    def start(self, index: int | None = None) -> None:
+        self.index = self.index if index is None else index
         self._task = asyncio.get_running_loop().create_task(self._keep_watching())
 
     def stop(self) -> None:
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -5,7 +5,7 @@
 
 import logging
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
 from typing import Any, Protocol, TypeVar
@@ -139,8 +139,7 @@
         self._ids: dict[bytes, int] = {}
         self._next = 0
         self._backends: dict[str, int] = {}  # by name, for good: a name keeps its number
-        self._listed: set[str] = set()
-        self._up: set[str] = set()  # of these, the ones that take new work
+        self._listed: dict[str, Entry] = {}
         self.maintained: set[str] = set()  # backends that operators have taken out
         self._events: deque[it.Event] = deque()
         self._busy = False
@@ -183,12 +182,10 @@
             number = self._backends.setdefault(entry.name, len(self._backends) + 1)
             found.append(self._entry(entry, number))
             self.servers.know(entry, number)
-        here = {e.name for e in listing.entries if e.status != "removed"}
+        here = {e.name: e for e in listing.entries if e.status != "removed"}
         gone = {e.name for e in listing.entries if e.status == "removed"}
-        gone |= self._listed - here if listing.whole else set()
-        self._listed = (self._listed | here) - gone
-        up = {e.name for e in listing.entries if e.status == "up"}
-        self._up = up if listing.whole else (self._up - {e.name for e in listing.entries}) | up
+        gone |= self._listed.keys() - here.keys() if listing.whole else set()
+        self._listed = {n: e for n, e in (self._listed | here).items() if n not in gone}
         self._events.append(it.BackendsListed(kind, listing.index, tuple(found)))
         self.servers.settle([self._backends[n] for n in gone if n in self._backends])
         self._drain()
@@ -224,7 +221,47 @@
         return name in self._backends
 
     def can_serve(self) -> bool:
-        return bool(self._up - self.maintained)
+        return any(e.status == "up" and e.name not in self.maintained for e in self._listed.values())
+
+    # Another process that takes over, or from which this one does.
+
+    def hand_over(self) -> dict[str, Any]:
+        """The names behind the module's numbers, the list, and what operators have taken out."""
+        return {
+            "backends": self._backends,
+            "classes": [c.name for c in self.settings.classes],
+            "plans": [p.name for p in self.settings.plans],
+            "entries": [e.raw() for e in self._listed.values()],
+            "maintained": sorted(self.maintained),
+        }
+
+    def take_over(self, state: dict[str, Any], index: int) -> tuple[list[int], list[int]]:
+        """Instead of a first list. Backends keep their numbers; classes and plans are followed by name, to
+        the numbers that come back (-1: there is none)."""
+        here = [c.name for c in self.settings.classes], [p.name for p in self.settings.plans]
+        classes, plans = (
+            [now.index(name) if name in now else -1 for name in before]
+            for now, before in zip(here, (state["classes"], state["plans"]), strict=True)
+        )
+        listing = Listing({"index": index, "snapshot": True, "endpoints": state["entries"]})
+        self._backends = {str(name): int(number) for name, number in state["backends"].items()}
+        self.recall(state["maintained"])
+        self.listed(listing, it.ListKind.CACHED)
+        return classes, plans
+
+    def busy(self) -> dict[str, list[tuple[int, int]]]:
+        """What is out here, for the other process: attempts by backend, and by customer."""
+        attempts: Counter[int] = Counter()
+        customers: Counter[int] = Counter()
+        for request in self._requests.values():
+            out = [attempt.backend for attempt in request.attempts if not attempt.ended]
+            attempts.update(out)
+            customers[request.wanted.customer] += len(out)
+        return {"attempts": list(attempts.items()), "customers": list(customers.items())}
+
+    def told_busy(self, busy: dict[str, list[tuple[int, int]]]) -> None:
+        attempts, customers = ({int(k): int(n) for k, n in busy[what]} for what in ("attempts", "customers"))
+        self._post(it.OtherBusy(attempts, customers))
 
     def give_up(self) -> None:
         """Fails all that is open: the process is about to end."""
--- a/ironledge/net/sockets.py
+++ b/ironledge/net/sockets.py
@@ -16,6 +16,7 @@
     def __init__(self, limit: int) -> None:
         self.tune(limit)
         self.open = 0
+        self.elsewhere = 0  # held by the process that this one takes over from
         self.freed: Callable[[], None] = lambda: None  # called when one has been closed
         self._evict: list[Callable[[], bool]] = []
 
@@ -33,7 +34,11 @@
 
     def room(self) -> bool:
         """True if one more may be opened, if need be for an idle one that is closed."""
-        return self.open < self.cap or any(evict() for evict in self._evict)
+        return self.open + self.elsewhere < self.cap or any(evict() for evict in self._evict)
+
+    def at_top(self) -> bool:
+        """True if not even refusals can be afforded now."""
+        return self.open + self.elsewhere >= self.top
 
 
 def unread(transport: asyncio.Transport) -> int:
