Pass large bodies on in parts, both ways, under one memory budget

Time counts from a request's last byte, as the protocol says, no longer from its first: a slow head was refused.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -17,6 +17,7 @@
 from ironledge import interface as it
 from ironledge.brain import Gateway
 from ironledge.net.backends import Backends
+from ironledge.net.bodies import Memory
 from ironledge.net.clients import Listener
 from ironledge.net.config import Config, ConfigError, read_config
 from ironledge.net.counter import Counter
@@ -50,7 +51,7 @@
         engine.counter = counter
         counter.start()
     discovery = Discovery(config.discovery, config.known.index, engine.listed)
-    listener = Listener(engine, sockets, clock.now)
+    listener = Listener(engine, sockets, Memory(config.memory_mb), clock.now)
     temporary = Path(os.environ.get("TMPDIR") or gettempdir())
 
     def reload() -> None:
--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -256,6 +256,7 @@
     sent: int
     out: bool = True
     may_have_run: bool = True  # until an outcome proves otherwise
+    begun: bool = False  # its answer goes on to the client in parts
 
 
 @dataclass(slots=True)
@@ -331,8 +332,11 @@
                 self.fleet.maintained(now, event)
             case it.ClientGone(number):
                 self.finish(number)
-            case it.StreamStarted(number, attempt):
-                self.finish(number, but=attempt)
+            case it.StreamStarted():
+                self.stream_started(event)
+            case it.BodyCame(number, left):
+                if request := self.requests.get(number):
+                    request.cut, request.end = self.span(request.cls, left)
         if now - self.swept_at > SECOND:  # idle accounts go once their store must be full again
             self.swept_at = now
             self.accounts = {c: a for c, a in self.accounts.items() if now - a.demand_at < 8 * a.window_us}
@@ -352,13 +356,16 @@
             if self.retired:  # this customer's ceiling is the other process's
                 account.ceiling = account.sure = 0.0
         cls, self.accounts[event.customer] = s.classes[event.cls], account
-        span = cls.deadline if cls.late_worth >= 0.5 or cls.aim_stretch > 0 else cls.aim  # worth a wait
-        cut, end = self.now + min(event.time_left, span), self.now + min(event.time_left, span + cls.aim)
+        cut, end = self.span(cls, event.time_left)
         request = Request(event, cls, account, cut, end, s.limits)
         self.requests[event.request] = request
         account.arrive(self.now, event.units, event.is_retry, self.retired)
         self.admit(request)
 
+    def span(self, cls: it.RequestClass, left: int) -> tuple[int, int]:  # until when it is worth what
+        span = cls.deadline if cls.late_worth >= 0.5 or cls.aim_stretch > 0 else cls.aim
+        return self.now + min(left, span), self.now + min(left, span + cls.aim)
+
     def admit(self, request: Request, answered: bool = False) -> None:
         """First stage. `answered`: the counter has just been heard, so what the bucket lacks is overflow."""
         account, units, counter = request.account, request.event.units, self.settings.counter
@@ -486,7 +493,7 @@
         account.ceiling, account.sure = account.ceiling - spent, account.sure - spent
         number, left, timeout = len(request.attempts), request.cut - self.now, request.end - self.now
         patience = int(max(4 * (self.fleet.usual[event.cls] or cls.aim / 6), cls.aim / 3))  # older: stuck
-        more = cls.repeat is not Repeat.UNSAFE and number + 1 < limits.max_attempts
+        more = cls.repeat is not Repeat.UNSAFE and not event.in_parts and number + 1 < limits.max_attempts
         if more and limits.may_duplicate and patience < left:
             self.actions.append(it.SetTimer(event.request, self.now + patience))
         elif more and left > 1.5 * patience:
@@ -504,19 +511,29 @@
         account, cls = request.account, request.cls
         account.open -= 1
         attempt.out, attempt.may_have_run = False, event.outcome not in NEVER_RAN
-        self.fleet.ended(attempt.backend, self.now, request.event.cls, event.outcome, event.latency)
+        if not attempt.begun:
+            self.fleet.ended(attempt.backend, self.now, request.event.cls, event.outcome, event.latency)
         for load in [v for n, v in zip(self.settings.load_fields, event.load, strict=False) if n in BUSY]:
             attempt.backend.load, attempt.backend.load_at = load if 0 <= load < 1e6 else 0.0, self.now
         if self.settings.settles and event.outcome is Outcome.OK and event.billed > 0:
             account.tokens -= event.billed - request.event.units
         if event.final:
             self.finish(event.request)
-        if event.request not in self.requests or any(a.out for a in request.attempts) or self.send(request):
+        if event.request not in self.requests or any(a.out for a in request.attempts):
+            return
+        if not event.spent and self.send(request):
             return
         keyed = cls.repeat is Repeat.KEYED and cls.scope is Scope.ALL
         harmless = keyed or cls.repeat is Repeat.SAFE or request.ran() is None
         self.end(request, it.Refuse(event.request) if harmless else it.Fail(event.request))
 
+    def stream_started(self, event: it.StreamStarted) -> None:
+        """The answer is certain, and the backend's work done: how long the client reads tells no load."""
+        if flown := self.flying.get((event.request, event.attempt)):
+            flown[1].begun, cls = True, flown[0].event.cls
+            self.fleet.ended(flown[1].backend, self.now, cls, Outcome.OK, event.latency)
+        self.finish(event.request, but=event.attempt)
+
     def end(self, request: Request, answer: it.Action) -> None:
         self.actions.append(answer)
         self.finish(request.event.request)
--- a/ironledge/interface.py
+++ b/ironledge/interface.py
@@ -153,6 +153,7 @@
     first_gateway: int = 0
     spread: int = 1  # gateways this customer's requests can come through
     is_retry: bool = False
+    in_parts: bool = False  # its body is still coming, and is passed on as it comes
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,6 +166,15 @@
     final: bool  # the request is over
     load: tuple[float, ...] = ()
     billed: float = 0.0
+    spent: bool = False  # some of a body that came in parts has gone to it: no other attempt can have it
+
+
+@dataclass(frozen=True, slots=True)
+class BodyCame:
+    """The last byte of a body that came in parts: the request's time counts from here."""
+
+    request: int
+    time_left: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,6 +251,7 @@
 Event = (
     RequestArrived
     | AttemptEnded
+    | BodyCame
     | StreamStarted
     | ClientGone
     | TimerFired
--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -5,20 +5,24 @@
 import asyncio
 import contextlib
 import logging
+import math
 import socket
 from collections.abc import Callable, Iterable
 
 import httptools
 
 from ironledge.interface import Outcome
+from ironledge.net.bodies import KERNEL
 from ironledge.net.discovery import Entry
-from ironledge.net.engine import Answer
+from ironledge.net.engine import Answer, Flow
 from ironledge.net.http import HttpConnection, Message
 from ironledge.net.sockets import Sockets
 
 IDLE_PART = 0.75  # of the time after which a backend closes an idle connection: ours is closed by then
 SWEEP = 1.0  # s between looks for such connections
 PROBE_TIMEOUT = 0.25
+HELD = 0.05  # s that the first part of an answer of unknown length waits for the rest
+STALLED = 6.0  # s without another part of an answer, after which the backend is taken for gone
 
 Ended = Callable[[Answer], None]
 log = logging.getLogger(__name__)
@@ -27,10 +31,10 @@
 class Exchange:
     """An attempt: waits for its connection, then is written, then answered. Ends once."""
 
-    __slots__ = ("_ended", "data", "dial", "link", "over", "written")
+    __slots__ = ("_ended", "data", "dial", "flow", "link", "over", "written")
 
-    def __init__(self, data: bytes, ended: Ended) -> None:
-        self.data, self._ended = data, ended
+    def __init__(self, data: bytes, ended: Ended, flow: Flow | None = None) -> None:
+        self.data, self._ended, self.flow = data, ended, flow
         self.dial: asyncio.Task[None] | None = None
         self.link: Link | None = None
         self.written = self.over = False
@@ -44,6 +48,19 @@
         """No answer will come: whether it has run depends on whether its last byte was written."""
         self.end(Answer(Outcome.RESET if self.written else Outcome.CONNECT_FAILED))
 
+    def more(self, data: bytes) -> None:
+        if self.link and not self.link.dead:
+            self.link.transport.write(data)
+
+    def all_written(self) -> None:
+        self.written = True
+
+    def pause(self, paused: bool) -> None:
+        """The client takes no more of the answer for now, or does again."""
+        if self.link and not self.link.dead:
+            (self.link.transport.pause_reading if paused else self.link.transport.resume_reading)()
+            self.link.heard_at = math.inf if paused else self.link.pool.now()
+
     def abort(self) -> bool:
         self.over = True
         if self.dial:
@@ -62,7 +79,9 @@
         self.pool, self.sock, self.address = pool, sock, pool.address
         self.exchange: Exchange | None = None
         self.idle_since = 0.0
-        self.dead = False
+        self.dead = self.passing = False  # passing: an answer goes on to the client in parts
+        self.heard_at = math.inf  # while it does, when the last part came
+        self._hold: asyncio.TimerHandle | None = None
 
     def send(self, exchange: Exchange) -> None:
         self.exchange, exchange.link = exchange, self
@@ -74,9 +93,13 @@
             self.drop()
             exchange.lost()
             return
-        exchange.written = True
+        upload = exchange.flow.upload if exchange.flow else None
+        exchange.written = upload is None
         if sent < len(exchange.data):  # from here on the last byte may be written at any time
             self.transport.write(exchange.data[sent:])
+        if upload:
+            self.transport.set_write_buffer_limits(upload.share())
+            upload.attach(exchange)
 
     def stands(self) -> bool:
         """False if the backend has ended it, or said something nobody asked for."""
@@ -96,13 +119,67 @@
             self.transport.abort()
             self.pool.left(self)
 
+    def pause_writing(self) -> None:
+        self._press(True)
+
+    def resume_writing(self) -> None:
+        self._press(False)
+
+    def _press(self, paused: bool) -> None:
+        if self.exchange and self.exchange.flow and self.exchange.flow.upload:
+            self.exchange.flow.upload.pause(paused)
+
+    def headed(self, message: Message) -> None:
+        """An answer of unknown length may be short, and can be asked for again until some of it goes on; it
+        is not held for long, as it may be large and slow."""
+        if message.length is None and message.status == 200 and not message.in_parts:
+            self._hold = asyncio.get_running_loop().call_later(HELD, self._held_long, message)
+
+    def _held_long(self, message: Message) -> None:
+        if message is self._message and not (self._in_head or message.in_parts or self.dead):
+            self.in_parts()
+            self._run_hooks()
+
+    def opened(self, message: Message) -> None:
+        exchange = self.exchange
+        if message.status != 200 or exchange is None or exchange.flow is None:
+            self._settle(exchange, _answer(message))
+        elif exchange.flow.opened(_answer(message)):
+            self.passing, self.heard_at = True, self.pool.now()
+        else:  # nobody waits for it any longer
+            self._settle(exchange, _answer(message))
+
+    def part(self, message: Message, data: bytes) -> None:
+        if self.passing and self.exchange and self.exchange.flow:
+            if self.heard_at < math.inf:
+                self.heard_at = self.pool.now()
+            self.exchange.flow.part(data)
+
+    def ended(self, message: Message) -> None:
+        if self.passing:
+            self.passing = False
+            self.received(message)
+
+    def _settle(self, exchange: Exchange | None, answer: Answer) -> None:
+        """The answer's head has said enough: the rest is not waited for."""
+        self.exchange = None
+        self.drop()
+        if exchange:
+            exchange.end(answer)
+
+    def stalled(self, since: float) -> bool:
+        return self.passing and self.heard_at < since
+
     def received(self, message: Message) -> None:
         exchange = self.exchange
+        if self._hold:
+            self._hold.cancel()
         if 100 <= message.status < 200 and exchange:
             return
         self.exchange = None
         # Answered before it had all been read, or more said than was asked for.
         unsound = self.transport.get_write_buffer_size() > 0 or self._begun or self._lost_framing
+        unsound = unsound or (exchange is not None and not exchange.written)
         if exchange is None or not message.keep_alive or unsound:
             self.drop()
         elif not self.dead:
@@ -111,7 +188,7 @@
             exchange.end(_answer(message))
 
     def garbage(self, status: int) -> None:
-        log.warning("backend %s: answer not understood", self.pool.name)
+        log.warning("backend %s: answer not understood: %s", self.pool.name, self.wrong)
         self._gone()
 
     def eof_received(self) -> None:
@@ -121,6 +198,8 @@
         self._gone()
 
     def _gone(self) -> None:
+        if self._hold:
+            self._hold.cancel()
         exchange, self.exchange = self.exchange, None
         self.drop()
         if exchange:
@@ -131,7 +210,7 @@
     headers, status = message.headers, message.status
     load = headers.get(b"server-load", b"")
     if status == 200:
-        return Answer(Outcome.OK, message.body, headers.get(b"content-type", b""), load)
+        return Answer(Outcome.OK, message.body, headers.get(b"content-type", b""), load, message.length)
     if status in (503, 504) and headers.get(b"not-started") == b"1":
         return Answer(Outcome.FULL, load=load)
     return Answer(Outcome.ERROR, load=load)  # nothing says that it never ran
@@ -149,6 +228,10 @@
         self.busy: set[Link] = set()
         self.dials: set[Exchange] = set()
 
+    @staticmethod
+    def now() -> float:
+        return asyncio.get_running_loop().time()
+
     @property
     def ready(self) -> bool:
         return self.up and not self.held
@@ -244,8 +327,8 @@
 
     # Attempts.
 
-    def send(self, backend: int, data: bytes, ended: Ended) -> Exchange:
-        exchange, pool = Exchange(data, ended), self._pools.get(backend)
+    def send(self, backend: int, data: bytes, ended: Ended, flow: Flow | None = None) -> Exchange:
+        exchange, pool = Exchange(data, ended, flow), self._pools.get(backend)
         if pool is None or not pool.ready:
             exchange.lost()
         elif link := pool.take(self._loop.time() - self._idle):
@@ -264,6 +347,7 @@
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL)
             async with asyncio.timeout(self._connect_timeout):
                 await self._loop.sock_connect(sock, pool.address)
                 link = Link(pool, sock)
@@ -311,4 +395,7 @@
         for pool in self._pools.values():
             while pool.idle and pool.idle[0].idle_since <= oldest:
                 pool.idle[0].drop()
+            for link in [link for link in pool.busy if link.stalled(self._loop.time() - STALLED)]:
+                log.warning("backend %s: silent in the middle of an answer", pool.name)
+                link._gone()
         self._sweep = self._loop.call_later(SWEEP, self._tick)
--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -6,18 +6,22 @@
 import math
 import re
 import socket
+from collections import deque
 from collections.abc import Callable, Sequence
 
 import httptools
 
 from ironledge import interface as it
-from ironledge.net.engine import Answer, Engine, Names, Wanted
+from ironledge.net.bodies import KERNEL, Memory, Upload
+from ironledge.net.engine import Answer, Engine, Exchange, Names, Wanted
 from ironledge.net.http import HttpConnection, Message, plain
 from ironledge.net.sockets import Sockets, unread
 
-HALF_SENT = 2.0  # s for a request to come whole, the first from connecting on: peers are owed an end in 3 s
+HALF_SENT = 2.5  # s for a head, the first from connecting on: a client may take 2, peers are owed an end in 3
+SLOWEST = 32_000  # bytes of body a second, on average: a client may send 64 kB/s
+UNREAD = 8.0  # s without a byte taken of an answer that comes in parts
 IDLE = 2.0  # s that a connection may stand with no open request
-LOOK = 0.5  # s between looks for connections past either
+LOOK = 0.25  # s between looks for connections past any of these
 BACKLOG = 1024
 QUEUED = 8  # requests on one connection that wait for the answer to the one before
 ID = re.compile(rb"[!-~]{1,128}")
@@ -59,7 +63,8 @@
     units, spread, first = _quota(headers.get(b"x-quota", b""))
     retry = headers.get(b"client-retry") == b"1"
     head = _head(message, id)
-    return Wanted(id, cls, plan, customer, units, spread, first, timeout, began, retry, head, message.body)
+    quota, body = (units, spread, first), (message.body, message.upload)
+    return Wanted(id, cls, plan, customer, *quota, timeout, began, retry, head, *body)
 
 
 def _quota(text: bytes) -> tuple[float, int, int]:
@@ -81,7 +86,10 @@
     headers, body = message.headers, message.body
     host = headers.get(b"host", b"backend")
     head = b"%b %b HTTP/1.1\r\nHost: %b\r\nRequest-Id: %b\r\n" % (message.method, message.target, host, id)
-    if body or message.method == b"POST":
+    if message.upload:
+        length = message.upload.length
+        head += b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %d\r\n" % length
+    elif body or message.method == b"POST":
         head += b"Content-Length: %d\r\n" % len(body)
     if kind := headers.get(b"content-type"):
         head += b"Content-Type: %b\r\n" % kind
@@ -91,8 +99,8 @@
 class Listener:
     """What all client connections share."""
 
-    def __init__(self, engine: Engine, sockets: Sockets, now: Callable[[], int]) -> None:
-        self.engine, self.sockets, self.now = engine, sockets, now
+    def __init__(self, engine: Engine, sockets: Sockets, memory: Memory, now: Callable[[], int]) -> None:
+        self.engine, self.sockets, self.memory, self.now = engine, sockets, memory, now
         self.stopping = False
         self._aside = False  # another process accepts, or is about to
         # The longest idle first, with the clock since when. One that has carried nothing yet is not among
@@ -109,6 +117,8 @@
     async def listen(self, host: str, port: int) -> int:
         # Shared, so that a new process can listen even where the old one passes nothing on.
         made = socket.create_server((host, port), backlog=BACKLOG, reuse_port=True)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):  # for the connections accepted from it
+            made.setsockopt(socket.SOL_SOCKET, option, KERNEL)
         made.setblocking(False)
         return await self.listen_on(made)
 
@@ -177,7 +187,7 @@
         descriptor for good."""
         now = self.now()
         for connection in list(self.connections):
-            connection.close_if_stuck(now - int(HALF_SENT * 1e6))
+            connection.close_if_stuck(now)
         for connection in [c for c, since in self.idle.items() if since < now - int(IDLE * 1e6)]:
             connection.close_if_quiet()
         self._sweep = asyncio.get_running_loop().call_later(LOOK, self._tick)
@@ -194,9 +204,18 @@
         self._listener, self._engine = listener, listener.engine
         self._crowded = False
         self._began = 0
-        self._waiting: list[tuple[Message, int]] = []
+        self._waiting: deque[tuple[Message, int]] = deque()
         self._current: bytes | None = None  # id of the request that the engine has
+        self._coming: Upload | None = None  # the body that comes in parts now
+        self._answered: Upload | None = None  # the body, if it still comes, of the request answered last
         self._keep = True
+        self._minor = 1
+        self._holds: set[str] = set()  # why nothing is read for now
+        self._held_at = 0
+        self._continues = 0  # requests that wait for a go-ahead before they send a body
+        self._source: Exchange | None = None  # of an answer that comes in parts
+        self._chunked = False
+        self._left = (0, 0)  # bytes of it that wait to be written, and since when as many
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -213,6 +232,8 @@
         self._listener.connections.discard(self)
         self._listener.idle.pop(self, None)
         self._waiting.clear()
+        self._came()
+        self._end_flow()
         if self._current is not None:
             current, self._current = self._current, None
             self._engine.client_gone(current)
@@ -221,23 +242,94 @@
         self._began = self._listener.now()
         self._listener.idle.pop(self, None)
 
+    def headed(self, message: Message) -> None:
+        if message.headers.get(b"expect", b"").lower() == b"100-continue" and message.length != 0:
+            self._continues += 1
+            self._go_ahead()
+
+    def _go_ahead(self) -> None:
+        """Between answers only, so that it is not taken for a part of one."""
+        quiet = self._current is None and not self._waiting
+        if self._continues and quiet and not self.transport.is_closing():
+            self._continues = 0
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def received(self, message: Message) -> None:
-        self._waiting.append((message, self._began))
+        self._continues = 0
+        self._waiting.append((message, self._listener.now()))  # its time counts from its last byte
         if self._current is None:
             self._next()
         elif len(self._waiting) > QUEUED:
-            self.transport.abort()
+            self._hold("queue", True)
+
+    def opened(self, message: Message) -> None:
+        self._coming = message.upload = Upload(
+            message.length, self._listener.memory, lambda paused: self._hold("body", paused)
+        )
+        self._listener.memory.bodies += 1
+        self._waiting.append((message, self._began))
+        if self._current is None:
+            self._next()
+
+    def part(self, message: Message, data: bytes) -> None:
+        if message.upload:
+            message.upload.feed(data)
+
+    def ended(self, message: Message) -> None:
+        self._continues = 0
+        if message.upload:
+            self._came()
+            message.upload.finish()
+        self._rest()
+
+    def _came(self) -> None:
+        if self._coming:
+            self._coming = None
+            self._listener.memory.bodies -= 1
+
+    def _hold(self, why: str, held: bool) -> None:
+        """What is not read waits in the socket and holds the client up; its time does not count meanwhile."""
+        before = bool(self._holds)
+        (self._holds.add if held else self._holds.discard)(why)
+        if before == bool(self._holds) or self.transport.is_closing():
+            return
+        if self._holds:
+            self._held_at = self._listener.now()
+            self.transport.pause_reading()
+        else:
+            self._began += self._listener.now() - self._held_at
+            self.transport.resume_reading()
 
     def garbage(self, status: int) -> None:
         self._waiting.clear()
         self._keep = False
-        if self._current is None and not self.transport.is_closing():
-            self._plain(status, b"not understood\n")  # else the answer under way comes first, then the close
-
-    def close_if_stuck(self, oldest: int) -> None:
-        if self._current is None and self not in self._listener.idle and self._began < oldest:
+        if self._current is None and not self.transport.is_closing():  # else the answer under way comes first
+            if self._answered and not self._answered.whole:
+                self.transport.close()  # it has its answer: only the rest of its body was still dropped
+            else:
+                self._plain(status, b"not understood\n")
+
+    def close_if_stuck(self, now: int) -> None:
+        if self._source and self._left != (0, 0):
+            self._look_at_reader(now)
+        sent = 0 if self._in_head else self._size
+        due = self._began + int((HALF_SENT + sent / SLOWEST) * 1e6)
+        if self._holds or self in self._listener.idle or now < due:
+            return
+        if self._current is not None and self._coming and not self._source:  # its body has stopped coming
+            current, self._current, self._answered = self._current, None, None
+            self._engine.client_gone(current)
+        if self._current is None:
+            self._lost_framing = True
             self.garbage(408)
 
+    def _look_at_reader(self, now: int) -> None:
+        left = self.transport.get_write_buffer_size()
+        if left != self._left[0]:
+            self._left = (left, now)
+        elif left and now - self._left[1] > UNREAD * 1e6:
+            self.transport.abort()
+
     def close_if_quiet(self) -> bool:
         """Closes it between requests; not if one waits unread in the socket, which would lose it."""
         quiet = self._current is None and not self._waiting and not self._begun
@@ -248,8 +340,10 @@
         return True
 
     def _next(self) -> None:
-        message, began = self._waiting.pop(0)
+        message, began = self._waiting.popleft()
+        self._hold("queue", len(self._waiting) > QUEUED)
         self._keep = message.keep_alive and not self._crowded
+        self._minor, self._answered = message.minor, message.upload
         if message.target.partition(b"?")[0] == b"/up":
             self._plain(503 if self._listener.stopping else 200, b"up\n")
             return
@@ -283,16 +377,81 @@
 
     def _write(self, status: int, headers: bytes, body: bytes) -> None:
         self._current = None
-        keep = self._keep and not self._listener.stopping and not self._lost_framing
+        keep = self._keeps()
         self.transport.write(plain(status, body, headers, close=not keep))
-        if not keep:
+        self._go_on(keep)
+
+    def _keeps(self) -> bool:
+        return self._keep and not self._listener.stopping and not self._lost_framing
+
+    def _go_on(self, keep: bool) -> None:
+        """An answer is whole: on to the next request, if there is to be one."""
+        if self._answered and not self._answered.whole:  # the rest of its body is read and dropped
+            self._answered.discard()
+            self._keep = keep
+        elif not keep:
             self._waiting.clear()
             self.transport.close()
         elif self._waiting:
             asyncio.get_running_loop().call_soon(self._resume)
         elif not self._begun:
             self._listener.idle[self] = self._listener.now()
+        else:
+            self._go_ahead()
+
+    def _rest(self) -> None:
+        """A body has come whole that was dropped as its answer was out already."""
+        if self._current is None and not self._waiting and not self.transport.is_closing():
+            self._go_on(self._keeps())
 
     def _resume(self) -> None:
         if self._waiting and self._current is None and not self.transport.is_closing():
             self._next()
+
+    # An answer that comes in parts.
+
+    def begin(self, answer: Answer, source: Exchange) -> None:
+        self._source, memory = source, self._listener.memory
+        memory.bodies += 1
+        self._left = (-1, self._listener.now())
+        self._chunked = answer.length is None and self._minor > 0
+        self._keep = self._keep and (answer.length is not None or self._chunked)
+        head = b"HTTP/1.1 200 OK\r\n"
+        head += b"Content-Type: %b\r\n" % answer.content_type if answer.content_type else b""
+        head += b"" if self._keeps() else b"Connection: close\r\n"
+        if answer.length is not None:
+            head += b"Content-Length: %d\r\n" % answer.length
+        elif self._chunked:
+            head += b"Transfer-Encoding: chunked\r\n"
+        self.transport.set_write_buffer_limits(memory.share())
+        self.transport.write(head + b"\r\n")
+
+    def more(self, data: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+
+    def finish(self) -> None:
+        if self._chunked:
+            self.transport.write(b"0\r\n\r\n")
+        self._end_flow()
+        self._current = None
+        self._go_on(self._keeps())
+
+    def break_off(self) -> None:
+        """The answer cannot be made whole: without its end, or with a reset, the client can tell."""
+        self._end_flow()
+        self._current = None
+        self.transport.abort()
+
+    def _end_flow(self) -> None:
+        if self._source:
+            self._source, self._left = None, (0, 0)
+            self._listener.memory.bodies -= 1
+
+    def pause_writing(self) -> None:
+        if self._source:
+            self._source.pause(True)
+
+    def resume_writing(self) -> None:
+        if self._source:
+            self._source.pause(False)
--- a/ironledge/net/config.py
+++ b/ironledge/net/config.py
@@ -28,6 +28,7 @@
     ops: Address | None
     seed: int
     sockets: int
+    memory_mb: float
     known: Listing
     settings: it.Settings
     raw: dict[str, Any]  # the settings as they came
@@ -84,6 +85,7 @@
             ops=_address(ops, "ops") if ops else None,
             seed=int(str(top["seed"]), 16),
             sockets=int(top.get("limits", {}).get("sockets", 1024)),
+            memory_mb=float(top.get("limits", {}).get("memory_mb", 64)),
             known=Listing(known),
             settings=settings,
             raw=raw,
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -12,6 +12,7 @@
 
 from ironledge import interface as it
 from ironledge.interface import Outcome
+from ironledge.net.bodies import Upload
 from ironledge.net.discovery import Entry, Listing
 
 ANSWER_MARGIN = 10_000  # us before the client's deadline by which its answer is on the way
@@ -44,6 +45,9 @@
     def abort(self) -> bool:
         """Gives the attempt up; True if it may have run, False if its last byte was never written."""
 
+    def pause(self, paused: bool) -> None:
+        """Reads no more of the answer, or does again."""
+
 
 @dataclass(slots=True)
 class Answer:
@@ -53,6 +57,16 @@
     body: bytes = b""
     content_type: bytes = b""
     load: bytes = b""
+    length: int | None = None  # of the body, where it was announced
+
+
+@dataclass(slots=True)
+class Flow:
+    """What an attempt takes of a request's body as it comes, and gives of its answer as that comes."""
+
+    upload: Upload | None
+    opened: Callable[[Answer], bool]  # a large answer begins; False if nobody wants it any longer
+    part: Callable[[bytes], None]
 
 
 class Servers(Protocol):
@@ -65,7 +79,9 @@
     def hold(self, backend: int, out: bool) -> None:
         """Out for maintenance: as a drain, whatever the list says, until it is put back."""
 
-    def send(self, backend: int, data: bytes, ended: Callable[[Answer], None]) -> Exchange: ...
+    def send(
+        self, backend: int, data: bytes, ended: Callable[[Answer], None], flow: Flow | None = None
+    ) -> Exchange: ...
     def probe(self, backend: int, ended: Callable[[Answer], None]) -> None: ...
     def close_idle(self, backend: int) -> None: ...
 
@@ -81,6 +97,12 @@
     def serve(self, answer: Answer) -> None: ...
     def refuse(self, retry_after: int) -> None: ...
     def fail(self, timed_out: bool) -> None: ...
+    def begin(self, answer: Answer, source: Exchange) -> None:
+        """An answer that comes in parts: `more`, then `finish`, or `break_off` so that it can be told."""
+
+    def more(self, data: bytes) -> None: ...
+    def finish(self) -> None: ...
+    def break_off(self) -> None: ...
 
 
 @dataclass(slots=True)
@@ -99,24 +121,29 @@
     is_retry: bool
     head: bytes  # what goes on to a backend, but for the time left
     body: bytes
+    upload: Upload | None = None  # the body, where it comes in parts
 
 
 class Attempt:
-    __slots__ = ("backend", "ended", "exchange", "number", "sent", "timer")
+    __slots__ = ("backend", "ended", "exchange", "number", "sent", "timer", "wait")
 
     def __init__(self, number: int, backend: int, sent: int) -> None:
         self.number, self.backend, self.sent, self.ended = number, backend, sent, False
+        self.wait = 0  # us for its answer, from its last byte on
         self.exchange: Exchange | None = None
         self.timer: Timer | None = None
 
 
 class Request:
-    __slots__ = ("attempts", "client", "deadline", "limits", "number", "out", "over", "timer", "wanted")
+    __slots__ = (
+        "attempts", "client", "deadline", "limits", "number", "out", "over", "passing", "timer", "wanted",
+    )  # fmt: skip
 
     def __init__(self, number: int, wanted: Wanted, client: Client, deadline: int, limits: it.Limits) -> None:
         self.number, self.wanted, self.client, self.deadline = number, wanted, client, deadline
         self.limits = limits  # those it began with
         self.over, self.out = False, 0
+        self.passing: Attempt | None = None  # its answer goes on in parts: the last word, but not yet whole
         self.attempts: list[Attempt] = []
         self.timer: Timer | None = None
 
@@ -159,18 +186,24 @@
         request = Request(self._next, wanted, client, now + left, self.settings.limits)
         self._requests[request.number], self._ids[wanted.id] = request, request.number
         self.open += 1
-        request.timer = self._loop.call_later((left - ANSWER_MARGIN) / 1e6, self._overdue, request)
+        if wanted.upload and not wanted.upload.whole:  # its time counts from the body's last byte
+            wanted.upload.came = lambda: self._uploaded(request)
+        else:
+            request.timer = self._loop.call_later((left - ANSWER_MARGIN) / 1e6, self._overdue, request)
         self._post(
             it.RequestArrived(
                 request.number, wanted.cls, wanted.plan, wanted.customer, wanted.units, left,
-                wanted.first, wanted.spread, wanted.is_retry,
+                wanted.first, wanted.spread, wanted.is_retry, wanted.upload is not None,
             )
         )  # fmt: skip
         return True
 
     def client_gone(self, id: bytes) -> None:
         request = self._requests.get(self._ids.get(id, 0))
-        if request and not request.over:
+        if request and request.passing and request.passing.exchange:
+            request.passing.exchange.abort()
+            self._ended(request, request.passing, Answer(Outcome.CANCELLED))
+        elif request and not request.over:
             self._close(request)
             self._post(it.ClientGone(request.number))
 
@@ -267,6 +300,9 @@
         """Fails all that is open: the process is about to end."""
         for request in list(self._requests.values()):
             self._overdue(request)
+            if request.passing and request.passing.exchange:
+                request.passing.exchange.abort()
+                self._ended(request, request.passing, Answer(Outcome.CANCELLED))
 
     # Events to the module, actions from it.
 
@@ -322,9 +358,18 @@
         return None if request is None or request.over else request
 
     def _close(self, request: Request) -> None:
+        self._settle(request)
+        self._leave(request)
+
+    def _settle(self, request: Request) -> None:
+        """Which answer it gets is certain."""
         request.over = True
         if request.timer:
             request.timer.cancel()
+        if request.wanted.upload:
+            request.wanted.upload.discard()
+
+    def _leave(self, request: Request) -> None:
         self.open -= 1
         self._forget(request)
         if self.open == 0:
@@ -349,20 +394,50 @@
         if request is None:
             self._events.append(it.AttemptEnded(number, 0, backend, Outcome.MOOT, 0, True))
             return
-        left = request.deadline - LAST_ATTEMPT - now
+        upload = request.wanted.upload
+        coming = upload is not None and not upload.whole
+        left = (request.wanted.timeout if coming else request.deadline - now) - LAST_ATTEMPT
         limits, second = request.limits, request.out > 0 and not request.limits.may_duplicate
         spent = len(request.attempts) >= limits.max_attempts
         request.attempts.append(attempt)
         request.out += 1
-        if request.over or spent or second or left <= 0:
+        if request.over or spent or second or left <= 0 or (upload and upload.spent):
             self._ended(request, attempt, Answer(Outcome.MOOT))
             return
         wait = min(timeout, left) if timeout else left
-        attempt.timer = self._loop.call_later(wait / 1e6, self._timed_out, request, attempt)
+        attempt.wait = wait
+        if not coming:
+            attempt.timer = self._loop.call_later(wait / 1e6, self._timed_out, request, attempt)
         wanted = request.wanted
         data = b"%bRequest-Timeout: %dm\r\n\r\n%b" % (wanted.head, max(1, wait // 1000), wanted.body)
-        exchange = self.servers.send(backend, data, lambda answer: self._ended(request, attempt, answer))
-        attempt.exchange = exchange
+        flow = Flow(upload, lambda answer: self._opened(request, attempt, answer), request.client.more)
+        attempt.exchange = self.servers.send(
+            backend, data, lambda answer: self._ended(request, attempt, answer), flow
+        )
+
+    def _uploaded(self, request: Request) -> None:
+        """The last byte of its body has come: its time counts from here, and that of the attempt with it."""
+        now, timeout = self.now(), request.wanted.timeout
+        request.deadline = now + timeout
+        request.timer = self._loop.call_later((timeout - ANSWER_MARGIN) / 1e6, self._overdue, request)
+        for attempt in request.attempts:
+            if not attempt.ended:
+                attempt.sent = now
+                attempt.timer = self._loop.call_later(attempt.wait / 1e6, self._timed_out, request, attempt)
+        self._post(it.BodyCame(request.number, timeout))
+
+    def _opened(self, request: Request, attempt: Attempt, answer: Answer) -> bool:
+        """A large answer begins: its first byte goes on at once, and no other attempt can answer any more."""
+        if request.over or attempt.ended or attempt.exchange is None:
+            return False
+        self._settle(request)
+        request.passing = attempt
+        if attempt.timer:
+            attempt.timer.cancel()
+        request.client.begin(answer, attempt.exchange)
+        latency = self.now() - attempt.sent
+        self._post(it.StreamStarted(request.number, attempt.number, attempt.backend, latency))
+        return True
 
     def _timed_out(self, request: Request, attempt: Attempt) -> None:
         if not attempt.ended and attempt.exchange:
@@ -384,15 +459,23 @@
         request.out -= 1
         if attempt.timer:
             attempt.timer.cancel()
-        if answer.outcome is Outcome.OK and not request.over:
+        upload = request.wanted.upload
+        if upload and not request.over:
+            upload.detach()
+        if request.passing is attempt:
+            request.passing = None
+            (request.client.finish if answer.outcome is Outcome.OK else request.client.break_off)()
+            self._leave(request)
+        elif answer.outcome is Outcome.OK and not request.over:
             self._close(request)
             request.client.serve(answer)
         self._forget(request)
         load = self.names.load(answer.load) if answer.load else ()
         latency = self.now() - attempt.sent
         event = it.AttemptEnded(
-            request.number, attempt.number, attempt.backend, answer.outcome, latency, request.over, load
-        )
+            request.number, attempt.number, attempt.backend, answer.outcome, latency, request.over, load,
+            spent=upload is not None and upload.spent,
+        )  # fmt: skip
         self._post(event)
 
     # The rest.
--- a/ironledge/net/http.py
+++ b/ironledge/net/http.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, cast
 
 import httptools
 
+from ironledge.net.bodies import Upload
+
 MAX_HEAD = 16 * 1024
-MAX_BODY = 64 * 1024
+MAX_BODY = 64 * 1024 * 1024
+HOLD = 64 * 1024  # a body up to here is collected, and can be sent again or asked for again
+READ = 64 * 1024  # bytes read at once
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
     409: b"Conflict", 413: b"Content Too Large", 429: b"Too Many Requests",
@@ -25,40 +30,51 @@
 
 
 class Message:
-    """A request (method, target) or an answer (status), whole."""
+    """A request (method, target) or an answer (status). Its body is there whole, or comes in parts."""
 
-    __slots__ = ("body", "headers", "keep_alive", "method", "status", "target")
+    __slots__ = (
+        "body", "headers", "in_parts", "keep_alive", "length", "method", "minor", "status", "target",
+        "upload",
+    )  # fmt: skip
 
     def __init__(self) -> None:
         self.method = b""
         self.target = b""
         self.status = 0
+        self.minor = 1  # of HTTP/1's version
         self.headers: dict[bytes, bytes] = {}
+        self.length: int | None = None  # announced; None: chunked, or until the end of the connection
         self.body = b""
+        self.in_parts = False
+        self.upload: Upload | None = None
         self.keep_alive = True
 
 
-class HttpConnection(asyncio.Protocol):
-    """Collects whole messages and hands each to `received` once the parser has returned, so that an error
-    in handling one is never mistaken for an error in parsing it."""
+class HttpConnection(asyncio.BufferedProtocol):
+    """Reads messages. A small body is collected; a large one is handed on in parts, each as it comes. Hooks
+    are called once the parser has returned, so that an error in handling one is never mistaken for an error
+    in parsing it."""
 
     transport: asyncio.Transport
+    _read = memoryview(bytearray(READ))  # one for all: what has come is copied out before the next read
 
     def __init__(self, parser: type[Any]) -> None:
         self._parser = parser(self)
         self._message = Message()
-        self._whole: list[Message] = []
+        self._hooks: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
         self._parts: list[bytes] = []
         self._fed = 0  # bytes since the message began, while its head is open
-        self._size = 0  # of the body
+        self._size = 0  # of the head's fields, then of the body
         self._in_head = True
         self._begun = False  # some of the next message has come
         self._too_large = 0  # the status that says so
         self._lost_framing = False
+        self.wrong = ""  # what the parser found wrong
 
     # For the two sides to fill in.
 
     def received(self, message: Message) -> None:
+        """A message whose body was collected."""
         raise NotImplementedError
 
     def garbage(self, status: int) -> None:
@@ -68,9 +84,29 @@
     def began(self) -> None:
         """The first byte of a message has come."""
 
+    def headed(self, message: Message) -> None:
+        """Its head has come; the body has not."""
+
+    def opened(self, message: Message) -> None:
+        """The body is a large one: `part` and `ended` follow in place of `received`."""
+        self._lost_framing = True
+        self.garbage(413)
+
+    def part(self, message: Message, data: bytes) -> None:
+        """Some of a large body."""
+
+    def ended(self, message: Message) -> None:
+        """A large body is whole."""
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is not a subclass
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._read
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(self._read[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         if self._lost_framing:
             return
@@ -79,25 +115,34 @@
         bad = 0
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            bad = self._too_large or 400
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            bad, self.wrong = self._too_large or 400, str(error.__context__ or error)
         if self._in_head and self._fed > MAX_HEAD:  # a head that never ends
             bad = bad or 431
         self._lost_framing = bad > 0
-        whole, self._whole = self._whole, []
-        for message in whole:
-            self.received(message)
+        self._run_hooks()
         if bad:
             self.garbage(bad)
 
+    def _run_hooks(self) -> None:
+        hooks, self._hooks = self._hooks, []
+        for hook, args in hooks:
+            hook(*args)
+
     def ended_by_close(self) -> None:
         """At the sender's orderly end: a body with neither length nor chunks is whole now."""
-        headers = self._message.headers
-        if not (self._in_head or b"content-length" in headers or b"transfer-encoding" in headers):
-            self._message.keep_alive = False
+        message = self._message
+        if not self._in_head and message.length is None and b"transfer-encoding" not in message.headers:
+            message.keep_alive = False
             self.on_message_complete()
-            for message in self._whole:
-                self.received(message)
+            self._run_hooks()
+
+    def in_parts(self) -> None:
+        """From here on the body is handed on as it comes, with what was collected first."""
+        message, parts = self._message, self._parts
+        message.in_parts, self._parts = True, []
+        self._hooks.append((self.opened, (message,)))
+        self._hooks += [(self.part, (message, part)) for part in parts]
 
     # httptools' callbacks. It wraps what they raise, so limits are noted in `_too_large`.
 
@@ -111,31 +156,51 @@
         self._limit(len(self._message.target), MAX_HEAD, 431)
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._size += len(name) + len(value) + 4
+        if not self._in_head:  # a trailer: read, and no more than a head's worth, but of no use here
+            self._fed += len(name) + len(value) + 4
+            self._limit(self._fed, MAX_HEAD, 431)
+            return
         headers, name = self._message.headers, name.lower()
         before = headers.get(name)
         headers[name] = value if before is None else before + b", " + value
-        self._size += len(name) + len(value) + 4
         self._limit(self._size, MAX_HEAD, 431)
 
     def on_headers_complete(self) -> None:
-        self._in_head, self._fed, self._size = False, 0, 0
+        message, self._in_head, self._fed, self._size = self._message, False, 0, 0
+        length, coding = message.headers.get(b"content-length"), message.headers.get(b"transfer-encoding")
+        if (length is not None and (coding is not None or not length.isdigit())) or (
+            coding is not None and coding.strip().lower() != b"chunked"
+        ):
+            self._too_large = 400
+            raise ValueError("contradictory framing")  # each reader could take another end for the right one
+        message.length = int(length) if length is not None else None
+        message.minor = 0 if self._parser.get_http_version() == "1.0" else 1
+        message.keep_alive = self._parser.should_keep_alive()
+        if isinstance(self._parser, httptools.HttpRequestParser):
+            message.method = self._parser.get_method()
+        else:
+            message.status = self._parser.get_status_code()
+        self._limit(message.length or 0, MAX_BODY, 413)
+        self._hooks.append((self.headed, (message,)))
+        if (message.length or 0) > HOLD:
+            self.in_parts()
 
     def on_body(self, part: bytes) -> None:
+        message = self._message
         self._size += len(part)
         self._limit(self._size, MAX_BODY, 413)
+        if message.in_parts:
+            self._hooks.append((self.part, (message, part)))
+            return
         self._parts.append(part)
+        if self._size > HOLD:
+            self.in_parts()
 
     def on_message_complete(self) -> None:
         message, self._in_head, self._fed, self._begun = self._message, True, 0, False
-        if message.keep_alive:
-            message.keep_alive = self._parser.should_keep_alive()
-        if isinstance(self._parser, httptools.HttpRequestParser):
-            message.method = self._parser.get_method()
-        else:
-            message.status = self._parser.get_status_code()
-        message.body = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
-        self._parts = []
-        self._whole.append(message)
+        message.body, self._parts = b"".join(self._parts), []
+        self._hooks.append((self.ended if message.in_parts else self.received, (message,)))
 
     def _limit(self, size: int, most: int, status: int) -> None:
         if size > most:
