--- a/ironledge/net/http.py
+++ b/ironledge/net/http.py
@@ -161,7 +161,7 @@
             self._fed += len(name) + len(value) + 4
             self._limit(self._fed, MAX_HEAD, 431)
             return
-        headers, name = self._message.headers, name.lower()
+        headers, name, value = self._message.headers, name.lower(), value.strip(b" 	")
         before = headers.get(name)
         headers[name] = value if before is None else before + b", " + value
         self._limit(self._size, MAX_HEAD, 431)
@@ -173,7 +173,7 @@
             coding is not None and coding.strip().lower() != b"chunked"
         ):
             self._too_large = 400
-            raise ValueError("contradictory framing")  # each reader could take another end for the right one
+            raise ValueError(f"contradictory framing: length {length!r}, coding {coding!r}")  # each reader could take another end for the right one
         message.length = int(length) if length is not None else None
         message.minor = 0 if self._parser.get_http_version() == "1.0" else 1
         message.keep_alive = self._parser.should_keep_alive()
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -55,6 +55,7 @@
         (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", Outcome.OK),
         (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", Outcome.OK),
         (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", Outcome.OK),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: \t2 \t\r\n\r\nhi", Outcome.OK),
         (b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
         (b"HTTP/1.1 503 Oh\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", Outcome.FULL),
         (b"HTTP/1.1 504 Oh\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", Outcome.FULL),
