--- a/ironledge/net/http.py
+++ b/ironledge/net/http.py
@@ -172,8 +172,8 @@
         if (length is not None and (coding is not None or not length.isdigit())) or (
             coding is not None and coding.strip().lower() != b"chunked"
         ):
-            self._too_large = 400
-            raise ValueError(f"contradictory framing: length {length!r}, coding {coding!r}")  # each reader could take another end for the right one
+            self._too_large = 400  # each reader could take another end for the right one
+            raise ValueError(f"contradictory framing: length {length!r}, coding {coding!r}")
         message.length = int(length) if length is not None else None
         message.minor = 0 if self._parser.get_http_version() == "1.0" else 1
         message.keep_alive = self._parser.should_keep_alive()
