Let half-written connections give way to requests, and spread tries to connect anew

A client that takes no answers is asked for no more, and its connection is reset after 8 s without a byte taken.

--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 import re
 import socket
@@ -20,6 +21,7 @@
 HALF_SENT = 2.5  # s for a head, the first from connecting on: a client may take 2, peers are owed an end in 3
 SLOWEST = 32_000  # bytes of body a second, on average: a client may send 64 kB/s
 UNREAD = 8.0  # s without a byte taken of an answer that comes in parts
+GRACE = 0.5  # s that a connection with no whole request is kept even where room is short
 IDLE = 2.0  # s that a connection may stand with no open request
 LOOK = 0.25  # s between looks for connections past any of these
 BACKLOG = 1024
@@ -106,6 +108,7 @@
         # The longest idle first, with the clock since when. One that has carried nothing yet is not among
         # them: its first request is on the way, and a client sends again only once.
         self.idle: dict[ClientConnection, int] = {}
+        self.partial: dict[ClientConnection, int] = {}  # the same for those whose request is not whole
         self.connections: set[ClientConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweep: asyncio.TimerHandle | None = None
@@ -193,7 +196,12 @@
         self._sweep = asyncio.get_running_loop().call_later(LOOK, self._tick)
 
     def _evict(self) -> bool:
-        return any(connection.close_if_quiet() for connection in list(self.idle))
+        """Room for a request: idle connections go first, then those that have not come to send theirs."""
+        if any(connection.close_if_quiet() for connection in list(self.idle)):
+            return True
+        oldest = self.now() - int(GRACE * 1e6)
+        late = itertools.takewhile(lambda entry: entry[1] < oldest, list(self.partial.items()))
+        return any(connection.give_way() for connection, _ in late)
 
 
 class ClientConnection(HttpConnection):
@@ -215,7 +223,8 @@
         self._continues = 0  # requests that wait for a go-ahead before they send a body
         self._source: Exchange | None = None  # of an answer that comes in parts
         self._chunked = False
-        self._left = (0, 0)  # bytes of it that wait to be written, and since when as many
+        self._full = False  # the client takes nothing for now
+        self._left = (0, 0)  # bytes that wait to be written to it, and since when as many
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -223,7 +232,7 @@
         self._crowded = not listener.sockets.room()
         listener.sockets.open += 1
         listener.connections.add(self)
-        self._began = listener.now()
+        self._began = listener.partial[self] = listener.now()
         if listener.sockets.at_top():
             listener.pause()
 
@@ -231,6 +240,7 @@
         self._listener.sockets.closed()
         self._listener.connections.discard(self)
         self._listener.idle.pop(self, None)
+        self._listener.partial.pop(self, None)
         self._waiting.clear()
         self._came()
         self._end_flow()
@@ -241,6 +251,8 @@
     def began(self) -> None:
         self._began = self._listener.now()
         self._listener.idle.pop(self, None)
+        if self._current is None and not self._waiting:
+            self._listener.partial.setdefault(self, self._began)
 
     def headed(self, message: Message) -> None:
         if message.headers.get(b"expect", b"").lower() == b"100-continue" and message.length != 0:
@@ -256,8 +268,9 @@
 
     def received(self, message: Message) -> None:
         self._continues = 0
+        self._listener.partial.pop(self, None)
         self._waiting.append((message, self._listener.now()))  # its time counts from its last byte
-        if self._current is None:
+        if self._current is None and not self._full:
             self._next()
         elif len(self._waiting) > QUEUED:
             self._hold("queue", True)
@@ -267,8 +280,9 @@
             message.length, self._listener.memory, lambda paused: self._hold("body", paused)
         )
         self._listener.memory.bodies += 1
+        self._listener.partial.pop(self, None)
         self._waiting.append((message, self._began))
-        if self._current is None:
+        if self._current is None and not self._full:
             self._next()
 
     def part(self, message: Message, data: bytes) -> None:
@@ -310,7 +324,7 @@
                 self._plain(status, b"not understood\n")
 
     def close_if_stuck(self, now: int) -> None:
-        if self._source and self._left != (0, 0):
+        if self._full:
             self._look_at_reader(now)
         sent = 0 if self._in_head else self._size
         due = self._began + int((HALF_SENT + sent / SLOWEST) * 1e6)
@@ -339,6 +353,15 @@
         self.transport.close()
         return True
 
+    def give_way(self) -> bool:
+        """Closes it though a request may have begun, as long as none is whole, nor more of one unread."""
+        whole = self._current is not None or self._waiting
+        if whole or self.transport.is_closing() or unread(self.transport):
+            return False
+        self._listener.partial.pop(self, None)
+        self.garbage(408)
+        return True
+
     def _next(self) -> None:
         message, began = self._waiting.popleft()
         self._hold("queue", len(self._waiting) > QUEUED)
@@ -405,7 +428,7 @@
             self._go_on(self._keeps())
 
     def _resume(self) -> None:
-        if self._waiting and self._current is None and not self.transport.is_closing():
+        if self._waiting and self._current is None and not (self._full or self.transport.is_closing()):
             self._next()
 
     # An answer that comes in parts.
@@ -413,7 +436,6 @@
     def begin(self, answer: Answer, source: Exchange) -> None:
         self._source, memory = source, self._listener.memory
         memory.bodies += 1
-        self._left = (-1, self._listener.now())
         self._chunked = answer.length is None and self._minor > 0
         self._keep = self._keep and (answer.length is not None or self._chunked)
         head = b"HTTP/1.1 200 OK\r\n"
@@ -445,13 +467,17 @@
 
     def _end_flow(self) -> None:
         if self._source:
-            self._source, self._left = None, (0, 0)
+            self._source = None
             self._listener.memory.bodies -= 1
 
     def pause_writing(self) -> None:
+        self._full, self._left = True, (-1, self._listener.now())
         if self._source:
             self._source.pause(True)
 
     def resume_writing(self) -> None:
+        """Answers wait for a client that has not taken those before: what it asks next is not begun."""
+        self._full = False
         if self._source:
             self._source.pause(False)
+        self._resume()
--- a/ironledge/net/counter.py
+++ b/ironledge/net/counter.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import random
 from collections import deque
 from collections.abc import Callable
 from typing import cast
@@ -113,7 +114,7 @@
                 if line.heard:  # no back-off
                     self._held, wait = self._held or {}, BACK_OFF[0]
                     continue
-            await asyncio.sleep(wait)
+            await asyncio.sleep(wait * random.uniform(0.5, 1.0))  # a fleet's tries are spread
             wait = min(2 * wait, BACK_OFF[1])
 
 
--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import random
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -99,7 +100,7 @@
                 finally:
                     transport.abort()
                 wait = BACK_OFF[0] if watch.heard else wait
-            await asyncio.sleep(wait)
+            await asyncio.sleep(wait * random.uniform(0.5, 1.0))  # a fleet's tries are spread
             wait = min(2 * wait, BACK_OFF[1])
 
 
--- a/tests/test_net_bodies.py
+++ b/tests/test_net_bodies.py
@@ -313,3 +313,20 @@
     assert holds == [True]
     body.discard()
     assert holds == [True, False]
+
+
+async def test_a_client_that_takes_no_answers_is_asked_for_no_more_and_then_ended(
+    ingress: Ingress, backend: PeerServer
+) -> None:
+    body = LARGE[:60_000]
+    backend.heard = answers(HEAD % len(body) + body)
+    _, writer = await asyncio.open_connection(HOST, ingress.port, limit=1024)
+    writer.write(b"".join(request(f"r{number}") for number in range(200)))
+    while not (connections := ingress.listener.connections) or not next(iter(connections))._full:
+        await asyncio.sleep(0.001)
+    (connection,) = connections
+    assert connection.transport.get_write_buffer_size() < 4 * MOST and connection._waiting
+    for _ in range(2):  # the first look finds what is left, the second that it is as much
+        look_later(ingress, 10)
+    assert connection.transport.is_closing()
+    writer.close()
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -294,3 +294,37 @@
         assert await reader.read() == b""
     assert [len(pool.idle) for pool in ingress.backends._pools.values()] == [1]
     writer.close()
+
+
+async def test_where_room_is_short_half_written_requests_give_way_after_idle_connections(
+    ingress: Ingress,
+) -> None:
+    ends = [await asyncio.open_connection(HOST, ingress.port) for _ in range(4)]
+    ends[0][1].write(request())
+    assert (await read_answer(ends[0][0])).startswith(b"HTTP/1.1 200 ")  # idle
+    ends[1][1].write(b"GET /read/x HTTP/1.1\r\nHo")  # half-written; the others are silent
+    while not any(c._begun for c in ingress.listener.connections):
+        await asyncio.sleep(0)
+    ingress.sockets.cap = ingress.sockets.open
+    assert ingress.sockets.room()  # the idle client
+    async with asyncio.timeout(10):
+        assert await ends[0][0].read() == b""
+    assert not ingress.listener._evict()  # the rest are young: their requests may be on the way
+    now = ingress.listener.now
+    ingress.listener.now = lambda: now() + 600_000
+    assert [ingress.listener._evict() for _ in range(4)] == [True, True, True, False]
+    assert (await read_answer(ends[1][0])).startswith(b"HTTP/1.1 408 ")
+    for _, writer in ends:
+        writer.close()
+
+
+async def test_a_whole_request_never_gives_way(ingress: Ingress, backend: PeerServer) -> None:
+    backend.heard = lambda peer: None
+    taken = asyncio.create_task(ingress.ask(request()))
+    await ingress.script.seen(it.RequestArrived)
+    now = ingress.listener.now
+    ingress.listener.now = lambda: now() + 60_000_000
+    assert not ingress.listener._evict()
+    await backend.until(lambda: bool(backend.peers) and b"\r\n\r\n" in backend.peers[0].data)
+    backend.peers[0].transport.write(OK)
+    assert (await taken).startswith(b"HTTP/1.1 200 ")
