--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -255,7 +255,8 @@
             self._listener.partial.setdefault(self, self._began)
 
     def headed(self, message: Message) -> None:
-        if message.headers.get(b"expect", b"").lower() == b"100-continue" and message.length != 0:
+        waits = message.headers.get(b"expect", b"").lower() == b"100-continue"
+        if waits and message.minor > 0 and message.length != 0:
             self._continues += 1
             self._go_ahead()
 
