Save calls to a crowded counter for those whose own part of a store is spent

Of 6,400 refusals to the plan with a ceiling 4,900 had a unit in the true store: 1,565 by what this gateway held possible, 1,200 for want of a call.

Three things that are harmless alone. A lease grew by `crowd` past (room - need) / (2 spread), so that one of four siblings took the whole rest of the store (Gateway.ask): now that part bounds it. Calls were made for customers whose even part would have covered them (Gateway.admit): it is now spent first, and told with the next call, but for some trial calls of the whole fleet. Each refusal after a call was a second call, to add back (Gateway.count_answered): while crowded it goes with the next call of the window.

Ruled out: bursts at the turn of a window (calls by 250 ms are even), one part of the counter more loaded than the others (names' shares are even).

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -20,6 +20,7 @@
 SPARE = 0.6  # part of the bound under which a fleet has room for second copies and paid units beyond a quota
 CALLS_OUT = 64.0  # calls to the counter in its time-out by all gateways: more than a healthy one has waiting
 CROWDED = 1.2  # calls turned away or unanswered of late: some in ten, and not just one
+TRIALS = 64.0  # calls a second by all gateways that are made while crowded though they could be saved
 KNOWN = 4  # windows for which a total heard tells more of a customer than quota / spread
 WIDE = 12  # gateways a customer: with more, what one leases ahead is seldom spent, and few know of the store
 UNEVEN = 1.25  # even parts of a ceiling that one gateway's leases may take: the counter keeps the sum of all
@@ -60,6 +61,9 @@
     heard_at: int = -60 * SECOND
     usual: float = 0.0  # lambda: units newly asked a second, averaged over the store's time to fill
     demand_at: int = 0
+    unheard: float = 0.0  # units spent that the counter has not been told of, less what has refilled since
+    back: float = 0.0  # units to be added back to one window's name
+    back_for: int = 0
     ceiling: float = 0.0  # left of this gateway's part of the hard ceiling, had it run for long: for leases
     sure: float = 0.0  # the same if all was spent before a restart: for units the counter has not heard of
     window_us: int = SECOND
@@ -85,6 +89,7 @@
         fill = self.window_us / SECOND
         self.usual = self.usual * math.exp(-gone / fill) + (0.0 if again else units / fill)
         self.share = min(max(units, plan.burst * part), self.share + plan.rate * part * gone)  # one fits
+        self.unheard = max(0.0, self.unheard - plan.rate * part * gone)
         if retired:
             return
         most, fill, lead = plan.ceiling_burst, plan.ceiling_rate * gone, min(1.0, UNEVEN * part)
@@ -298,7 +303,7 @@
         self.accounts: dict[int, Account] = {}
         self.requests: dict[int, Request] = {}
         self.flying: dict[tuple[int, int], tuple[Request, Attempt]] = {}
-        self.calls: dict[int, deque[tuple[Account, int, float, bool]]] = {}  # unanswered, by name, in order
+        self.calls: dict[int, deque[tuple[Account, int, float, bool, float]]] = {}  # unanswered, by name
         self.crowd, self.call_at, self.swept_at, self.now = 1.0, -SECOND, 0, 0
         self.began = -1  # the first moment heard of
         self.retired = False  # another process has taken over; what is still open ends here
@@ -386,6 +391,8 @@
         elif not plan.rate or (account.tokens >= units and not account.waiting):
             account.level, account.level_at = account.bound(self.now), self.now
             account.tokens -= units if self.send(request, leased=True) else 0.0
+        elif not answered and self.saves_call(account, units):
+            self.send_unheard(request)
         elif answered or (not tight and account.bound(self.now) + account.tokens < units):
             self.overflow(request)  # the store cannot hold it, whatever the siblings did: no call needed
         elif late or (tight and (known or request.event.is_retry or plan.beyond_earns > plan.beyond_costs)):
@@ -409,30 +416,46 @@
             part = part // 1  # else never as much as one
         if self.fleet.rng.random() >= part:
             self.overflow(request)
-        elif self.send(request):
-            account.share = max(0.0, account.share - units)
+        else:
+            self.send_unheard(request)
+
+    def saves_call(self, account: Account, units: float) -> bool:
+        """Crowded: what this gateway's own part covers needs no call, but for one where others leave room."""
+        needed = self.crowd > CROWDED and self.now - self.call_at < self.settings.fleet_size * SECOND / TRIALS
+        sure = not account.plan.ceiling_rate or account.sure >= units
+        return needed and sure and min(account.share, account.bound(self.now)) >= units
+
+    def send_unheard(self, request: Request) -> None:  # the counter is told with the next call
+        account, units = request.account, request.event.units
+        room = account.bound(self.now)
+        if self.send(request):
+            account.share, account.unheard = max(0.0, account.share - units), account.unheard + units
             account.level, account.level_at = room - units, self.now
 
     def ask(self, account: Account, customer: int) -> None:  # a lease: what waits, and demand ahead
         room, units = account.bound(self.now), account.waiting[0].event.units
         need = max(0.0, min(units - account.tokens, room))
-        ahead = min(max(account.usual * LEASE_LIFE, units), (room - need) / (2 * account.spread)) * self.crowd
+        ahead = min(max(account.usual * LEASE_LIFE, units) * self.crowd, (room - need) / (2 * account.spread))
         ahead = 0.0 if self.retired else ahead  # the customer's next requests come to the other process
         self.speaks, self.unasked = self.speaks + 0.1 * (1 + self.unasked - self.speaks), 0
         need *= self.speaks if self.tight(account) else 1.0
         account.asking, window = True, self.now // account.window_us
         name, start = count_name(customer, window), window * account.window_us
-        self.call(account, name, start, need + max(0.0, min(ahead, room - need)), True)
-
-    def call(self, account: Account, name: int, start: int, amount: float, lease: bool) -> None:
-        self.actions.append(it.AddToCounter(name, amount, min(60 * SECOND, 2 * account.window_us)))
-        self.calls.setdefault(name, deque()).append((account, start, amount, lease))
+        told, account.unheard = account.unheard + account.back * (account.back_for == name), 0.0
+        account.back = 0.0
+        self.call(account, name, start, need + max(0.0, min(ahead, room - need)), True, told)
+
+    def call(
+        self, account: Account, name: int, start: int, amount: float, lease: bool, told: float = 0.0
+    ) -> None:
+        self.actions.append(it.AddToCounter(name, amount + told, min(60 * SECOND, 2 * account.window_us)))
+        self.calls.setdefault(name, deque()).append((account, start, amount, lease, told))
         self.call_at = int(max(self.call_at, self.now - SECOND / self.crowd) + self.pace * self.crowd)
 
     def count_answered(self, event: it.CountAnswered) -> None:
         if not (queue := self.calls.pop(event.name, None)):
             return
-        account, start, amount, lease = queue.popleft()
+        account, start, amount, lease, told = queue.popleft()
         self.calls.update({event.name: queue} if queue else {})
         heard = event.outcome is Outcome.OK and math.isfinite(event.total)
         # Counter slow, silent, refusing, crowded: fewer calls out, rarer, for more; quota / spread meanwhile.
@@ -443,6 +466,7 @@
             return
         waiting, account.waiting, account.asking = account.waiting, [], False
         if not heard:
+            account.unheard += max(0.0, told) * (event.outcome in NEVER_RAN)
             for request in waiting:  # asked anew after a break, if there is time
                 (self.admit if broken else self.admit_unheard)(request)
             return
@@ -459,7 +483,9 @@
             unknown = raw - upper if account.usual * account.spread > plan.rate else 0.0
             unknown, level = unknown if unknown > plan.burst / 8 else 0.0, min(raw, upper)
             over = min(amount, max(0.0, -level))  # past the allowance: that part is added back
-            if unknown != over:
+            if unknown != over and self.crowd > CROWDED:  # with the next call, if it comes in this window
+                account.back, account.back_for = unknown - over, event.name
+            elif unknown != over:
                 self.call(account, event.name, start, unknown - over, False)
         account.level, account.level_at = min(plan.burst, level + over), self.now
         account.tokens += amount - over
--- a/ironledge/estate.py
+++ b/ironledge/estate.py
@@ -12,7 +12,7 @@
 # What the next process takes over as it is, beside what is named there.
 ACCOUNT_KEYS = (
     "spread", "level_at", "level", "share", "tokens", "rate", "chance", "heard_at", "usual", "demand_at",
-    "ceiling", "sure", "slot",
+    "ceiling", "sure", "slot", "unheard", "back", "back_for",
 )  # fmt: skip
 BACKEND_KEYS = ("limit", "slow", "seen_at", "credit", "credit_at", "load", "load_at")
 FLEET_KEYS = ("usual", "typical", "more", "sends")
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -48,6 +48,37 @@
     assert asked > 100 and 0.2 < sent / asked < 0.5
 
 
+def crowded() -> Gateway:
+    """One of 40 that has found the counter crowded, and has used its own part of customer 7's store."""
+    g = wide(40)
+    g.handle(8 * SECOND, arrival(1, customer=99, spread=4))
+    g.crowd, g.call_at = 4.0, 10 * SECOND
+    actions = g.handle(10 * SECOND, arrival(10, spread=4))
+    assert finish(g, 10 * SECOND, actions) == 1 and not of(actions, it.AddToCounter)
+    return g
+
+
+def test_while_crowded_the_own_part_needs_no_call_and_the_next_call_tells_of_it() -> None:
+    (add,) = of(crowded().handle(10_100_000, arrival(50, spread=4)), it.AddToCounter)
+    assert add.amount > 1.9  # one that is asked for, one told of
+
+
+def test_a_lease_at_a_crowded_counter_leaves_the_siblings_their_parts() -> None:
+    g = crowded()
+    (add,) = of(g.handle(10_100_000, arrival(50, spread=4)), it.AddToCounter)
+    assert add.amount <= 1 + 1 + (4 - 1 - 1) / 8 + 0.01  # one asked for, one told of, one part in advance
+
+
+def test_while_crowded_what_is_past_the_allowance_goes_back_with_the_next_call() -> None:
+    g = crowded()
+    (add,) = of(g.handle(10_100_000, arrival(50, spread=4)), it.AddToCounter)
+    answered = g.handle(10_110_000, it.CountAnswered(add.name, it.Outcome.OK, 6.0, 9000))
+    assert of(answered, it.Refuse) and not of(answered, it.AddToCounter)
+    g.call_at = 10 * SECOND
+    (again,) = of(g.handle(11_900_000, arrival(51, spread=4)), it.AddToCounter)
+    assert again.name == add.name and again.amount < 0.5  # one is asked for, and what was over taken off
+
+
 def test_first_request_of_a_customer_at_one_of_many_is_sent_without_the_counter_and_the_next_is_not() -> None:
     g = wide(counter=it.CounterLimits(False))
     assert of(g.handle(0, arrival(1, spread=100)), it.SendAttempt)
