Keep each of many gateways to an even arc of the servers while it serves it well

Five to seven of the 60 servers answered in 2.5 to 6 s, after the aim, from the start to the end, and yet went on getting 10 to 15 attempts in 4 s of the 20 that a good one had: each gateway has an answer of each server every seven seconds, so every one of 40 had to lose some attempts there by itself before it knew.

Ruled out: idle connections closed too soon (none were closed as idle, none written to after); the bad ones sharing a zone or a start (four, one and two by zone, all started long ago); a fleet too busy to choose (the part of it that was out was 0.4 to 0.5).

At fault: Fleet.pick, which drew its candidates from all that are ready. Where there are so many gateways that a server's first bound is under one of theirs, they are now an arc of LOOK servers of the ring of all, by a hash of the name that is the same everywhere; arcs begin at multiples of the golden ratio, so that each server is in 10 to 12 of them, and neighbours, which share customers, share few. Others are looked at where the best of one's own costs STRAY times the usual; cold ones only by those in whose arc they are. ListedBackend.key is new.

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -31,17 +31,22 @@
 WEIGH_EVERY = SECOND // 4  # us between looks at how much of the fleet is warm
 MEMORY = 5.0  # s that a backend's slowness is remembered: some tens of answers; longer if few come
 LOOK = 16  # backends looked at for a request: all of a small fleet, of a large one enough to find a good one
+STRAY = 2.5  # times the usual latency of its own backends, from which a gateway of many looks at others
+GOLDEN = (math.sqrt(5) - 1) / 2  # multiples of it are evenly spread over a circle, neighbours far apart
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 BUSY = ("queue", "inflight", "util")  # reports that grow with what a backend has to do
 BROKEN = (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT)
 NAME_MIX = 0x9E3779B97F4A7C15  # odd 64-bit multiplier (golden ratio): spreads neighbouring numbers
 
 
-def count_name(customer: int, window: int) -> int:  # the counter's name, the same at every gateway
-    mixed = customer * NAME_MIX + window
+def mixed(number: int) -> int:  # 64 bits, the same at every gateway
     for shift in (30, 27, 31):
-        mixed = (mixed ^ (mixed >> shift)) * NAME_MIX & (1 << 64) - 1
-    return mixed
+        number = (number ^ (number >> shift)) * NAME_MIX & (1 << 64) - 1
+    return number
+
+
+def count_name(customer: int, window: int) -> int:  # the counter's name, the same at every gateway
+    return mixed(customer * NAME_MIX + window)
 
 
 # ---------------------------------------------------------------- the customer's account
@@ -141,6 +146,7 @@
         self.settings, self.rng = settings, rng
         self.backends: dict[int, Backend] = {}
         self.ready: list[Backend] = []
+        self.own: list[Backend] = []  # of these, the ones that this gateway keeps to while they serve it well
         self.withdrawn: set[int] = set()  # taken out by operators, apart from what is listed
         self.returned: dict[int, int] = {}  # put back by operators: cold as if started then
         self.usual: list[float] = []  # usual latency of an answer, by class
@@ -151,7 +157,9 @@
         self.follow(settings)
 
     def follow(self, settings: it.Settings) -> None:  # classes keep their numbers; new ones come behind
-        self.settings, self.first = settings, FIRST_LIMIT / settings.fleet_size
+        self.settings, self.even = settings, FIRST_LIMIT / settings.fleet_size
+        self.first = self.even
+        self.sort_out()
         new = len(settings.classes) - len(self.usual)
         self.usual, self.typical = self.usual + [0.0] * new, self.typical + [1.0] * new
         for backend in self.backends.values():
@@ -159,25 +167,36 @@
 
     def used(self) -> float:  # the part out of what may be out at all backends: one at each jams them
         fails = min((t for t, u in zip(self.typical, self.usual, strict=True) if u), default=1.0)
-        pooled = (1 + self.first * len(self.ready) / 2) / fails + self.more  # less if every class fails
-        room = pooled if self.first < 1 else sum(b.limit for b in self.ready)
+        pooled = (1 + self.even * len(self.ready) / 2) / fails + self.more  # less if every class fails
+        room = pooled if self.even < 1 else sum(b.limit for b in self.ready)
         return (self.out + self.elsewhere) / max(1.0, room)
 
     def listed(self, event: it.BackendsListed) -> None:
+        begun = []
         for info in event.backends:
             info = replace(info, started=max(info.started, self.returned.get(info.id, 0)))
             known = self.backends.setdefault(info.id, Backend(info))
             if known.limit == 0 or info.started > known.info.started:
-                self.begin(known)
+                begun.append(known)
             known.info = info
         whole = event.kind in (ListKind.FULL, ListKind.CACHED)
         named = {info.id for info in event.backends} if whole else self.backends.keys()
         self.backends = {n: b for n, b in self.backends.items() if n in named}
         self.sort_out()
+        for backend in begun:
+            self.begin(backend)
 
     def sort_out(self) -> None:
         fit = (b for b in self.backends.values() if b.info.id not in self.withdrawn)
         self.ready, self.weighed_at = [b for b in fit if b.info.state is BackendState.READY], -SECOND
+        self.own, self.first = self.ready, self.even
+        if self.even < 1 and len(self.ready) > LOOK:
+            # Many gateways: an arc of the ring of all, even over them, so that each opens few connections
+            # and sees its own often. Harms where an arc is bad as a whole: then others are looked at too.
+            ring = sorted(self.ready, key=lambda b: mixed(b.info.key or b.info.id))
+            start = int(self.settings.me * GOLDEN % 1 * len(ring))
+            self.own = (ring + ring)[start : start + LOOK]
+            self.first = self.even * len(ring) / LOOK
 
     def begin(self, backend: Backend) -> None:  # as new; its sends are earned out of step with the siblings'
         backend.limit, backend.slow = self.first, self.typical[:]
@@ -205,11 +224,11 @@
 
     def weigh(self, now: int) -> None:  # the capacity of all that are ready, in warm ones
         if now - self.weighed_at > WEIGH_EVERY:
-            self.weighed_at, self.weighed = now, sum(self.warmth(b, now) for b in self.ready)
+            self.weighed_at, self.weighed = now, sum(self.warmth(b, now) for b in self.own)
 
     def cold_room(self, backend: Backend, warmth: float) -> bool:  # slow start: earned by sends to others
-        times, even = COLD_PART * self.settings.safety.tip_multiple, len(self.ready) / max(0.01, self.weighed)
-        if self.first < 1:  # many gateways' sends fall together by chance: half, and more the less is warm
+        times, even = COLD_PART * self.settings.safety.tip_multiple, len(self.own) / max(0.01, self.weighed)
+        if self.even < 1:  # many gateways' sends fall together by chance: half, and more the less is warm
             times = max(1.0, times * min(1.0, even / 2))
         earned = times * warmth * (self.sends - backend.credit_at)
         backend.credit, backend.credit_at = min(2.0, backend.credit + earned), self.sends
@@ -217,9 +236,24 @@
         return not self.retired and backend.credit >= 1 and out < max(1.0, backend.limit * warmth)
 
     def pick(self, now: int, cls: int, allowed: Callable[[Backend], bool]) -> Backend | None:
-        best, best_cost, far = None, math.inf, self.settings.cross_zone_price > 0
+        best, best_cost = None, math.inf
         self.weigh(now)
-        some = self.rng.sample(self.ready, min(LOOK, len(self.ready))) if self.used() < 1 else []
+        if self.used() < 1:
+            best, best_cost = self.cheapest(now, cls, allowed, self.own)
+            if len(self.own) < len(self.ready) and best_cost > STRAY * self.typical[cls]:
+                warm = [b for b in self.ready if self.warmth(b, now) == 1]  # the cold budgets are their own's
+                other, cost = self.cheapest(now, cls, allowed, warm)
+                best = other if cost < best_cost else best
+        self.sends += 1 / max(1, len(self.own))
+        if best:
+            best.out, self.out, best.credit = best.out + 1, self.out + 1, best.credit - 1
+        return best
+
+    def cheapest(
+        self, now: int, cls: int, allowed: Callable[[Backend], bool], among: list[Backend]
+    ) -> tuple[Backend | None, float]:
+        best, best_cost, far = None, math.inf, self.settings.cross_zone_price > 0
+        some = self.rng.sample(among, min(LOOK, len(among)))
         fresh = {b.info.id: b.load for b in some if now - b.load_at < SECOND}  # older reports tell nothing
         mean = sum(fresh.values()) / max(1, len(fresh)) or 1.0
         for backend in some:
@@ -234,10 +268,7 @@
             cost *= 1.1 if far and backend.info.zone != self.settings.zone else 1.0  # breaks ties
             if cost < best_cost:
                 best, best_cost = backend, cost
-        self.sends += 1 / max(1, len(self.ready))
-        if best:
-            best.out, self.out, best.credit = best.out + 1, self.out + 1, best.credit - 1
-        return best
+        return best, best_cost
 
     def ended(self, backend: Backend, now: int, cls: int, outcome: Outcome, latency: int) -> None:
         backend.out, self.out = max(0, backend.out - 1), self.out - 1
--- a/ironledge/interface.py
+++ b/ironledge/interface.py
@@ -137,6 +137,7 @@
     kind: int
     weight: float
     started: int  # 0: long ago
+    key: int = 0  # the same at every gateway; 0: its id is
 
 
 # Events
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
 from typing import Any, Protocol, TypeVar
+from zlib import crc32
 
 from ironledge import interface as it
 from ironledge.interface import Outcome
@@ -506,7 +507,8 @@
     def _entry(self, entry: Entry, number: int) -> it.ListedBackend:
         zone, kind = self.names.zones.get(entry.zone, 0), self.names.kinds.get(entry.kind, 0)
         return it.ListedBackend(
-            number, STATES[entry.status], zone, entry.group, kind, entry.weight, entry.since_us
+            number, STATES[entry.status], zone, entry.group, kind, entry.weight, entry.since_us,
+            crc32(entry.name.encode()),
         )
 
 
--- a/tests/test_net_engine.py
+++ b/tests/test_net_engine.py
@@ -198,6 +198,7 @@
     first, second = world.script.of(it.BackendsListed)
     assert [b.id for b in first.backends] == [1, 2] and [b.id for b in second.backends] == [2]
     assert first.backends[0].started == 5000 and second.kind is it.ListKind.FULL
+    assert first.backends[0].key != first.backends[1].key == second.backends[0].key  # by name, not by number
 
 
 def test_a_class_is_followed_by_name_and_an_open_request_keeps_the_rules_it_began_with() -> None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,11 +1,14 @@
 """Hundreds of gateways: calls that are short, shares under one request, cold backends, rare answers."""
 
+import itertools
+import random
 from dataclasses import replace
 
 import pytest
 
 from ironledge import Gateway
 from ironledge import interface as it
+from ironledge.brain import Fleet
 from tests.helpers import PLANS, SECOND, Counter, arrival, backend, listed, of, settings, settle
 
 FREE = (it.Plan("free", rate=0.0, burst=0.0),)
@@ -133,6 +136,43 @@
         assert 0.2 < cold_part(cold) < 0.45
 
 
+def arcs(gone: int = 0) -> list[set[int]]:
+    """The servers that each of 40 gateways keeps to of 60, numbered by each in an order of its own."""
+    found = []
+    for me in range(40):
+        fleet = Fleet(settings(fleet_size=40, me=me), random.Random(me))
+        entries = [backend((n + me) % 60 + 1, key=5000 + n) for n in range(gone, 60)]
+        fleet.listed(listed(*entries))
+        found.append({b.info.key for b in fleet.own})
+    return found
+
+
+def test_each_of_many_gateways_keeps_to_some_servers_evenly_and_mostly_the_same_when_one_goes() -> None:
+    before, after = arcs(), arcs(gone=1)
+    for own in (before, after):
+        uses = [sum(n in arc for arc in own) for n in set().union(*own)]
+        assert len(uses) >= 59 and all(len(arc) == 16 for arc in own)
+        assert max(uses) - min(uses) <= 3  # eleven gateways for each
+    assert sum(len(a & b) for a, b in zip(before, after, strict=True)) > 40 * 14
+    overlap = [len(a & b) for a, b in itertools.pairwise(before)]
+    assert sum(overlap) / len(overlap) < 6  # one customer's gateways are neighbours
+
+
+def test_a_gateway_whose_own_servers_are_bad_goes_to_others_and_comes_back() -> None:
+    g = wide(40, 60, plans=FREE, limits={"max_attempts": 1})
+    own = {b.info.id for b in g.fleet.own}
+    for n in range(60):
+        for s in of(g.handle(n * 100_000, arrival(n)), it.SendAttempt):
+            outcome = it.Outcome.CONNECT_FAILED if s.backend in own else it.Outcome.OK
+            g.handle(n * 100_000, it.AttemptEnded(n, 0, s.backend, outcome, 50_000, True))
+    chosen, again = (
+        {s.backend for n in numbers for s in of(g.handle(at * SECOND, arrival(n)), it.SendAttempt)}
+        for at, numbers in ((6, range(100, 110)), (120, range(200, 220)))
+    )
+    assert chosen and not own & chosen
+    assert own & again
+
+
 def test_a_fleet_that_is_cold_as_a_whole_is_not_left_alone() -> None:
     g = Gateway(settings(fleet_size=200, plans=FREE), 3)
     g.handle(SECOND, listed(*(backend(n, started=SECOND) for n in range(1, 5))))
