Leave a server that turned an attempt away for others, as a drain may not be listed yet

Ruled out: full queues (the servers turned away all, with nothing in work; those not draining turned away none), our own attempts after the list had told (the gateways that had the news sent nothing there).

At fault: Fleet.ended, where FULL lowers only the bound, which never falls below one attempt: such a server has nothing out and looks the idlest of all. It now counts as slow as a failed one, for every class.

--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -280,6 +280,9 @@
             backend.slow[cls] = self.slowness(backend, cls, now) * 0.8 + took * 0.2
             self.typical[cls] += 0.05 * (took - self.typical[cls])
             backend.seen_at = now
+        if outcome is Outcome.FULL:  # jammed, or draining before the list says so: idle as it looks, no place
+            backend.slow = [self.slowness(backend, n, now) * 0.5 + FAILED for n in range(len(backend.slow))]
+            backend.seen_at = now
         if outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             backend.slow = [3 * FAILED for _ in backend.slow]  # down, whatever the class
         # The bound follows latency: up while used and answers come well within the aim, else down.
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -158,6 +158,20 @@
     assert sum(overlap) / len(overlap) < 6  # one customer's gateways are neighbours
 
 
+def test_a_server_that_drains_before_the_list_says_so_turns_few_attempts_away() -> None:
+    g, turned, sent = wide(40, 60, plans=FREE), 0, 0
+    draining = {b.info.id for b in g.fleet.own[:5]}
+    for n in range(100):
+        queue = of(g.handle(n * 50_000, arrival(n)), it.SendAttempt)
+        for attempt, s in enumerate(queue):
+            full = s.backend in draining
+            outcome, took = (it.Outcome.FULL, 900) if full else (it.Outcome.OK, 90_000)
+            turned, sent = turned + full, sent + 1
+            ended = it.AttemptEnded(n, attempt, s.backend, outcome, took, not full)
+            queue += of(g.handle(n * 50_000, ended), it.SendAttempt)
+    assert sent - turned == 100 and turned <= 2 * len(draining)
+
+
 def test_a_gateway_whose_own_servers_are_bad_goes_to_others_and_comes_back() -> None:
     g = wide(40, 60, plans=FREE, limits={"max_attempts": 1})
     own = {b.info.id for b in g.fleet.own}
