Spread tries to watch over the fleet and double them once discovery turns one away

At fault: Discovery._keep_watching, whose back-off (0.1 to 2 s) knew nothing of the fleet: 30 gateways at 2 s are 15 calls a second on a service that does a few, and works on calls that nobody waits for. Only a call that was turned away is followed by the long waits.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -50,7 +50,7 @@
     if counter:
         engine.counter = counter
         counter.start()
-    discovery = Discovery(config.discovery, config.known.index, engine.listed)
+    discovery = Discovery(config.discovery, config.known.index, engine.listed, config.settings.fleet_size)
     listener = Listener(engine, sockets, Memory(config.memory_mb), clock.now)
     temporary = Path(os.environ.get("TMPDIR") or gettempdir())
 
@@ -65,6 +65,7 @@
         engine.retune(config.settings, config.raw)
         sockets.tune(config.sockets)
         backends.tune(config.conn_idle, config.settings.limits.connect_timeout)
+        discovery.fleet_size = config.settings.fleet_size
         discovery.move(config.discovery)
         if counter and config.counter:
             counter.tune(config.settings.counter.timeout)
--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -15,6 +15,8 @@
 
 SILENT = 6.0  # s with no line: three beats
 BACK_OFF = (0.1, 2.0)  # s between tries: the first, the longest
+CROWDED = 0.1  # s for each gateway of the fleet that tries are spread over once one was turned away ...
+DOUBLED = 3  # ... doubled so many times: the list's service is one for all, and works on calls given up too
 CONNECT_TIMEOUT = 1.0
 MAX_LINE = 8 * 1024 * 1024
 
@@ -62,8 +64,11 @@
 
 
 class Discovery:
-    def __init__(self, address: tuple[str, int], index: int, changed: Callable[[Listing], None]) -> None:
+    def __init__(
+        self, address: tuple[str, int], index: int, changed: Callable[[Listing], None], fleet_size: int = 1
+    ) -> None:
         self.address, self.index, self._changed = address, index, changed
+        self.fleet_size = fleet_size
         self._task: asyncio.Task[None] | None = None
 
     def start(self, index: int | None = None) -> None:
@@ -87,7 +92,7 @@
         self._changed(listing)
 
     async def _keep_watching(self) -> None:
-        loop, wait = asyncio.get_running_loop(), BACK_OFF[0]
+        loop, wait, turned_away = asyncio.get_running_loop(), BACK_OFF[0], 0
         while True:
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT):
@@ -100,15 +105,21 @@
                 finally:
                     transport.abort()
                 wait = BACK_OFF[0] if watch.heard else wait
-            await asyncio.sleep(wait * random.uniform(0.5, 1.0))  # a fleet's tries are spread
-            wait = min(2 * wait, BACK_OFF[1])
+                turned_away = turned_away + 1 if watch.turned_away else 0
+            if turned_away:
+                longest = self.fleet_size * CROWDED * 2 ** min(turned_away - 1, DOUBLED)
+                await asyncio.sleep(random.uniform(0, longest))
+            else:
+                await asyncio.sleep(wait * random.uniform(0.5, 1.0))  # a fleet's tries are spread
+                wait = min(2 * wait, BACK_OFF[1])
 
 
 class Watch(asyncio.Protocol):
     transport: asyncio.Transport
 
     def __init__(self, discovery: Discovery) -> None:
-        self.heard, self.closed = False, asyncio.Event()
+        self.heard = self.turned_away = False
+        self.closed = asyncio.Event()
         self._discovery, self._loop = discovery, asyncio.get_running_loop()
         self._parser = httptools.HttpResponseParser(self)
         self._timer: asyncio.TimerHandle | None = None
@@ -128,6 +139,7 @@
         try:
             self._parser.feed_data(data)
             if self._parser.get_status_code() >= 300:
+                self.turned_away = self._parser.get_status_code() >= 500
                 raise ValueError("not a watch")
             if self._head >= 0:
                 self._head += len(data)
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -16,7 +16,7 @@
 from ironledge.net import discovery as discovery_module
 from ironledge.net.counter import Counter
 from ironledge.net.discovery import Discovery, Listing
-from tests.net_helpers import HOST, PeerServer
+from tests.net_helpers import HOST, Peer, PeerServer
 
 LONG, SHORT = 10_000_000, 20_000
 
@@ -192,10 +192,10 @@
 
 
 class Watched:
-    def __init__(self, server: PeerServer) -> None:
+    def __init__(self, server: PeerServer, fleet_size: int = 1) -> None:
         self.told: list[Listing] = []
         self.changed = asyncio.Event()
-        self.discovery = Discovery((HOST, server.port), 41, self._changed)
+        self.discovery = Discovery((HOST, server.port), 41, self._changed, fleet_size)
         self.discovery.start()
 
     def _changed(self, listing: Listing) -> None:
@@ -226,6 +226,30 @@
     watched.discovery.stop()
 
 
+async def test_tries_that_are_turned_away_are_spread_over_the_fleet_and_doubled_until_one_is_heard(
+    server: PeerServer, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    waits: list[tuple[float, float]] = []
+
+    def uniform(low: float, high: float) -> float:
+        waits.append((low, high))
+        return 0.0
+
+    def answer(peer: Peer) -> None:
+        crowded = len(server.peers) != 6
+        busy = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+        peer.transport.write(busy if crowded else HEAD + chunk(b"\n"))
+        peer.transport.close()
+
+    server.heard = answer
+    monkeypatch.setattr(discovery_module.random, "uniform", uniform)
+    watched = Watched(server, fleet_size=40)
+    await server.until(lambda: len(server.peers) > 7)
+    watched.discovery.stop()
+    assert waits[:5] == [(0, 4.0), (0, 8.0), (0, 16.0), (0, 32.0), (0, 32.0)]
+    assert waits[5:7] == [(0.5, 1.0), (0, 4.0)]  # heard: soon; turned away again: from the start
+
+
 async def test_a_silent_watch_is_opened_anew(server: PeerServer, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery_module, "SILENT", 0.05)
     watched = Watched(server)
