--- a/ironledge/net/handover.py
+++ b/ironledge/net/handover.py
@@ -88,7 +88,11 @@
     def open(self) -> None:
         """In place of a file that an earlier process left, in one step."""
         made = self._path.with_suffix(f".{os.getpid()}")
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        except OSError as error:  # where the platform refuses them
+            log.warning("no other process can take over: %s", error)
+            return
         try:
             sock.bind(str(made))
             sock.listen(1)
@@ -248,7 +252,10 @@
 
 
 def _call(path: Path) -> Claim | None:
-    conn = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    try:
+        conn = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    except OSError:  # refused, as the offer is then: that one is logged
+        return None
     try:
         conn.settimeout(CALL_TIMEOUT)
         conn.connect(str(path))
--- a/tests/test_net_handover.py
+++ b/tests/test_net_handover.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import os
 import signal
 import socket
 import subprocess
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -16,6 +18,7 @@
 from ironledge import interface as it
 from ironledge.brain import Gateway
 from ironledge.estate import hand_over, take_back, take_over
+from ironledge.net import handover
 from tests.helpers import SECOND, Counter, arrival, backend, listed, of, settings, settle
 from tests.net_helpers import HOST, OK, PeerServer, answers, request
 from tests.test_net_main import ask, config, listens, start
@@ -214,3 +217,19 @@
     take_back(old, hand_over(old))
     assert old.accounts[7].tokens == had and not old.retired
     assert of(old.handle(2 * SECOND, arrival(9, plan=3)), it.SendAttempt)
+
+
+async def test_where_such_sockets_are_refused_the_hand_over_is_off_with_one_line(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    def refuse(*args: Any) -> socket.socket:
+        raise OSError(errno.ENOSYS, os.strerror(errno.ENOSYS))
+
+    names = {name: getattr(socket, name) for name in ("AF_UNIX", "SOCK_STREAM", "SOCK_NONBLOCK")}
+    monkeypatch.setattr(handover, "socket", SimpleNamespace(socket=refuse, **names))
+    rest: Any = None
+    offer = handover.Offer(tmp_path / SOCKET, rest, rest, rest, rest, rest, rest, lambda: None)
+    offer.open()
+    assert await handover.Claim.find(tmp_path / SOCKET) is None
+    await offer.stop()
+    assert len(caplog.records) == 1 and "no other process can take over" in caplog.text
