--- a/ironledge/net/counter.py
+++ b/ironledge/net/counter.py
@@ -13,7 +13,7 @@
 from ironledge.interface import Outcome
 
 PING_EVERY = 2.5  # s: the counter closes what has stood idle for some 10 s or less
-SLACK = 0.05  # s that every time limit is longer on sockets: a crowded counter answers a little after its time
+SLACK = 0.05  # s that every time limit is longer on sockets: a crowded counter answers a little late
 SILENT = 2.0  # s without the answer that is due, after which the connection is taken for dead
 BACK_OFF = (0.05, 1.0)  # s between tries to connect: the first, the longest
 CONNECT_TIMEOUT = 1.0
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -13,7 +13,6 @@
 
 from ironledge.interface import Outcome
 from ironledge.net import counter as counter_module
-from ironledge.net import counter as counter_module
 from ironledge.net import discovery as discovery_module
 from ironledge.net.counter import Counter
 from ironledge.net.discovery import Discovery, Listing
