--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -508,7 +508,7 @@
         zone, kind = self.names.zones.get(entry.zone, 0), self.names.kinds.get(entry.kind, 0)
         return it.ListedBackend(
             number, STATES[entry.status], zone, entry.group, kind, entry.weight, entry.since_us,
-            crc32(entry.name.encode()),
+            crc32(entry.name.encode(errors="surrogatepass")),  # a broken name is a name, too
         )
 
 
--- a/tests/test_net_engine.py
+++ b/tests/test_net_engine.py
@@ -201,6 +201,13 @@
     assert first.backends[0].key != first.backends[1].key == second.backends[0].key  # by name, not by number
 
 
+def test_a_name_that_is_no_text_ends_nothing() -> None:
+    world = World(Script())
+    names = [{"name": n, "address": "127.0.0.1:1", "status": "up"} for n in ("a", "\ud800")]
+    world.engine.listed(Listing({"index": 1, "snapshot": True, "endpoints": names}), it.ListKind.CACHED)
+    assert len(world.script.of(it.BackendsListed)[0].backends) == 2
+
+
 def test_a_class_is_followed_by_name_and_an_open_request_keeps_the_rules_it_began_with() -> None:
     world = World(Script(sender()))
     world.ask()
