Build the list service: durable versions, leases, watches, a follower and its promotion

Need: servers are listed by the platform alone; a fleet wants a list service of the project's own that keeps every acknowledged change through crashes, and that an unchanged ingress can watch. Change: `python -m ironledge.directory`. Nothing that `run` imports changes. Result: 18 tests of the store, two of them over sequences of calls: a crash at every byte of the log and at every step of writing and compacting leaves a prefix with all that was acknowledged; every flipped bit is found.

--- /dev/null
+++ b/ironledge/directory/__main__.py
@@ -0,0 +1,144 @@
+"""The list service: reads its configuration, takes its data folder, serves until SIGTERM."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import logging
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from ironledge.directory.leases import Leases
+from ironledge.directory.replica import Replica
+from ironledge.directory.service import Service
+from ironledge.directory.store import Store, Unusable
+
+Address = tuple[str, int]
+KEYS = {"data", "reads", "writes", "follow", "history", "watches", "lease_ms", "hold_share", "hold_window_s"}
+
+log = logging.getLogger("ironledge.directory")
+
+
+class ConfigError(Exception):
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    data: Path
+    reads: Address
+    writes: Address
+    follow: Address | None
+    history: int
+    watches: int
+    lease_ms: tuple[int, int]
+    hold_share: float
+    hold_window_s: float
+
+
+def _address(raw: dict[str, Any], key: str) -> Address:
+    host, _, port = str(raw.get(key)).rpartition(":")
+    if not (host and port.isascii() and port.isdecimal() and int(port) < 65536):
+        raise ConfigError(f"{key}: {raw.get(key)!r} is not HOST:PORT")
+    return host, int(port)
+
+
+def _number(raw: dict[str, Any], key: str, default: float, least: float, most: float) -> Any:
+    """Whole, if the default is."""
+    value = raw.get(key, default)
+    sound = isinstance(value, int) or (isinstance(default, float) and isinstance(value, float))
+    if not sound or isinstance(value, bool) or not least <= value <= most:
+        raise ConfigError(f"{key}: {value!r} is not a number from {least} to {most}")
+    return value
+
+
+def read_config(path: str) -> Config:
+    try:
+        raw = json.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except (ValueError, RecursionError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{path}: not an object")
+    if unknown := sorted(raw.keys() - KEYS):
+        raise ConfigError(f"{unknown[0]}: not known here")
+    if not isinstance(raw.get("data"), str) or not raw["data"]:
+        raise ConfigError("data: the folder is missing")
+    terms = raw.get("lease_ms", [1000, 60_000])
+    if not (isinstance(terms, list) and len(terms) == 2 and all(type(t) is int for t in terms)):
+        raise ConfigError(f"lease_ms: {terms!r} is not [least, most]")
+    if not 100 <= terms[0] <= terms[1] <= 86_400_000:
+        raise ConfigError(f"lease_ms: {terms!r} is not between 100 and 86400000, the least first")
+    return Config(
+        data=Path(raw["data"]),
+        reads=_address(raw, "reads"),
+        writes=_address(raw, "writes"),
+        follow=_address(raw, "follow") if raw.get("follow") is not None else None,
+        history=_number(raw, "history", 1024, 1, 100_000),
+        watches=_number(raw, "watches", 1024, 1, 100_000),
+        lease_ms=(terms[0], terms[1]),
+        hold_share=_number(raw, "hold_share", 0.3, 0, 1),
+        hold_window_s=_number(raw, "hold_window_s", 30.0, 1, 3600),
+    )
+
+
+async def serve(config: Config) -> None:
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    store = Store(config.data, config.history)
+    try:
+        if store.cut:
+            log.warning("log: %d bytes of a broken last record were cut off", store.cut)
+        leases = Leases(share=config.hold_share, window=config.hold_window_s)
+        service = Service(store, leases, config.lease_ms, config.watches)
+        replica = take_role(service, store, config.follow)
+        reads, writes = await service.listen(config.reads, config.writes)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        service.start()
+        replica.start()
+        log.info("reads on %s:%d, writes on %s:%d", config.reads[0], reads, config.writes[0], writes)
+        log.info("%s, epoch %d, version %d", service.role, store.state.epoch, store.state.index)
+        await stop.wait()
+        await replica.stop()
+        await service.stop()
+    finally:
+        store.close()
+
+
+def take_role(service: Service, store: Store, follow: Address | None) -> Replica:
+    """What the folder remembers goes before the configuration: promotions and depositions were explicit."""
+    kept, epoch = store.role, store.state.epoch
+    if kept.get("leads") == epoch:
+        if follow:
+            log.warning("follow: not followed, as this one was promoted and leads epoch %d", epoch)
+        return Replica(service, None, str(kept.get("deposes") or ""))
+    if follow:
+        store.keep_role(follows="{}:{}".format(*follow))
+    elif "follows" in kept or "leads" in kept:
+        raise ConfigError("follow: missing, and the data folder is that of a follower never promoted")
+    elif kept.get("deposed", 0) > epoch:
+        service.role, service.leader_at = "deposed", str(kept.get("leader", ""))
+    return Replica(service, follow)
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    parser = argparse.ArgumentParser(prog="python -m ironledge.directory", description=__doc__)
+    parser.add_argument("config", help="the configuration file, JSON; see docs/directory.md")
+    try:
+        uvloop.run(serve(read_config(parser.parse_args().config)))
+    except (ConfigError, Unusable, OSError) as error:
+        print(f"ironledge.directory: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/ironledge/directory/replica.py
@@ -0,0 +1,213 @@
+"""A follower: watches its leader, keeps what it is told as its own list, and can be promoted.
+
+`Following` decides, from lines and `now`; `Replica` is its connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+from dataclasses import dataclass
+from typing import Any
+
+import httptools
+
+from ironledge.directory.service import Service
+from ironledge.directory.state import Broken, Record, State, record_from, state_from
+
+SILENT = 6.0  # s with no line: three beats
+BACK_OFF = (0.1, 2.0)  # s between tries: the first, the longest
+CONNECT_TIMEOUT = 1.0
+ANSWER_TIMEOUT = 2.0
+MAX_LINE = 64 * 1024 * 1024
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Following:
+    """What is known of the leader, and what a line of its means for the list held here."""
+
+    heard_at: float | None = None  # when the leader was last heard
+    leader_index: int = 0
+    leader_age: float = 0.0  # the leader may itself be a follower
+    writes_at: str = ""
+    behind_since: float | None = None
+
+    def age(self, now: float) -> float:
+        return self.leader_age + (now - self.heard_at) if self.heard_at is not None else 1e6
+
+    def hear(self, held: State, line: Any, now: float) -> State | Record | None:
+        """A list to take as a whole, a record to add, or nothing; Broken if it must not be followed."""
+        try:
+            index, epoch, lineage = int(line["index"]), int(line["epoch"]), str(line["lineage"])
+            if lineage != held.lineage and held.index > 0:
+                raise Broken(f"another list, {lineage}: an empty data folder could follow it")
+            if epoch < held.epoch and lineage == held.lineage:
+                raise Broken(f"epoch {epoch} is past: {held.epoch} is held")
+            found: State | Record | None = None
+            if "state" in line:
+                found = state_from(line["state"], held.history)
+            elif "record" in line:
+                found = record_from(line["record"])
+            elif index > held.index:
+                raise Broken(f"version {index} with no record")
+            self.leader_age = float(line.get("age_ms", 0)) / 1000
+            self.writes_at = str(line.get("writes_at", self.writes_at))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise Broken(f"a line that cannot be read: {error!r}") from None
+        self.heard_at, self.leader_index = now, index
+        return found
+
+
+class Replica:
+    """What a process does about its leader: follows one, or tells one that it leads no longer, or neither."""
+
+    def __init__(self, service: Service, leader: tuple[str, int] | None, deposes: str = "") -> None:
+        self.service, self.leader, self.following = service, leader, Following()
+        self._deposes = deposes
+        self._loop = asyncio.get_running_loop()
+        self._task: asyncio.Task[None] | None = None
+        if leader:
+            service.role, service.promote = "follower", self.promote
+            service.age = lambda: self.following.age(self._loop.time()) if service.role == "follower" else 0.0
+            service.more_status = self.status
+
+    def start(self) -> None:
+        if self.leader:
+            self._task = self._loop.create_task(self._keep_following(*self.leader))
+        elif self._deposes:
+            self._task = self._loop.create_task(self._tell_deposed(self._deposes))
+
+    async def stop(self) -> None:
+        if self._task:
+            self._task.cancel()
+            await asyncio.wait([self._task])
+
+    def status(self) -> dict[str, Any]:
+        if self.service.role != "follower":
+            return {}
+        now, following = self._loop.time(), self.following
+        heard = None if following.heard_at is None else round(following.age(now), 1)
+        behind = max(0, following.leader_index - self.service.state.index)
+        since = None if following.behind_since is None else round(now - following.behind_since, 1)
+        return {"follows": {"versions_behind": behind, "behind_for_s": since, "heard_s_ago": heard}}
+
+    async def promote(self) -> None:
+        old = self.following.writes_at
+        await self.service.lead(old)
+        await self.stop()
+        self.leader, self._deposes = None, old
+        self.start()
+
+    async def _tell_deposed(self, old: str) -> None:
+        """The leader before must learn of the epoch, however long it takes for it to come back."""
+        state, wait = self.service.state, BACK_OFF[0]
+        told = {"lineage": state.lineage, "epoch": state.epoch, "leader": self.service.writes_at}
+        body = json.dumps(told).encode()
+        host, _, port = old.rpartition(":")
+        call = b"POST /depose HTTP/1.1\r\nHost: %b\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%b"
+        while True:
+            try:
+                answer = await _ask(host, int(port), call % (old.encode(), len(body), body))
+                if answer.split()[1:2] in ([b"200"], [b"409"]):  # deposed, or of another list or epoch by now
+                    log.info("the leader before, at %s, was told: %s", old, answer.strip().decode("latin-1"))
+                    return
+            except (OSError, ValueError):  # TimeoutError is one of the first
+                pass
+            await asyncio.sleep(wait * random.uniform(0.5, 1.0))
+            wait = min(2 * wait, BACK_OFF[1])
+
+    async def _keep_following(self, host: str, port: int) -> None:
+        wait, said = BACK_OFF[0], ""
+        while True:
+            before = self.following.heard_at
+            try:
+                await self._follow_once(host, port)
+                reason = "its watch ended"
+            except (OSError, httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
+                reason = str(error) or "silent"
+            except Broken as error:
+                reason = str(error)
+            self.following.behind_since = self.following.behind_since or self._loop.time()
+            if reason != said:  # once, however often it is tried
+                log.warning("leader at %s:%d: %s", host, port, reason)
+                said = reason
+            if self.following.heard_at != before:
+                wait, said = BACK_OFF[0], ""
+            await asyncio.sleep(wait * random.uniform(0.5, 1.0))
+            wait = min(2 * wait, BACK_OFF[1])
+
+    async def _follow_once(self, host: str, port: int) -> None:
+        state = self.service.state
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            reader, writer = await asyncio.open_connection(host, port)
+        try:
+            held = f"from={state.index}&epoch={state.epoch}&lineage={state.lineage}"
+            target = f"/discovery/hosts?watch=1&follow=1&{held}"
+            writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
+            answer = Answer()
+            while not answer.complete:
+                async with asyncio.timeout(SILENT):
+                    data = await reader.read(64 * 1024)
+                if not data:
+                    return
+                answer.parser.feed_data(data)
+                if answer.parser.get_status_code() != 200:
+                    raise ValueError(f"not a watch: {answer.parser.get_status_code()}")
+                found, answer.lines = answer.lines, []
+                for line in found:
+                    await self._told(line)
+        finally:
+            writer.transport.abort()
+
+    async def _told(self, line: bytes) -> None:
+        if not line.strip():
+            return
+        held, following = self.service.state, self.following
+        new = following.hear(held, json.loads(line), self._loop.time())
+        if isinstance(new, State):
+            if held.epoch < new.epoch and held.index > 0:
+                log.warning("epoch %d in place of %d: what only it held is dropped", new.epoch, held.epoch)
+            await self._keep([], new)
+        elif isinstance(new, Record):
+            await self._keep([new], None)
+        following.behind_since = None
+
+    async def _keep(self, records: list[Record], whole: State | None) -> None:
+        try:
+            await self.service.copy(records, whole)
+        except OSError as error:
+            raise ValueError(f"not kept: {error.strerror}") from None
+
+
+async def _ask(host: str, port: int, call: bytes) -> bytes:
+    """The first line of the answer."""
+    async with asyncio.timeout(ANSWER_TIMEOUT):
+        reader, writer = await asyncio.open_connection(host, port)
+        try:
+            writer.write(call)
+            return await reader.readline()
+        finally:
+            writer.close()
+
+
+class Answer:
+    """What has come of the watch, in lines."""
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.lines: list[bytes] = []
+        self.complete = False
+        self._rest = b""
+
+    def on_body(self, part: bytes) -> None:
+        *lines, self._rest = (self._rest + part).split(b"\n")
+        self.lines += lines
+        if len(self._rest) > MAX_LINE:
+            raise ValueError("too long a line")
+
+    def on_message_complete(self) -> None:
+        self.complete = True
--- /dev/null
+++ b/tests/directory_helpers.py
@@ -0,0 +1,142 @@
+"""What the tests of the list service share: the real program as a process, and calls on it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from ironledge.directory.state import Call, Server
+
+ROOT = Path(__file__).parent.parent
+HOST = "127.0.0.1"
+
+
+def register(name: str, port: int = 1, since: int = 0, id: str = "", expected: int | None = None) -> Call:
+    server = Server(name, f"{HOST}:{port}", since_ms=since, lease_ms=60_000)
+    return Call("register", name, server, id, expected)
+
+
+@dataclass
+class Program:
+    """`python -m ironledge.directory` on a data folder; the ports are kept over a restart."""
+
+    folder: Path
+    reads: int = 0
+    writes: int = 0
+    more: dict[str, Any] = field(default_factory=dict)
+    process: subprocess.Popen[str] | None = None
+
+    async def start(self) -> Program:
+        config = {"data": str(self.folder / "data")}
+        config |= {"reads": f"{HOST}:{self.reads}", "writes": f"{HOST}:{self.writes}"}
+        self.folder.mkdir(exist_ok=True)
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(config | self.more))
+        self.log = (self.folder / "log.txt").open("a")
+        at = self.log.tell()
+        command = [sys.executable, "-m", "ironledge.directory", str(path)]
+        self.process = subprocess.Popen(command, cwd=ROOT, stderr=self.log, text=True)
+        async with asyncio.timeout(30):
+            while "reads on" not in (said := self.said()[at:]):
+                assert self.process.poll() is None, said
+                await asyncio.sleep(0.01)
+        (line,) = [line for line in said.splitlines() if "reads on" in line]
+        self.reads = int(line.split("reads on ")[1].split(",")[0].rpartition(":")[2])
+        self.writes = int(line.rpartition(":")[2])
+        return self
+
+    def said(self) -> str:
+        return (self.folder / "log.txt").read_text()
+
+    def tell(self, number: int) -> None:
+        assert self.process
+        os.kill(self.process.pid, number)
+
+    async def end(self, number: int = signal.SIGKILL) -> int:
+        assert self.process
+        if self.process.poll() is None:
+            self.tell(number)
+        code = await asyncio.to_thread(self.process.wait, 30)
+        self.log.close()
+        return code
+
+    async def call(
+        self, method: str, path: str, body: Any = None, headers: dict[str, str] | None = None
+    ) -> tuple[int, Any]:
+        return await call(self.writes, method, path, body, headers)
+
+    async def register(self, name: str, port: int, **more: Any) -> int:
+        body = {"address": f"{HOST}:{port}", "lease_ms": 60_000} | more
+        status, answer = await self.call("PUT", f"/servers/{name}", body)
+        assert status == 200, answer
+        return int(answer["version"])
+
+    async def status(self) -> dict[str, Any]:
+        status, answer = await self.call("GET", "/status")
+        assert status == 200 and isinstance(answer, dict)
+        return answer
+
+    async def until(self, **wanted: Any) -> dict[str, Any]:
+        """Its status, once it is as wanted."""
+        async with asyncio.timeout(30):
+            while True:
+                status = await self.status()
+                if all(status[key] == value for key, value in wanted.items()):
+                    return status
+                await asyncio.sleep(0.02)
+
+
+async def call(
+    port: int, method: str, path: str, body: Any = None, headers: dict[str, str] | None = None
+) -> tuple[int, Any]:
+    data = b"" if body is None else body if isinstance(body, bytes) else json.dumps(body).encode()
+    lines = {"Host": HOST, "Connection": "close", "Content-Length": str(len(data))} | (headers or {})
+    head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
+    async with asyncio.timeout(10):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        try:
+            writer.write(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + data)
+            answer = await reader.read()
+        finally:
+            writer.close()
+    head_, _, answered = answer.partition(b"\r\n\r\n")
+    return int(head_.split()[1]), json.loads(answered)
+
+
+class Watching:
+    """A watch, line by line; empty ones are left out unless asked for."""
+
+    def __init__(self, port: int, query: str) -> None:
+        self.port, self.query = port, query
+
+    async def __aenter__(self) -> Watching:
+        self.reader, self.writer = await asyncio.open_connection(HOST, self.port, limit=1 << 24)
+        self.writer.write(f"GET /discovery/hosts?watch=1&{self.query} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        async with asyncio.timeout(10):
+            self.head = await self.reader.readuntil(b"\r\n\r\n")
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.writer.transport.abort()
+
+    async def line(self, empty: bool = False) -> Any:
+        """The next line, or None at the end."""
+        async with asyncio.timeout(10):
+            while True:
+                size = int(await self.reader.readline(), 16)
+                data = await self.reader.readexactly(size + 2)
+                if size == 0:
+                    return None
+                if data.strip() or empty:
+                    return json.loads(data) if data.strip() else ""
+
+
+def names(line: Any) -> dict[str, str]:
+    return {e["name"]: e["status"] for e in line["endpoints"]}
--- /dev/null
+++ b/tests/test_directory_store.py
@@ -0,0 +1,329 @@
+"""The list on disk: whatever is called, and wherever it ends, what was acknowledged is there again."""
+
+from __future__ import annotations
+
+import os
+import shutil
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from ironledge.directory import store as store_module
+from ironledge.directory.state import LEAP, Broken, Call, Record, Refused, State, state_from
+from ironledge.directory.store import HEAD, Store, Unusable
+from tests.directory_helpers import register
+
+FIXED = settings(max_examples=60, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+
+
+class Crash(BaseException):
+    """The process ends here."""
+
+
+NAMES = st.sampled_from(["a", "b", "c"])
+CALLS = st.one_of(
+    st.builds(register, NAMES, st.integers(1, 3), st.integers(0, 2), st.sampled_from(["", "", "x", "y"])),
+    st.builds(Call, st.sampled_from(["drain", "remove"]), NAMES, st.none(), st.sampled_from(["", "z"])),
+    st.just("promote"),
+    st.just("compact"),
+    st.just("restart"),
+)
+
+
+def carry_out(store: Store, calls: list[Any]) -> int | None:
+    """As the service does: the calls of one sync; the version answered to the last."""
+    work, records, answered = store.state.copy(), list[Record](), None
+    for call in calls:
+        try:
+            record, answered = (work.promoted(), 0) if call == "promote" else work.decide(call)
+        except Refused:
+            continue
+        if record:
+            work.apply(record)
+            records.append(record)
+    if records:
+        store.append(records, work)
+    return answered
+
+
+@FIXED
+@given(st.lists(st.lists(CALLS, min_size=1, max_size=3), min_size=1, max_size=12))
+def test_a_crash_at_every_byte_leaves_a_prefix_with_all_acknowledged(batches: list[list[Any]]) -> None:
+    with TemporaryDirectory() as folder:
+        data, cut = Path(folder) / "data", Path(folder) / "cut"
+        store = Store(data)
+        ends: list[tuple[int, dict[str, Any]]] = [(0, store.state.dump())]  # of the log since its snapshot
+        versions = [0]
+        for batch in batches:
+            if "compact" in batch:
+                store.compact(store.state)
+                ends = [(0, store.state.dump())]
+            elif "restart" in batch:
+                store.close()
+                store = Store(data)
+                assert store.state.dump() == ends[-1][1]
+            else:
+                carry_out(store, batch)
+                if store.log_size > ends[-1][0]:
+                    ends.append((store.log_size, store.state.dump()))
+                    versions.append(store.state.index)
+        store.close()
+        assert versions == sorted(set(versions))
+        log = (data / "log").read_bytes()
+        for size in range(len(log) + 1):
+            shutil.rmtree(cut, ignore_errors=True)
+            shutil.copytree(data, cut)
+            (cut / "log").write_bytes(log[:size])
+            again = Store(cut)
+            expected = [dump for end, dump in ends if end <= size][-1]
+            assert again.state.dump() == expected
+            assert again.cut == size - [end for end, _ in ends if end <= size][-1]
+            before = again.state.index
+            carry_out(again, [register("new", id=f"new {size}")])
+            again.close()
+            final = Store(cut)  # what was written over the cut is there, too
+            assert final.state.index == before + 1 and final.cut == 0
+            final.close()
+
+
+STEPS = ["write", "fsync", "replace", "ftruncate"]
+
+
+@FIXED
+@given(st.lists(CALLS.filter(lambda c: isinstance(c, Call)), min_size=1, max_size=6), st.integers(0, 40))
+def test_a_crash_at_every_step_of_writing_and_compacting_loses_nothing_acknowledged(
+    calls: list[Call], last: int
+) -> None:
+    """Steps are the calls on the system; the one at `last` and all after it never happen."""
+    with TemporaryDirectory() as folder, pytest.MonkeyPatch.context() as patch:
+        data, steps = Path(folder) / "data", 0
+        store = Store(data)
+        acknowledged = store.state.dump()
+
+        def stepped(name: str) -> Any:
+            real = getattr(os, name)
+
+            def step(*args: Any) -> Any:
+                nonlocal steps
+                steps += 1
+                if steps > last:
+                    if name == "write" and len(args[1]) > 1:
+                        real(args[0], args[1][: len(args[1]) // 2])
+                    raise Crash
+                return real(*args)
+
+            return step
+
+        for name in STEPS:
+            patch.setattr(os, name, stepped(name))
+        tried: list[dict[str, Any]] = []
+        try:
+            for number, call in enumerate(calls):
+                work = store.state.copy()
+                try:
+                    record, _ = work.decide(call)
+                except Refused:
+                    continue
+                if record:
+                    work.apply(record)
+                    tried.append(work.dump())
+                    store.append([record], work)
+                    acknowledged = work.dump()
+                if number % 2:
+                    store.compact(store.state)
+        except Crash:
+            pass
+        patch.undo()
+        store.close()
+        again = Store(data)
+        assert again.state.dump() in [acknowledged, *tried[-1:]]
+        again.close()
+
+
+def filled(folder: Path, count: int = 5) -> Store:
+    store = Store(folder)
+    for number in range(count):
+        carry_out(store, [register(f"s-{number}")])
+    return store
+
+
+@pytest.mark.parametrize("which", range(5))
+def test_every_flipped_bit_is_found(tmp_path: Path, which: int) -> None:
+    """In the last record: cut back, reported. Further in: no start, and the file and offset are named."""
+    filled(tmp_path / "data").close()
+    log = bytearray((tmp_path / "data/log").read_bytes())
+    starts = [at for at in range(len(log)) if log.startswith(store_module.MARK, at)]
+    end = [*starts, len(log)][which + 1]
+    for at in range(starts[which], end):
+        for bit in (0, 5, 7):
+            flipped = bytearray(log)
+            flipped[at] ^= 1 << bit
+            (tmp_path / "data/log").write_bytes(flipped)
+            if which == 4:
+                store = Store(tmp_path / "data")
+                assert store.state.index == 4 and store.cut == end - starts[4]
+                store.close()
+            else:
+                with pytest.raises(Unusable, match=rf"log: damaged at offset {starts[which]}, with sound"):
+                    Store(tmp_path / "data")
+
+
+def test_damage_elsewhere_is_named(tmp_path: Path) -> None:
+    data = tmp_path / "data"
+    filled(data).close()
+    whole = {name: (data / name).read_bytes() for name in ("log", "snapshot")}
+    frames = whole["log"].split(store_module.MARK)[1:]
+
+    def refused(match: str, **files: bytes | None) -> None:
+        for name, content in (whole | files).items():
+            (data / name).unlink(missing_ok=True)
+            if content is not None:
+                (data / name).write_bytes(content)
+        with pytest.raises(Unusable, match=match):
+            Store(data)
+
+    refused("snapshot: damaged at offset 0", snapshot=whole["snapshot"][:-1])
+    refused("snapshot: damaged at offset 0", snapshot=b"")
+    refused("snapshot: missing", snapshot=None)
+    refused("log: missing", log=None)
+    without = b"".join(store_module.MARK + f for n, f in enumerate(frames) if n != 2)
+    refused("log: damaged at offset .*: versions after 2 are missing", log=without)
+
+
+def test_two_processes_cannot_have_one_folder(tmp_path: Path) -> None:
+    store = Store(tmp_path / "data")
+    with pytest.raises(Unusable, match="another process"):
+        Store(tmp_path / "data")
+    store.close()
+    Store(tmp_path / "data").close()
+
+
+@pytest.mark.parametrize("failing", ["write", "fsync"])
+def test_a_disk_that_fails_refuses_writes_and_takes_them_again_later(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, failing: str
+) -> None:
+    store = filled(tmp_path / "data")
+    before = store.state.dump()
+
+    def fail(*args: Any) -> Any:
+        raise OSError(28, "No space left on device")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, failing, fail)
+        for _ in range(2):
+            with pytest.raises(OSError):
+                carry_out(store, [register("late")])
+        assert store.state.dump() == before
+    carry_out(store, [register("late")])
+    after = store.state.dump()
+    assert after["index"] == before["index"] + 1
+    store.close()
+    again = Store(tmp_path / "data")
+    assert again.state.dump() == after
+    again.close()
+
+
+def test_a_list_taken_over_whole_is_not_mixed_with_the_log_before(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A crash between the new snapshot and the new log: the old log is of another lineage."""
+    store = filled(tmp_path / "data")
+    other = State("other", index=2)
+    real = store_module.replace_file
+
+    def crash(path: Path, data: bytes) -> None:
+        if path.name == "log":
+            raise Crash
+        real(path, data)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(store_module, "replace_file", crash)
+        with pytest.raises(Crash):
+            store.reset(other)
+    store.close()
+    again = Store(tmp_path / "data")
+    assert again.state.dump() == other.dump()
+    again.close()
+
+
+# The state.
+
+
+def test_ids_make_calls_idempotent_and_stand_for_one_call() -> None:
+    state = State("l")
+
+    def do(call: Call) -> int:
+        record, version = state.decide(call)
+        if record:
+            state.apply(record)
+        return version
+
+    assert do(register("a", id="x")) == 1 and do(register("a", id="x")) == 1 and state.index == 1
+    with pytest.raises(Refused) as refused:
+        state.decide(register("b", id="x"))
+    assert refused.value.status == 409
+    assert do(Call("remove", "a", id="r")) == 2 and do(Call("remove", "a", id="r")) == 2
+    with pytest.raises(Refused) as refused:
+        state.decide(Call("remove", "a"))
+    assert refused.value.status == 404
+
+
+def test_conditions_hold_on_the_version_of_the_server() -> None:
+    state = State("l")
+    record, _ = state.decide(register("a", expected=0))
+    assert record
+    state.apply(record)
+    for call in (register("a", 2, expected=0), Call("drain", "a", expected=7)):
+        with pytest.raises(Refused) as refused:
+            state.decide(call)
+        assert refused.value.status == 409 and refused.value.answer["version"] == 1
+    assert state.decide(Call("drain", "a", expected=1))[1] == 2
+
+
+def test_a_drain_holds_until_the_server_has_started_anew() -> None:
+    state = State("l")
+    for call in (register("a", since=5), Call("drain", "a"), register("a", since=5)):
+        record, _ = state.decide(call)
+        if record:
+            state.apply(record)
+    assert state.servers["a"].status == "draining" and state.index == 2
+    with pytest.raises(Refused):
+        state.decide(register("a", since=4))
+    record, _ = state.decide(register("a", since=6))
+    assert record and record.servers[0].status == "up"
+
+
+def test_a_promotion_leaps_and_what_the_old_leader_gave_since_is_unknown() -> None:
+    state = State("l")
+    for name in "abc":
+        record, _ = state.decide(register(name))
+        assert record
+        state.apply(record)
+    state.apply(state.promoted())
+    assert (state.epoch, state.index) == (2, 3 + LEAP)
+    assert state.knows(2, None) and state.knows(2, 1) and state.knows(3 + LEAP, 2)
+    assert not state.knows(4, None)  # given by the old leader only
+    assert not state.knows(2, 2) and not state.knows(3 + LEAP, 1) and not state.knows(4 + LEAP, None)
+    with pytest.raises(Broken):
+        state.apply(Record(4, 1))
+
+
+def test_the_history_is_bounded_and_its_end_is_known() -> None:
+    state = State("l", history=3)
+    for number in range(6):
+        for call in (register(f"s{number}", id=f"r{number}"), Call("remove", f"s{number}")):
+            record, _ = state.decide(call)
+            assert record
+            state.apply(record)
+    assert len(state.gone) == 3 and len(state.writes) == 3 and state.floor == 6
+    assert not state.knows(5, None) and state.knows(6, None)
+    assert state_from(state.dump(), 2).floor == 8
+
+
+def test_heads_of_frames_hold_no_mark_by_chance_that_counts() -> None:
+    """A payload is ASCII, so the mark cannot occur in one; in a length or sum it does not pass the check."""
+    assert HEAD.size == 10 and all(byte > 127 for byte in store_module.MARK)
