--- /dev/null
+++ b/tests/test_directory_lines.py
@@ -0,0 +1,151 @@
+"""What watches are told: whatever a reader of any kind missed, its list is the service's after one line."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ironledge.directory import lines
+from ironledge.directory.lines import Reader
+from ironledge.directory.replica import Following
+from ironledge.directory.state import Broken, Call, Record, Refused, State
+from tests.directory_helpers import names, register
+
+FIXED = settings(max_examples=200, deadline=None, derandomize=True)
+STEPS = st.one_of(
+    st.builds(register, st.sampled_from("abcd"), st.integers(1, 2), st.integers(0, 2)),
+    st.builds(Call, st.sampled_from(["drain", "remove"]), st.sampled_from("abcd")),
+    st.sampled_from(["promote", "tell 0", "tell 1", "tell 2", "tell 3"]),
+)
+
+
+def do(state: State, step: Any) -> None:
+    try:
+        record = state.promoted() if step == "promote" else state.decide(step)[0]
+    except Refused:
+        return
+    if record:
+        state.apply(record)
+
+
+class Held:
+    """A reader as PROTOCOL has it: it knows nothing of versions of servers."""
+
+    def __init__(self, kind: str) -> None:
+        self.reader, self.index, self.list = Reader(kind), 0, dict[str, dict[str, Any]]()
+        self.removals: list[str] = []
+
+    def hear(self, data: bytes) -> None:
+        for raw in data.splitlines():
+            line = json.loads(raw)
+            assert line["index"] >= self.index
+            self.index = line["index"]
+            if line["snapshot"]:
+                self.list.clear()
+            for entry in line["endpoints"]:
+                if entry["status"] == "removed":
+                    self.list.pop(entry["name"], None)
+                    self.removals.append(entry["name"])
+                else:
+                    self.list[entry["name"]] = entry
+            if self.reader.kind != "plain":
+                self.reader = Reader(self.reader.kind, line["epoch"], line["lineage"])
+
+
+@FIXED
+@given(st.lists(STEPS, max_size=40), st.integers(1, 3))
+def test_readers_of_all_kinds_end_with_the_list(steps: list[Any], history: int) -> None:
+    state = State("l", history=history)
+    readers = [Held(kind) for kind in ("plain", "plain", "extended", "extended")]
+    for step in [*steps, "tell 0", "tell 1", "tell 2", "tell 3"]:
+        if not (isinstance(step, str) and step.startswith("tell")):
+            do(state, step)
+            continue
+        held = readers[int(step[-1])]
+        extended = held.reader.kind == "extended"
+        told = lines.since(state, held.reader, held.index)
+        held.hear(told.lines)
+        assert told.index == state.index
+        assert held.list == {s.name: s.listed(extended) for s in state.servers.values()}
+        held.index = max(held.index, told.index) if told.lines else held.index
+
+
+@FIXED
+@given(st.lists(STEPS, max_size=40))
+def test_a_follower_ends_with_the_same_state(steps: list[Any]) -> None:
+    state, copy, following = State("l"), State("mine"), Following()
+    for step in [*steps, "tell 0"]:
+        if not (isinstance(step, str) and step.startswith("tell")):
+            do(state, step)
+            continue
+        reader = Reader("follow", copy.epoch, copy.lineage)
+        for raw in lines.since(state, reader, copy.index).lines.splitlines():
+            new = following.hear(copy, json.loads(raw), 1.0)
+            if isinstance(new, Record):
+                copy.apply(new)
+            elif new:
+                copy = new
+        if state.index:
+            assert copy.dump() == state.dump()
+
+
+def test_a_server_that_went_and_came_back_is_told_as_both() -> None:
+    state = State("l")
+    for step in (register("a"), register("b"), Call("remove", "a"), register("a", since=9)):
+        do(state, step)
+    held = Held("plain")
+    held.index, held.list = 2, {"a": {}, "b": {}}
+    told = lines.since(state, held.reader, 2)
+    first, second = (json.loads(line) for line in told.lines.splitlines())
+    assert names(first) == {"a": "removed"} and first["index"] == 2
+    assert names(second) == {"a": "up"} and second["index"] == 4
+
+
+def test_what_cannot_be_told_as_a_change_is_told_whole() -> None:
+    state = State("l")
+    for name in "abc":
+        do(state, register(name))
+    do(state, "promote")
+    for reader, index in (
+        (Reader(), 0), (Reader(), 4), (Reader(), state.index + 1), (Reader(epoch=2), 2),
+        (Reader("extended", 1, "other"), 2),
+    ):  # fmt: skip
+        assert lines.since(state, reader, index).whole, (reader, index)
+    for reader, index in ((Reader(), 2), (Reader("extended", 1, "l"), 3), (Reader(), state.index)):
+        assert not lines.since(state, reader, index).whole, (reader, index)
+
+
+def test_plain_readers_get_what_the_protocol_names_and_no_more() -> None:
+    state = State("l")
+    do(state, register("a"))
+    line = json.loads(lines.whole(state, Reader()).lines)
+    assert line.keys() == {"index", "snapshot", "endpoints"}
+    assert line["endpoints"][0].keys() == {
+        "name", "address", "zone", "type", "group", "status", "weight", "since_ms",
+    }  # fmt: skip
+    assert lines.beat(state, Reader(), 60_000) == b"\n"
+    assert json.loads(lines.beat(state, Reader("extended"), 60_000))["age_ms"] == 60_000
+
+
+def test_a_follower_does_not_go_back_nor_over_to_another_list() -> None:
+    state, copy = State("l"), State("l")
+    do(state, register("a"))
+    do(copy, register("a"))
+    do(copy, "promote")
+    for held, line in (
+        (copy, {"index": 9, "epoch": 1, "lineage": "l"}),
+        (state, {"index": 9, "epoch": 1, "lineage": "other"}),
+        (state, {"index": 9, "epoch": 1, "lineage": "l"}),  # a newer version, but no record
+        (state, {"index": 9}),
+        (state, []),
+    ):
+        following = Following()
+        try:
+            following.hear(held, line, 1.0)
+        except Broken:
+            assert following.heard_at is None
+        else:
+            raise AssertionError(line)
