Let the ingress watch the list service: several addresses, versions kept, drains held

Need: an ingress that watches one discovery believes whatever it says: an old replica takes its list back, a restart with nothing empties it, a failover forgets drains. Change: `directory` in the configuration names further addresses. `Held` (pure) refuses what is older within an epoch and lineages it has left, keeps drains until a new start, and keeps servers that a whole list lacks in number; `Addresses` (pure) goes round them with jittered back-off. GET /discovery for operators. Absent: as before, but that a first line that cannot be read no longer resets the back-off, and ports and weights that are none are refused.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -21,7 +21,7 @@
 from ironledge.net.clients import Listener
 from ironledge.net.config import Config, ConfigError, read_config
 from ironledge.net.counter import Counter
-from ironledge.net.discovery import Discovery
+from ironledge.net.discovery import Discovery, Held
 from ironledge.net.engine import Clock, Engine, Names
 from ironledge.net.handover import Claim, Offer
 from ironledge.net.ops import Maintenance, Ops
@@ -50,7 +50,10 @@
     if counter:
         engine.counter = counter
         counter.start()
-    discovery = Discovery(config.discovery, config.known.index, engine.listed, config.settings.fleet_size)
+    settings, held = config.settings, Held(config.directory) if config.directory else None
+    discovery = Discovery(
+        config.discovery, config.known.index, engine.listed, settings.fleet_size, held, settings.me
+    )
     listener = Listener(engine, sockets, Memory(config.memory_mb), clock.now)
     temporary = Path(os.environ.get("TMPDIR") or gettempdir())
 
@@ -65,14 +68,14 @@
         engine.retune(config.settings, config.raw)
         sockets.tune(config.sockets)
         backends.tune(config.conn_idle, config.settings.limits.connect_timeout)
-        discovery.fleet_size = config.settings.fleet_size
-        discovery.move(config.discovery)
+        fleet_size = config.settings.fleet_size
+        discovery.retune(config.discovery, fleet_size, config.directory, engine.entries())
         if counter and config.counter:
             counter.tune(config.settings.counter.timeout)
             counter.move(config.counter)
 
     maintenance = Maintenance(engine, temporary / KEPT)
-    ops = Ops(engine, maintenance, lambda: listener.accepting() and engine.can_serve())
+    ops = Ops(engine, maintenance, lambda: listener.accepting() and engine.can_serve(), discovery.status)
     if config.ops:  # heard before clients are: /status says no until they are
         await ops.listen(*config.ops)
     claim, index = await Claim.find(temporary / OFFERED), None
@@ -80,9 +83,11 @@
         if counter:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(counter.up.wait(), COUNTER_WAIT)
-        index = await claim.take(engine, gateway, sockets)
+        index = await claim.take(engine, gateway, sockets, discovery)
     if index is None:
         maintenance.recall()
+        if held:
+            held.begin(config.known)
         engine.listed(config.known, it.ListKind.CACHED)
     discovery.start(index)
     loop.add_signal_handler(signal.SIGHUP, reload)
--- a/ironledge/net/config.py
+++ b/ironledge/net/config.py
@@ -10,10 +10,11 @@
 
 from ironledge import interface as it
 from ironledge.brain import check
-from ironledge.net.discovery import Listing
+from ironledge.net.discovery import HOLD, SHRINK, Directory, Listing
 from ironledge.wire import WireError, settings_from_json
 
 Address = tuple[str, int]
+MAX_ADDRESSES = 32  # of the list service
 
 
 class ConfigError(Exception):
@@ -24,6 +25,7 @@
 class Config:
     listen: Address
     discovery: Address
+    directory: Directory | None
     counter: Address | None
     ops: Address | None
     seed: int
@@ -42,6 +44,26 @@
     return host, int(port)
 
 
+def _directory(raw: Any) -> Directory | None:
+    """Where the list service is, beside `discovery`; absent: the platform's discovery is all there is."""
+    if raw is None:
+        return None
+    if not isinstance(raw, dict):
+        raise ConfigError("directory: not an object")
+    if unknown := sorted(raw.keys() - {"addresses", "shrink", "hold_s"}):
+        raise ConfigError(f"directory.{unknown[0]}: not known here")
+    addresses = raw.get("addresses")
+    if not isinstance(addresses, list) or len(addresses) > MAX_ADDRESSES:
+        raise ConfigError(f"directory.addresses: not a list of {MAX_ADDRESSES} at the most")
+    numbers = {"shrink": raw.get("shrink", SHRINK), "hold_s": raw.get("hold_s", HOLD)}
+    for key, most in (("shrink", 1), ("hold_s", 86_400)):
+        value = numbers[key]
+        if not isinstance(value, int | float) or isinstance(value, bool) or not 0 <= value <= most:
+            raise ConfigError(f"directory.{key}: {value!r} is not a number from 0 to {most}")
+    found = tuple(_address(a, f"directory.addresses[{n}]") for n, a in enumerate(addresses))
+    return Directory(found, float(numbers["shrink"]), float(numbers["hold_s"]))
+
+
 def _lacks(before: Any, now: Any, where: str) -> str:
     """The first key that settings had and have no longer: a cut-off file may be sound JSON, and a default in
     a missing key's place would be a rule that nobody set. Named things may come and go."""
@@ -81,6 +103,7 @@
         return Config(
             listen=_address(env.get("EDGE_LISTEN") or top["listen"], "listen"),
             discovery=_address(env.get("EDGE_DISCOVERY") or top["discovery"], "discovery"),
+            directory=_directory(top.get("directory")),
             counter=_address(top["counter"], "counter") if top.get("counter") else None,
             ops=_address(ops, "ops") if ops else None,
             seed=int(str(top["seed"]), 16),
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -224,6 +224,9 @@
         self.servers.settle([self._backends[n] for n in gone if n in self._backends])
         self._drain()
 
+    def entries(self) -> list[Entry]:
+        return list(self._listed.values())
+
     def retune(self, settings: it.Settings, raw: dict[str, Any]) -> None:
         """Other settings, in here and in the module at once. What is open ends by those it began with."""
         before = self.settings
--- a/ironledge/net/handover.py
+++ b/ironledge/net/handover.py
@@ -156,7 +156,9 @@
         kept = self._sockets.cap
         self._sockets.cap = min(kept, self._sockets.open + OLD_SPARE)
         try:
-            talk.say({"version": VERSION, "index": self._discovery.index, "ingress": state} | self._told())
+            held = self._discovery.held.dump() if self._discovery.held else None
+            told = {"version": VERSION, "index": self._discovery.index, "held": held, "ingress": state}
+            talk.say(told | self._told())
             if await _line(talk.reader, TAKE_TIMEOUT) != "serving":
                 raise HandoverError("not understood")
         except HandoverError:
@@ -198,7 +200,9 @@
         """The old process, if there is one that answers."""
         return await asyncio.to_thread(_call, path)
 
-    async def take(self, engine: Engine, gateway: Gateway, sockets: Sockets) -> int | None:
+    async def take(
+        self, engine: Engine, gateway: Gateway, sockets: Sockets, discovery: Discovery
+    ) -> int | None:
         """Takes all over; the version of the list that came with it, or None if nothing did."""
         try:
             reader, writer = await asyncio.open_unix_connection(sock=self._conn, limit=LINE)
@@ -209,6 +213,8 @@
                 raise HandoverError(f"version {told['version']}")
             index = int(told["index"])
             state = told["ingress"]
+            if discovery.held:
+                discovery.held.take_over(told.get("held"), state["entries"])
             classes, plans = engine.take_over(state, index)
             estate.take_over(gateway, engine.now(), state["module"], classes, plans)
             sockets.elsewhere = int(told["sockets"])
--- a/ironledge/net/http.py
+++ b/ironledge/net/http.py
@@ -18,7 +18,7 @@
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
     409: b"Conflict", 413: b"Content Too Large", 429: b"Too Many Requests",
     431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
-    503: b"Service Unavailable", 504: b"Gateway Timeout",
+    503: b"Service Unavailable", 504: b"Gateway Timeout", 507: b"Insufficient Storage",
 }  # fmt: skip
 
 
--- a/ironledge/net/ops.py
+++ b/ironledge/net/ops.py
@@ -8,6 +8,7 @@
 import os
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 from urllib.parse import parse_qs
 
 import httptools
@@ -18,6 +19,9 @@
 CALLERS = 8  # at once: of more, the one that has waited longest without a whole call gives way
 PATIENCE = 2.0  # s for a call to come whole
 MAX_ID = 256
+CALLS = {
+    "/status": b"GET", "/discovery": b"GET", "/maintenance/enter": b"POST", "/maintenance/exit": b"POST",
+}  # fmt: skip
 
 log = logging.getLogger(__name__)
 
@@ -57,8 +61,15 @@
 
 
 class Ops:
-    def __init__(self, engine: Engine, maintenance: Maintenance, serving: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        engine: Engine,
+        maintenance: Maintenance,
+        serving: Callable[[], bool],
+        discovery: Callable[[], dict[str, Any]] = dict,
+    ) -> None:
         self._engine, self._maintenance, self._serving = engine, maintenance, serving
+        self._discovery = discovery
         self.callers: dict[Caller, None] = {}  # the longest waiting first
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -82,7 +93,7 @@
 
     def call(self, caller: Caller, message: Message) -> None:
         path, _, query = message.target.decode("latin-1").partition("?")
-        wanted = {"/status": b"GET", "/maintenance/enter": b"POST", "/maintenance/exit": b"POST"}.get(path)
+        wanted = CALLS.get(path)
         names = parse_qs(query).get("who", [])
         if wanted is None:
             caller.answer(404, "no such call")
@@ -91,6 +102,8 @@
         elif path == "/status":
             yes = self._serving()
             caller.answer(200 if yes else 503, "serving" if yes else "not serving")
+        elif path == "/discovery":
+            caller.answer(200, json.dumps(self._discovery()))
         elif len(names) != 1 or len(names[0]) > MAX_ID:
             caller.answer(400, "who=ID is missing")
         elif not self._engine.knows(names[0]):
