Test the list service as real processes, and mend what showed

Need: calls, watches, damage, full disks, followers and promotions are to hold outside the pure parts. Seen and mended: a follower promoted before the first beat did not know whom to depose (beats now follow the first line at once); an answer to an oversized call was lost with a reset (what still comes is read for 1 s); what the kernel holds for a watch that is not read grew to megabytes (its send buffer is now as bounded as the program's). Result: 21 tests on loopback with real processes.

--- a/ironledge/directory/service.py
+++ b/ironledge/directory/service.py
@@ -6,6 +6,7 @@
 import errno
 import json
 import logging
+import socket
 from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
@@ -23,6 +24,7 @@
 
 BEAT = 2.0  # s between empty lines
 PATIENCE = 2.0  # s for a call to come whole, from connecting or from its first byte
+LINGER = 1.0  # s that a connection with more to say is read on after its last answer
 IDLE = 30.0  # s that a connection is kept between calls
 COALESCE = 0.01  # s that changes are gathered before watches are told
 PENDING = 1024  # writes that wait for the disk; further ones are turned away
@@ -368,9 +370,11 @@
         self.peer = caller.peer()
 
     def begin(self) -> None:
-        self.caller.transport.set_write_buffer_limits(BUFFER)
+        transport = self.caller.transport
+        transport.set_write_buffer_limits(BUFFER)
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER)
         self._write(HEAD)
-        if not self.tell():
+        if not self.tell() or self.reader.kind == "follow":  # a beat tells it where writes go
             self.beat()
 
     def tell(self) -> bool:
@@ -445,7 +449,7 @@
         self._timer = asyncio.get_running_loop().call_later(patience, self._impatient)
 
     def _impatient(self) -> None:
-        if self._pressed:
+        if self._pressed or self._done:
             self.transport.abort()
         elif self._begun:
             self.garbage(408)
@@ -517,8 +521,14 @@
         if self._done or self.transport.is_closing():
             return
         self.transport.write(plain(status, body, b"Content-Type: application/json\r\n", close=close))
-        if close:
-            self._done = True
+        if not close:
+            return
+        self._done = True
+        if self._lost_framing:  # what still comes is dropped: closed at once, the answer would be lost
+            self.transport.write_eof()
+            self.transport.resume_reading()
+            self._wait(LINGER)
+        else:
             self.transport.close()
 
 
--- /dev/null
+++ b/tests/test_directory_service.py
@@ -0,0 +1,411 @@
+"""The list service as a real process on loopback: calls, watches, damage, a follower and its promotion."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import resource
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+import pytest_asyncio
+
+from ironledge.directory import service as service_module
+from ironledge.directory.leases import Leases
+from ironledge.directory.service import Service
+from ironledge.directory.state import LEAP
+from ironledge.directory.store import Store
+from tests.directory_helpers import HOST, ROOT, Program, Watching, call, names
+
+
+@pytest_asyncio.fixture
+async def program(tmp_path: Path) -> AsyncIterator[Program]:
+    program = await Program(tmp_path / "one").start()
+    yield program
+    await program.end()
+
+
+async def listed(port: int) -> Any:
+    status, answer = await call(port, "GET", "/discovery/hosts")
+    assert status == 200
+    return answer
+
+
+async def test_the_list_and_a_watch_as_the_protocol_has_them(program: Program) -> None:
+    assert await program.register("s-1", 7001, zone="a", type="m2", group=3, since_ms=5) == 1
+    one = {
+        "name": "s-1", "address": f"{HOST}:7001", "zone": "a", "type": "m2", "group": 3, "status": "up",
+        "weight": 1.0, "since_ms": 5,
+    }  # fmt: skip
+    assert await listed(program.reads) == {"index": 1, "snapshot": True, "endpoints": [one]}
+    async with Watching(program.reads, "from=1") as watch:
+        assert await watch.line(empty=True) == ""  # nothing has changed: a beat, at once and every 2 s
+        assert await watch.line(empty=True) == ""
+        assert (await program.call("POST", "/servers/s-1/drain"))[1] == {"version": 2, "index": 2, "epoch": 1}
+        line = {"index": 2, "snapshot": False, "endpoints": [one | {"status": "draining"}]}
+        assert await watch.line() == line
+        await program.call("DELETE", "/servers/s-1")
+        line = await watch.line()
+        assert line["index"] == 3 and names(line) == {"s-1": "removed"}
+
+
+async def test_writes_are_idempotent_and_conditional(program: Program) -> None:
+    body = {"address": f"{HOST}:1", "lease_ms": 5000}
+    for _ in range(2):
+        status, answer = await program.call("PUT", "/servers/a", body, {"Request-Id": "x"})
+        assert (status, answer["version"]) == (200, 1)
+    status, answer = await program.call("PUT", "/servers/b", body, {"Request-Id": "x"})
+    assert status == 409
+    status, answer = await program.call("POST", "/servers/a/drain", headers={"If-Match": '"7"'})
+    assert (status, answer["version"]) == (409, 1) and "conflict" in answer["error"]
+    status, answer = await program.call("POST", "/servers/a/drain", headers={"If-Match": "1"})
+    assert (status, answer["version"]) == (200, 2)
+    assert (await program.call("POST", "/servers/a/renew"))[1]["version"] == 2
+    assert (await program.call("POST", "/servers/b/renew"))[0] == 404
+    shown = (await program.call("GET", "/servers"))[1]["servers"]
+    assert [(s["name"], s["status"], s["version"]) for s in shown] == [("a", "draining", 2)]
+    assert 0 < shown[0]["lease_left_ms"] <= 5000
+
+
+GOOD = {"address": "127.0.0.1:1", "lease_ms": 5000}
+BAD_CALLS: list[tuple[str, str, Any, dict[str, str], int]] = [
+    ("GET", "/nowhere", None, {}, 404),
+    ("PATCH", "/servers/a", GOOD, {}, 405),
+    ("GET", "/servers/a/drain", None, {}, 405),
+    ("PUT", "/servers/a", b"{", {}, 400),
+    ("PUT", "/servers/a", b"[]", {}, 400),
+    ("PUT", "/servers/a", b"[" * 60_000, {}, 400),
+    ("PUT", "/servers/a", b'{"address":"h:1","address":"h:2","lease_ms":5000}', {}, 400),
+    ("PUT", "/servers/a", GOOD | {"status": "sideways"}, {}, 400),
+    ("PUT", "/servers/a", GOOD | {"weight": float("nan")}, {}, 400),
+    ("PUT", "/servers/a", GOOD | {"address": "nowhere"}, {}, 400),
+    ("PUT", "/servers/a", GOOD | {"address": "h:70000"}, {}, 400),
+    ("PUT", "/servers/a", GOOD | {"lease_ms": 1}, {}, 400),
+    ("PUT", "/servers/a", GOOD | {"since_ms": -1}, {}, 400),
+    ("PUT", "/servers/a", GOOD | {"group": True}, {}, 400),
+    ("PUT", "/servers/a%20b", GOOD, {}, 400),
+    ("PUT", "/servers/a", GOOD, {"Request-Id": "1\r\nRequest-Id: 2"}, 400),
+    ("PUT", "/servers/a", GOOD, {"Request-Id": "x" * 129}, 400),
+    ("PUT", "/servers/a", GOOD, {"If-Match": "soon"}, 400),
+    ("PUT", "/servers/a", GOOD, {"If-Match": "1\r\nIf-Match: 2"}, 400),
+    ("PUT", "/servers/a", GOOD, {"Host": "a\r\nHost: b"}, 400),
+    ("PUT", "/servers/a", GOOD, {"Transfer-Encoding": "chunked"}, 400),
+    ("PUT", "/servers/a", GOOD, {"X": "1\r\nContent-Length: 3"}, 400),
+    ("PUT", "/servers/a", b"x" * 70_000, {}, 413),
+    ("PUT", "/servers/a", GOOD, {"X": "y" * 20_000}, 431),
+    ("POST", "/promote", None, {}, 409),
+    ("POST", "/depose", {"epoch": 9, "leader": "x:1", "lineage": "other"}, {}, 409),
+    ("POST", "/depose", {"epoch": "9"}, {}, 400),
+]
+
+
+async def test_bad_calls_change_nothing_and_are_one_line_each(program: Program) -> None:
+    for method, path, body, headers, wanted in BAD_CALLS:
+        before = program.said().count("\n")
+        status, _ = await program.call(method, path, body, headers)
+        assert status == wanted, (method, path, body, headers)
+        assert program.said().count("\n") == before + 1, program.said()
+    for query in ("from=-1", "from=x", "from=1&from=2", "watch=2", f"from={'9' * 19}", "epoch=one"):
+        status, _ = await call(program.reads, "GET", f"/discovery/hosts?{query}")
+        assert status == 400, query
+    assert (await call(program.reads, "POST", "/discovery/hosts"))[0] == 405
+    assert (await call(program.reads, "GET", "/servers"))[0] == 404
+    assert "Traceback" not in program.said()
+    assert await listed(program.reads) == {"index": 0, "snapshot": True, "endpoints": []}
+
+
+@pytest.mark.parametrize("which", ["reads", "writes"])
+@pytest.mark.parametrize(
+    "start", [b"", b"PUT /serv", b"PUT /servers/a HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{"]
+)
+async def test_half_a_call_and_silence_is_closed(program: Program, which: str, start: bytes) -> None:
+    reader, writer = await asyncio.open_connection(HOST, getattr(program, which))
+    writer.write(start)
+    async with asyncio.timeout(10):
+        answer = await reader.read()
+    assert answer == b"" or answer.startswith(b"HTTP/1.1 408 ")
+    writer.close()
+
+
+async def test_calls_on_one_connection_are_answered_in_turn(program: Program) -> None:
+    reader, writer = await asyncio.open_connection(HOST, program.writes)
+    body = json.dumps(GOOD).encode()
+    put = b"PUT /servers/%b HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%b"
+    calls = [put % (name, len(body), body) for name in (b"a", b"b", b"c")]
+    writer.write(b"".join(calls) + b"GET /status HTTP/1.1\r\nHost: x\r\n\r\nnonsense\r\n\r\n")
+    async with asyncio.timeout(10):
+        answers = (await reader.read()).split(b"HTTP/1.1 ")[1:]
+    assert [a[:3] for a in answers] == [b"200"] * 4 + [b"400"]
+    assert [json.loads(a.partition(b"\r\n\r\n")[2])["version"] for a in answers[:3]] == [1, 2, 3]
+    writer.close()
+
+
+async def test_a_kill_in_the_middle_of_writes_keeps_all_that_was_answered(tmp_path: Path) -> None:
+    program = await Program(tmp_path).start()
+    answered: dict[str, int] = {}
+
+    async def write(start: int) -> None:
+        for number in range(start, 1000, 8):
+            answered[f"s-{number}"] = await program.register(f"s-{number}", 1)
+
+    writers = [asyncio.create_task(write(n)) for n in range(8)]
+    while len(answered) < 40:
+        await asyncio.sleep(0)
+    await program.end(signal.SIGKILL)
+    await asyncio.gather(*writers, return_exceptions=True)
+    with (tmp_path / "data/log").open("ab") as log:
+        log.write(b"\xc5\xd1torn")
+    await program.start()
+    assert "6 bytes of a broken last record were cut off" in program.said()
+    shown = {s["name"]: s["version"] for s in (await program.call("GET", "/servers"))[1]["servers"]}
+    assert answered.items() <= shown.items()
+    versions = sorted(shown.values())
+    assert versions == sorted(set(versions))
+    assert await program.register("after", 1) > max(versions)
+    assert await program.end(signal.SIGTERM) == 0
+
+
+def run_to_its_end(folder: Path, config: str | bytes) -> tuple[int, str]:
+    folder.mkdir(exist_ok=True)
+    path = folder / "bad.json"
+    path.write_bytes(config if isinstance(config, bytes) else config.encode())
+    command = [sys.executable, "-m", "ironledge.directory", str(path)]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60)
+    return done.returncode, done.stderr
+
+
+async def test_what_cannot_be_started_says_why_in_one_line(tmp_path: Path) -> None:
+    program = await Program(tmp_path / "one").start()
+    for name in "abc":
+        await program.register(name, 1)
+    base = {"data": str(tmp_path / "one/data"), "reads": f"{HOST}:0", "writes": f"{HOST}:0"}
+
+    def refused(config: Any, *words: str) -> None:
+        code, said = run_to_its_end(tmp_path, config if isinstance(config, bytes) else json.dumps(config))
+        assert code == 1 and said.count("\n") == 1 and said.startswith("ironledge.directory: "), said
+        assert all(word in said for word in words), said
+
+    refused(base, "another process uses this data folder")
+    taken = {"data": str(tmp_path / "new"), "reads": f"{HOST}:{program.reads}"}
+    refused(base | taken, "address already in use")
+    await program.end()
+    log = bytearray((tmp_path / "one/data/log").read_bytes())
+    log[12] ^= 1
+    (tmp_path / "one/data/log").write_bytes(log)
+    refused(base, "data/log: damaged at offset 0")
+    (tmp_path / "file").write_text("")
+    refused(base | {"data": str(tmp_path / "file/below")}, "file")
+    refused(b"{", "Expecting")
+    refused(b"[" * 100_000, "recursion")
+    refused([], "not an object")
+    for bad, word in (
+        ({"reads": "x"}, "reads"), ({"follow": 5}, "follow"), ({"data": ""}, "data"), ({"wat": 1}, "wat"),
+        ({"lease_ms": [5, 1]}, "lease_ms"), ({"history": -1}, "history"), ({"hold_share": 2}, "hold_share"),
+        ({"watches": True}, "watches"), ({"hold_window_s": "x"}, "hold_window_s"),
+    ):  # fmt: skip
+        refused(base | bad, word)  # type: ignore[operator]
+
+
+async def test_a_full_disk_refuses_writes_and_reads_go_on(tmp_path: Path) -> None:
+    """A limit on the size of files stands in for the disk: it is lifted again while the process runs."""
+    program = await Program(tmp_path / "one").start()
+    await program.register("a", 1)
+    assert program.process
+    size = (tmp_path / "one/data/log").stat().st_size
+    unlimited = resource.RLIM_INFINITY
+    resource.prlimit(program.process.pid, resource.RLIMIT_FSIZE, (size + 10, unlimited))
+    for _ in range(2):
+        status, answer = await program.call("PUT", "/servers/b", GOOD)
+        assert status in (503, 507) and "not kept" in answer["error"]
+        assert names(await listed(program.reads)) == {"a": "up"}
+        assert (await program.call("POST", "/servers/a/renew"))[0] == 200
+    resource.prlimit(program.process.pid, resource.RLIMIT_FSIZE, (unlimited, unlimited))
+    assert await program.register("b", 1) == 2
+    await program.end(signal.SIGKILL)
+    await program.start()
+    assert names(await listed(program.reads)) == {"a": "up", "b": "up"}
+    await program.end()
+
+
+async def test_sigterm_ends_open_watches_in_order(tmp_path: Path) -> None:
+    program = await Program(tmp_path).start()
+    await program.register("a", 1)
+    async with Watching(program.reads, "from=1") as watch:
+        ended = asyncio.create_task(program.end(signal.SIGTERM))
+        assert await watch.line() is None  # the last chunk, not a reset
+        assert await ended == 0
+    assert "Traceback" not in program.said()
+
+
+async def test_a_lease_that_is_not_renewed_ends_and_many_at_once_do_not(tmp_path: Path) -> None:
+    program = await Program(tmp_path, more={"lease_ms": [100, 60_000]}).start()
+    for number in range(7):
+        await program.register(f"s-{number}", 1)
+    await program.register("gone", 1, lease_ms=100)
+    async with asyncio.timeout(20):
+        while "gone" in names(await listed(program.reads)):
+            await asyncio.sleep(0.05)
+    for number in range(4):
+        await program.register(f"s-{number}", 1, lease_ms=200)
+    async with asyncio.timeout(20):
+        while (status := await program.status())["leases"]["held_back_s"] is None:
+            await asyncio.sleep(0.05)
+    assert status["leases"]["overdue"] == 4 and "4 overdue at once, none is acted on" in program.said()
+    assert len(names(await listed(program.reads))) == 7
+    assert (await program.call("DELETE", "/servers/s-0"))[0] == 200  # a deliberate removal passes
+    assert len(names(await listed(program.reads))) == 6
+    await program.end()
+
+
+async def test_a_follower_serves_lags_openly_and_leads_when_told(tmp_path: Path) -> None:
+    leader = await Program(tmp_path / "one").start()
+    await leader.register("a", 1)
+    follower = Program(tmp_path / "two", more={"follow": f"{HOST}:{leader.reads}"})
+    await follower.start()
+    await follower.until(index=1)
+    assert await listed(follower.reads) == await listed(leader.reads)
+    status, answer = await follower.call("PUT", "/servers/b", GOOD)
+    assert status == 503 and answer["error"] == "this is a follower"
+    await leader.register("b", 2)
+    await leader.call("PUT", "/servers/c", GOOD, {"Request-Id": "once"})
+    held = await follower.until(index=3)
+    assert held["follows"]["versions_behind"] == 0 and held["follows"]["behind_for_s"] is None
+    leader.tell(signal.SIGSTOP)
+    async with asyncio.timeout(30):
+        while (status_ := await follower.status())["follows"]["behind_for_s"] is None:
+            await asyncio.sleep(0.1)
+    assert status_["follows"]["heard_s_ago"] >= 6
+    async with Watching(follower.reads, "from=3&epoch=1&lineage=" + status_["lineage"]) as watch:
+        assert (await watch.line())["age_ms"] >= 6000
+        status, answer = await follower.call("POST", "/promote")
+        assert (status, answer["epoch"], answer["index"]) == (200, 2, 3 + LEAP)
+        line = await watch.line()
+        assert (line["epoch"], line["index"], line["endpoints"]) == (2, 3 + LEAP, [])
+    assert (await follower.call("POST", "/promote"))[0] == 409
+    # A call that the old leader took, asked again of the new one.
+    status, answer = await follower.call("PUT", "/servers/c", GOOD, {"Request-Id": "once"})
+    assert (status, answer["version"]) == (200, 3)
+    assert await follower.register("d", 4) == 4 + LEAP
+    leader.tell(signal.SIGCONT)
+    await leader.until(role="deposed")
+    status, answer = await leader.call("PUT", "/servers/e", GOOD)
+    assert status == 409 and answer["leader"] == f"{HOST}:{follower.writes}"
+    # Who can go elsewhere is sent there.
+    assert (await call(leader.reads, "GET", "/discovery/hosts?lineage=x"))[0] == 503
+    assert len(names(await listed(leader.reads))) == 3  # for others an old list is better than none
+    # Both remember what they are; the old leader comes back as a follower and drops what only it had.
+    assert await leader.end(signal.SIGTERM) == 0 and await follower.end(signal.SIGKILL) < 0
+    await follower.start()
+    assert (await follower.status())["role"] == "leader"
+    await leader.start()
+    assert (await leader.status())["role"] == "deposed"
+    await leader.end()
+    leader.more = {"follow": f"{HOST}:{follower.reads}"}
+    await leader.start()
+    await leader.until(role="follower", epoch=2, index=4 + LEAP)
+    assert await listed(leader.reads) == await listed(follower.reads)
+    await leader.end()
+    await follower.end()
+
+
+async def test_a_follower_is_never_taken_for_a_leader_by_a_missing_line(tmp_path: Path) -> None:
+    leader = await Program(tmp_path / "one").start()
+    await leader.register("a", 1)
+    follower = await Program(tmp_path / "two", more={"follow": f"{HOST}:{leader.reads}"}).start()
+    await follower.until(index=1)
+    await follower.end()
+    config = {"data": str(tmp_path / "two/data"), "reads": f"{HOST}:0", "writes": f"{HOST}:0"}
+    code, said = run_to_its_end(tmp_path, json.dumps(config))
+    assert code == 1 and "follow: missing" in said
+    # Nor does one that has never heard its leader give an empty list.
+    await leader.end()
+    fresh = await Program(tmp_path / "three", more={"follow": f"{HOST}:{leader.reads}"}).start()
+    assert (await call(fresh.reads, "GET", "/discovery/hosts"))[0] == 503
+    await fresh.end()
+
+
+async def test_watches_that_are_not_read_are_bounded_and_delay_nobody(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """In this process, so that what waits for each can be seen: 60 watches that never read, 20 that do."""
+    monkeypatch.setattr(service_module, "COALESCE", 0.0)
+    service = Service(Store(tmp_path / "data"), Leases(), (1000, 60_000), 200)
+    reads, writes = await service.listen((HOST, 0), (HOST, 0))
+    service.start()
+    deaf = []
+    for _ in range(60):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (HOST, reads))
+        sock.sendall(b"GET /discovery/hosts?watch=1&from=0 HTTP/1.1\r\nHost: x\r\n\r\n")
+        deaf.append(sock)
+    healthy = [await Watching(reads, "from=0").__aenter__() for _ in range(20)]
+    rounds, zones = 60, ["x" * 60, "y" * 60]
+    for turn in range(rounds):
+        calls = [
+            call(writes, "PUT", f"/servers/s-{n}", GOOD | {"zone": zones[turn % 2], "type": "z" * 60})
+            for n in range(40)
+        ]
+        assert all(status == 200 for status, _ in await asyncio.gather(*calls))
+        for watch in healthy:  # each is told of this turn before the next begins
+            while (line := await watch.line())["index"] < service.state.index:
+                pass
+            assert line["index"] == service.state.index
+    stalled = [w for w in service.watches if w.stalled_since is not None]
+    assert len(stalled) == 60 and service.status()["versions_behind"] == 0
+    one = len(service.told(stalled[0].reader, 0).lines)  # the whole list
+    most = max(w.caller.transport.get_write_buffer_size() for w in service.watches)
+    assert most <= service_module.BUFFER + one + 64
+    # One that reads again gets what it missed as one line, then is like the others.
+    sock, told = deaf[0], b""
+    async with asyncio.timeout(20):
+        while f'"index":{service.state.index},'.encode() not in told:
+            told += await asyncio.get_running_loop().sock_recv(sock, 1 << 16)
+    # The others are closed once they have not read for long enough.
+    monkeypatch.setattr(service_module, "STALLED", 0.0)
+    async with asyncio.timeout(20):
+        while service.counts.stalled < 59:
+            await asyncio.sleep(0.1)
+    assert len(service.watches) == 21
+    for watch in healthy:
+        watch.writer.transport.abort()
+    for sock in deaf:
+        sock.close()
+    await service.stop()
+    assert not service.connections and not service.watches
+    service.store.close()
+
+
+async def test_many_changes_are_told_together_and_no_removal_is_skipped(program: Program) -> None:
+    for number in range(50):
+        await program.register(f"s-{number}", 1)
+    async with Watching(program.reads, "from=50") as watch:
+        calls = [program.call("DELETE", f"/servers/s-{n}") for n in range(0, 50, 2)]
+        calls += [program.call("PUT", f"/servers/s-{n}", GOOD | {"since_ms": 9}) for n in range(1, 50, 2)]
+        assert all(status == 200 for status, _ in await asyncio.gather(*calls))
+        told: dict[str, str] = {}
+        lines = 0
+        while len(told) < 50:
+            told |= names(await watch.line())
+            lines += 1
+    assert all(told[f"s-{n}"] == ("up" if n % 2 else "removed") for n in range(50)) and lines < 50
+
+
+async def test_too_many_watches_are_turned_away(tmp_path: Path) -> None:
+    program = await Program(tmp_path, more={"watches": 2}).start()
+    async with Watching(program.reads, "from=0"), Watching(program.reads, "from=0"):
+        assert (await call(program.reads, "GET", "/discovery/hosts?watch=1&from=0"))[0] == 503
+    await program.end()
+
+
+def test_it_imports_of_the_data_plane_only_http() -> None:
+    for path in (ROOT / "ironledge/directory").glob("*.py"):
+        taken = [line for line in path.read_text().splitlines() if "ironledge.net" in line]
+        assert all(line.startswith("from ironledge.net.http import") for line in taken), (path, taken)
