--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -76,8 +76,7 @@
 
     maintenance = Maintenance(engine, temporary / KEPT)
     ops = Ops(engine, maintenance, lambda: listener.accepting() and engine.can_serve(), discovery.status)
-    if config.ops:  # heard before clients are: /status says no until they are
-        await ops.listen(*config.ops)
+    ops_port = await ops.listen(*config.ops) if config.ops else 0  # before clients: /status says no till then
     claim, index = await Claim.find(temporary / OFFERED), None
     if claim:
         if counter:
@@ -100,6 +99,8 @@
     else:
         port = await listener.listen(*config.listen)
     log.info("listening on %s:%d", config.listen[0], port)
+    if config.ops:
+        log.info("operators' calls on %s:%d", config.ops[0], ops_port)
     passed = asyncio.Event()
     offer = Offer(temporary / OFFERED, engine, gateway, listener, sockets, discovery, maintenance, passed.set)
     offer.open()
