Let a start hear discovery's first word before it listens to clients

Cause, from the probe's log of n23, restarted into a release of the servers: "13.255 STARTING 1, listening", "13.290 SEND s-" by the configuration's old list, "13.295 CONNECTED", "13.296 TOLD 3 ... s-:draining"; the agent had had the news since 12.82. At fault: serve() in __main__.py, which listened at once and let the dial to discovery wait behind gc.collect(). Change: the collection goes first; clients wait for the first line, the end of the first try, or the settings' grace for drains (250 ms), whichever comes first. A hand-over brings its list and waits for nothing. A new test on real processes fails without the change.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -88,11 +88,16 @@
         if held:
             held.begin(config.known)
         engine.listed(config.known, it.ListKind.CACHED)
+    gc.collect()
+    gc.freeze()
     discovery.start(index)
     loop.add_signal_handler(signal.SIGHUP, reload)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    if index is None:  # the configuration's list may be old: what drains must be known before clients come
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(discovery.word.wait(), settings.safety.drain_grace / 1e6)
     if claim:
         port = await listener.listen_on(claim.listening)
         claim.serving(engine, sockets, maintenance)
@@ -104,8 +109,6 @@
     passed = asyncio.Event()
     offer = Offer(temporary / OFFERED, engine, gateway, listener, sockets, discovery, maintenance, passed.set)
     offer.open()
-    gc.collect()
-    gc.freeze()
     ends = [loop.create_task(event.wait()) for event in (stop, passed)]
     await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
     if passed.is_set():
--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -315,6 +315,7 @@
         self._loop = asyncio.get_running_loop()
         self._heard_at, self._replica_age = self._loop.time(), 0.0
         self._speak_at, self._said = OLD, ""
+        self.word = asyncio.Event()  # set once it has said something, or a first try has come to nothing
         self._look_at(address, fleet_size)
 
     def _look_at(self, address: tuple[str, int], fleet_size: int) -> None:
@@ -378,6 +379,7 @@
             else:
                 self._take(self.held, listing, now)
         self._heard_at, self._said = now, ""
+        self.word.set()
         self._speak_of_age()
 
     def _take(self, held: Held, listing: Listing, now: float) -> None:
@@ -443,6 +445,7 @@
                     await watch.closed.wait()
                 finally:
                     transport.abort()
+            self.word.set()
             heard, away = (watch.heard, watch.turned_away) if watch else (False, None)
             wait = self.addresses.ended(heard, away, random.uniform)  # a fleet's tries are spread
             self._speak_of_age()
--- a/tests/test_net_main.py
+++ b/tests/test_net_main.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import select
 import signal
 import subprocess
 import sys
@@ -94,6 +95,45 @@
     server.stop()
 
 
+async def test_clients_wait_until_discovery_has_said_what_drains(tmp_path: Path) -> None:
+    """The list of the configuration may be old: a process that has just begun sends nothing by it alone."""
+    server, discovery = await PeerServer().start(), await PeerServer().start()
+    backend = {"name": "s-1", "address": f"{HOST}:{server.port}", "status": "up"}
+    known = {"index": 1, "snapshot": True, "endpoints": [backend]}
+    patient = RAW | {"safety": RAW["safety"] | {"drain_grace": 30_000_000}}
+    made = config(discovery=f"{HOST}:{discovery.port}", known=known, settings=patient)
+    (tmp_path / "config.json").write_text(json.dumps(made))
+    ran = start(tmp_path / "config.json")
+    await discovery.until(lambda: bool(discovery.peers) and b"\r\n\r\n" in discovery.peers[0].data)
+    assert ran.stderr and select.select([ran.stderr], [], [], 0)[0] == []  # not yet listening
+    told = {"index": 2, "snapshot": False, "endpoints": [backend | {"status": "draining"}]}
+    line = json.dumps(told).encode() + b"\n"
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    discovery.peers[0].transport.write(head + b"%x\r\n%b\r\n" % (len(line), line))
+    port = await asyncio.to_thread(listens, ran)
+    assert (await ask(port, request())).startswith(b"HTTP/1.1 429 ")
+    assert server.peers == []
+    ran.send_signal(signal.SIGTERM)
+    _, errors = await asyncio.to_thread(ran.communicate, timeout=60)
+    assert ran.returncode == 0 and "Traceback" not in errors
+    server.stop()
+    discovery.stop()
+
+
+async def test_a_silent_discovery_keeps_clients_waiting_for_no_longer_than_a_drain_may_take(
+    tmp_path: Path,
+) -> None:
+    discovery = await PeerServer().start()
+    (tmp_path / "config.json").write_text(json.dumps(config(discovery=f"{HOST}:{discovery.port}")))
+    ran = start(tmp_path / "config.json")
+    port = await asyncio.to_thread(listens, ran)
+    assert (await ask(port, b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+    ran.send_signal(signal.SIGTERM)
+    await asyncio.to_thread(ran.communicate, timeout=60)
+    assert ran.returncode == 0
+    discovery.stop()
+
+
 def without(path: str, value: Any = None) -> str:
     """The configuration with one key of the settings gone, or with another value."""
     made = json.loads(json.dumps(config()))
