--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,15 +1,27 @@
-"""The tests run on the loop that the ingress runs on."""
+"""The tests run on the loop that the ingress runs on, and leave no process behind."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 import pytest
 import uvloop
 
+from tests.directory_helpers import STARTED
+
 
 def pytest_asyncio_loop_factories(
     config: pytest.Config, item: pytest.Item
 ) -> Mapping[str, Callable[[], asyncio.AbstractEventLoop]]:
     return {"uvloop": uvloop.new_event_loop}
+
+
+@pytest.fixture(autouse=True)
+def no_program_outlives_its_test() -> Iterator[None]:
+    yield
+    while STARTED:
+        program = STARTED.pop()
+        if program.poll() is None:
+            program.kill()
+            program.wait()
--- a/tests/directory_helpers.py
+++ b/tests/directory_helpers.py
@@ -16,6 +16,7 @@
 
 ROOT = Path(__file__).parent.parent
 HOST = "127.0.0.1"
+STARTED: list[subprocess.Popen[str]] = []  # ended after each test, by `conftest.py`, if the test has not
 
 
 def register(name: str, port: int = 1, since: int = 0, id: str = "", expected: int | None = None) -> Call:
@@ -43,6 +44,7 @@
         at = self.log.tell()
         command = [sys.executable, "-m", "ironledge.directory", str(path)]
         self.process = subprocess.Popen(command, cwd=ROOT, stderr=self.log, text=True)
+        STARTED.append(self.process)
         async with asyncio.timeout(30):
             while "reads on" not in (said := self.said()[at:]):
                 assert self.process.poll() is None, said
--- a/tests/test_directory_end.py
+++ b/tests/test_directory_end.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from ironledge.directory.state import LEAP
-from tests.directory_helpers import HOST, ROOT, Program, call
+from tests.directory_helpers import HOST, ROOT, STARTED, Program, call
 from tests.net_helpers import OK, RAW, Peer, PeerServer, answers, read_answer, request
 
 GRACE = 0.25  # s after the news of a drain
@@ -47,6 +47,7 @@
         self.log = (self.folder / self.name).open("w")
         command = [sys.executable, "-m", "ironledge"]
         self.process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=self.log, text=True)
+        STARTED.append(self.process)
         async with asyncio.timeout(30):
             while "operators' calls on" not in self.said():
                 await asyncio.sleep(0.01)
