Carry servers kept beyond the list over an upgrade, and refuse a file that lost `directory`

After a hand-over servers kept as a whole list lacked them had no end; a cut-off file that is sound JSON would have switched the list service off; an age that is no number was taken. Change: what is kept goes along with its time; SIGHUP wants `directory` named (null ends it); such an age is refused. Result: tests for each; those of the dump and of the age fail without the change.

--- a/ironledge/net/config.py
+++ b/ironledge/net/config.py
@@ -96,6 +96,8 @@
             raise ConfigError(f"{lost} is missing")
         if before and before.counter and not top.get("counter"):
             raise ConfigError("counter is missing")
+        if before and before.directory and "directory" not in top:
+            raise ConfigError("directory is missing")
         known = top.get("known") or {"index": 0, "snapshot": True, "endpoints": []}
         ops = env.get("EDGE_OPS") or top.get("ops")
         settings = settings_from_json(json.dumps(raw).encode())
--- a/ironledge/net/discovery.py
+++ b/ironledge/net/discovery.py
@@ -89,6 +89,8 @@
             self.epoch = int(raw["epoch"]) if self.lineage is not None else 0
             self.gone = {str(name): int(version) for name, version in raw.get("gone", ())}
             self.age = float(raw.get("age_ms", 0)) / 1000  # s since a replica heard its leader
+            if not 0 <= self.age < math.inf:
+                raise ValueError(f"age {self.age} is none")
         except (KeyError, TypeError, AttributeError, OverflowError) as error:
             raise ValueError(f"list of backends: {error!r}") from None
 
@@ -243,6 +245,7 @@
         return {
             "index": self.index, "epoch": self.epoch, "lineage": self.lineage, "left": self.left,
             "gone": list(self.gone.items()), "endpoints": [e.raw() for e in self.entries.values()],
+            "kept": self.kept,  # the clock is the machine's: the next process reads the same
         }  # fmt: skip
 
     def take_over(self, raw: dict[str, Any] | None, entries: list[dict[str, Any]]) -> None:
@@ -253,6 +256,7 @@
         self.index, self.epoch, self.lineage = int(raw["index"]), int(raw["epoch"]), raw["lineage"]
         self.left, self.gone = list(raw["left"]), OrderedDict((n, int(v)) for n, v in raw["gone"])
         self.entries = {entry.name: entry for entry in map(Entry, raw["endpoints"])}
+        self.kept = {str(name): float(until) for name, until in raw["kept"].items()}
 
 
 @dataclass(slots=True)
@@ -329,6 +333,7 @@
     def start(self, index: int | None = None) -> None:
         self.index = self.index if index is None else index
         self._task = self._loop.create_task(self._keep_watching())
+        self._plan_expiry(self._loop.time())
 
     def stop(self) -> None:
         for waiting in (self._task, self._expiry):
@@ -358,7 +363,6 @@
         if self.addresses.all != before or watched != (self.held is not None):
             self.stop()
             self.start()
-            self._plan_expiry(self._loop.time())
 
     def target(self) -> str:
         if self.held is None:
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -242,8 +242,9 @@
     held, after = client(), client()
     held.offer(listing(4, entry("a", version=1), entry("b", version=2)), 0.0)
     held.offer(listing(5, entry("a", "removed", version=5), whole=False), 1.0)
+    held.offer(listing(6), 2.0)
     after.take_over(json.loads(json.dumps(held.dump())), [])
-    assert after.dump() == held.dump()
+    assert after.dump() == held.dump() and after.kept == {"b": 62.0}
     with pytest.raises(Refused):
         after.offer(listing(4, entry("a", version=1)), 2.0)
     before = client()
@@ -395,6 +396,7 @@
     json.dumps(raw(9, entry("a", port=70_000))).encode() + b"\n",
     json.dumps(raw(9, A | {"weight": float("nan")})).encode() + b"\n",
     json.dumps(raw(9, gone=[1])).encode() + b"\n",
+    json.dumps(raw(9, A, age_ms=float("nan"))).encode() + b"\n",
     json.dumps(raw(9, A)).encode()[:-3],  # cut off, and then the connection ends
     b"x" * (8 * 1024 * 1024 + 2),  # a line without an end
 ]  # fmt: skip
--- a/tests/test_net_main.py
+++ b/tests/test_net_main.py
@@ -27,6 +27,11 @@
     return subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
 
 
+def start_with(path: Path, **changes: Any) -> subprocess.Popen[str]:
+    path.write_text(json.dumps(config(**changes)))
+    return start(path)
+
+
 def listens(ran: subprocess.Popen[str]) -> int:
     """The port that it took, as its log tells."""
     assert ran.stderr
@@ -187,6 +192,37 @@
         server.stop()
 
 
+async def test_sighup_turns_the_list_service_on_and_off_by_name_alone(tmp_path: Path) -> None:
+    one, two = [await PeerServer().start() for _ in range(2)]
+    path = tmp_path / "config.json"
+    ran = start_with(path, discovery=f"{HOST}:{one.port}")
+
+    async def told(words: str, **changes: Any) -> None:
+        path.write_text(json.dumps(config(discovery=f"{HOST}:{one.port}") | changes))
+        ran.send_signal(signal.SIGHUP)
+        assert ran.stderr and words in await asyncio.to_thread(ran.stderr.readline)
+
+    async def asked(server: PeerServer, peer: int) -> bytes:
+        await server.until(lambda: len(server.peers) > peer and b"\r\n\r\n" in server.peers[peer].data)
+        return bytes(server.peers[peer].data.split()[1])
+
+    assert await asked(one, 0) == b"/discovery/hosts?watch=1&from=1"
+    await asyncio.to_thread(listens, ran)
+    await told("directory.addresses[0]: 'nowhere'", directory={"addresses": ["nowhere"]})
+    await told("new settings", directory={"addresses": [f"{HOST}:{two.port}"]})
+    assert await asked(one, 1) == b"/discovery/hosts?watch=1&from=0&epoch=0&lineage="
+    await told("stays as it was: directory is missing")
+    one.peers[1].transport.close()
+    assert await asked(two, 0) == b"/discovery/hosts?watch=1&from=0&epoch=0&lineage="
+    await told("new settings", directory=None)
+    assert await asked(one, 2) == b"/discovery/hosts?watch=1&from=1"
+    ran.send_signal(signal.SIGTERM)
+    _, errors = await asyncio.to_thread(ran.communicate, timeout=60)
+    assert ran.returncode == 0 and "Traceback" not in errors
+    one.stop()
+    two.stop()
+
+
 async def test_sighup_swaps_the_classes_in(tmp_path: Path) -> None:
     path, classes = tmp_path / "config.json", RAW["services"]
 
--- a/tests/test_net_ops.py
+++ b/tests/test_net_ops.py
@@ -58,6 +58,8 @@
     [
         ("GET", "/status", 200),
         ("POST", "/status", 405),
+        ("GET", "/discovery", 200),
+        ("POST", "/discovery", 405),
         ("GET", "/maintenance/enter?who=s-1", 405),
         ("POST", "/maintenance/enter?who=s-9", 404),
         ("POST", "/maintenance/exit?who=s-9", 404),
