Hold the ports of restarted test programs, and answer 507 wherever there is no room

A port is free while its program is down, and the system could give it away; four leases that end together were registered one after another, against the clock. Change: the tests hold the ports bound and unheard; the four are registered at once, with more time; a file that may not grow is no room as well (507). A server that comes back elsewhere or anew, and clocks that no part reads, are tested.

--- a/ironledge/directory/service.py
+++ b/ironledge/directory/service.py
@@ -35,6 +35,7 @@
 STALLED = 20.0  # s that a watch may leave them unread
 LOOK = 0.5  # s between looks at leases
 DRAIN = 2.0  # s at the end for watches to be closed in order
+NO_ROOM = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 MAX_ID = 128
 FROM_DIGITS = 18
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -182,7 +183,7 @@
                 await self._durably(self.store.append, records, work)
             except OSError as error:
                 failed = Refused(503, f"not kept: {error.strerror}")
-                if error.errno == errno.ENOSPC:
+                if error.errno in NO_ROOM:
                     failed = Refused(507, "not kept: the disk is full")
         for call, done, version in answers:
             if failed is None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,7 +8,7 @@
 import pytest
 import uvloop
 
-from tests.directory_helpers import STARTED
+from tests.directory_helpers import HELD, STARTED
 
 
 def pytest_asyncio_loop_factories(
@@ -20,6 +20,8 @@
 @pytest.fixture(autouse=True)
 def no_program_outlives_its_test() -> Iterator[None]:
     yield
+    while HELD:
+        HELD.pop().close()
     while STARTED:
         program = STARTED.pop()
         if program.poll() is None:
--- a/tests/directory_helpers.py
+++ b/tests/directory_helpers.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -16,7 +17,8 @@
 
 ROOT = Path(__file__).parent.parent
 HOST = "127.0.0.1"
-STARTED: list[subprocess.Popen[str]] = []  # ended after each test, by `conftest.py`, if the test has not
+HELD: list[socket.socket] = []  # closed after each test, and ...
+STARTED: list[subprocess.Popen[str]] = []  # ... ended, by `conftest.py`
 
 
 def register(name: str, port: int = 1, since: int = 0, id: str = "", expected: int | None = None) -> Call:
@@ -29,10 +31,19 @@
     """`python -m ironledge.directory` on a data folder; the ports are kept over a restart."""
 
     folder: Path
-    reads: int = 0
-    writes: int = 0
     more: dict[str, Any] = field(default_factory=dict)
     process: subprocess.Popen[str] | None = None
+    reads: int = field(init=False)
+    writes: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        """The system chooses the ports; they are held, not listened to: none is lost over a restart."""
+        holders = [socket.socket() for _ in range(2)]
+        for holder in holders:
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            holder.bind((HOST, 0))
+        HELD.extend(holders)
+        self.reads, self.writes = (holder.getsockname()[1] for holder in holders)
 
     async def start(self) -> Program:
         config = {"data": str(self.folder / "data")}
@@ -41,7 +52,7 @@
         path = self.folder / "config.json"
         path.write_text(json.dumps(config | self.more))
         self.log = (self.folder / "log.txt").open("a")
-        at = self.log.tell()
+        at = len(self.said())
         command = [sys.executable, "-m", "ironledge.directory", str(path)]
         self.process = subprocess.Popen(command, cwd=ROOT, stderr=self.log, text=True)
         STARTED.append(self.process)
@@ -49,9 +60,7 @@
             while "reads on" not in (said := self.said()[at:]):
                 assert self.process.poll() is None, said
                 await asyncio.sleep(0.01)
-        (line,) = [line for line in said.splitlines() if "reads on" in line]
-        self.reads = int(line.split("reads on ")[1].split(",")[0].rpartition(":")[2])
-        self.writes = int(line.rpartition(":")[2])
+        assert f"reads on {HOST}:{self.reads}, writes on {HOST}:{self.writes}" in said
         return self
 
     def said(self) -> str:
--- a/tests/test_directory_service.py
+++ b/tests/test_directory_service.py
@@ -55,6 +55,21 @@
         assert line["index"] == 3 and names(line) == {"s-1": "removed"}
 
 
+async def test_a_server_that_comes_back_elsewhere_or_anew_is_told_as_it_is_now(program: Program) -> None:
+    await program.register("a", 7001, since_ms=5)
+    await program.call("POST", "/servers/a/drain")
+    async with Watching(program.reads, "from=2") as watch:
+        assert await program.register("a", 7001, since_ms=5) == 2  # the same one: it goes on draining
+        for version, port, since in ((3, 7002, 5), (4, 7002, 9)):
+            assert await program.register("a", port, since_ms=since) == version
+            line = await watch.line()
+            (server,) = line["endpoints"]
+            assert (line["index"], server["status"], server["since_ms"]) == (version, "up", since)
+            assert server["address"] == f"{HOST}:{port}"
+    status, answer = await program.call("PUT", "/servers/a", GOOD | {"since_ms": 8})
+    assert status == 409 and answer["version"] == 4  # from before the last start
+
+
 async def test_writes_are_idempotent_and_conditional(program: Program) -> None:
     body = {"address": f"{HOST}:1", "lease_ms": 5000}
     for _ in range(2):
@@ -222,7 +237,7 @@
     resource.prlimit(program.process.pid, resource.RLIMIT_FSIZE, (size + 10, unlimited))
     for _ in range(2):
         status, answer = await program.call("PUT", "/servers/b", GOOD)
-        assert status in (503, 507) and "not kept" in answer["error"]
+        assert status == 507 and "not kept" in answer["error"]
         assert names(await listed(program.reads)) == {"a": "up"}
         assert (await program.call("POST", "/servers/a/renew"))[0] == 200
     resource.prlimit(program.process.pid, resource.RLIMIT_FSIZE, (unlimited, unlimited))
@@ -251,8 +266,7 @@
     async with asyncio.timeout(20):
         while "gone" in names(await listed(program.reads)):
             await asyncio.sleep(0.05)
-    for number in range(4):
-        await program.register(f"s-{number}", 1, lease_ms=200)
+    await asyncio.gather(*(program.register(f"s-{number}", 1, lease_ms=2000) for number in range(4)))
     async with asyncio.timeout(20):
         while (status := await program.status())["leases"]["held_back_s"] is None:
             await asyncio.sleep(0.05)
@@ -407,6 +421,13 @@
     await program.end()
 
 
+def test_no_part_reads_the_systems_clock() -> None:
+    """Leases run on the loop's clock, which is monotonic: a step of the system's changes nothing."""
+    for path in (ROOT / "ironledge/directory").glob("*.py"):
+        words = path.read_text()
+        assert "import time" not in words and "datetime" not in words, path
+
+
 def test_it_imports_of_the_data_plane_only_http() -> None:
     for path in (ROOT / "ironledge/directory").glob("*.py"):
         taken = [line for line in path.read_text().splitlines() if "ironledge.net" in line]
