--- a/tests/directory_helpers.py
+++ b/tests/directory_helpers.py
@@ -58,7 +58,8 @@
         STARTED.append(self.process)
         async with asyncio.timeout(30):
             while "reads on" not in (said := self.said()[at:]):
-                assert self.process.poll() is None, said
+                code = self.process.poll()
+                assert code is None, f"ended with {code}: {self.said()[at:]}"
                 await asyncio.sleep(0.01)
         assert f"reads on {HOST}:{self.reads}, writes on {HOST}:{self.writes}" in said
         return self
