Keep descriptors for the disk, refuse watches of HTTP/1.0, and throw noise at the service

Change: the service raises its own limit to what watches and callers may take, and does not start where that is not allowed; such a watch gets 400. 400 connections of noise, and the copy that waits behind a promotion, are tested.

--- a/ironledge/directory/__main__.py
+++ b/ironledge/directory/__main__.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import logging
+import resource
 import signal
 import sys
 from dataclasses import dataclass
@@ -16,10 +17,11 @@
 
 from ironledge.directory.leases import Leases
 from ironledge.directory.replica import Replica
-from ironledge.directory.service import Service
+from ironledge.directory.service import CALLERS, Service
 from ironledge.directory.store import Store, Unusable
 
 Address = tuple[str, int]
+OTHERS = 64  # descriptors that are neither callers nor watches: the loop's, the disk's, the leader's
 KEYS = {"data", "reads", "writes", "follow", "history", "watches", "lease_ms", "hold_share", "hold_window_s"}
 
 log = logging.getLogger("ironledge.directory")
@@ -91,6 +93,7 @@
 
 async def serve(config: Config) -> None:
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    allow_descriptors(config.watches + CALLERS + OTHERS)
     store = Store(config.data, config.history)
     try:
         if store.cut:
@@ -112,6 +115,15 @@
         store.close()
 
 
+def allow_descriptors(wanted: int) -> None:
+    """Readers must not be able to take those that the disk needs: there are enough for all, or no start."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard != resource.RLIM_INFINITY and hard < wanted:
+        raise ConfigError(f"watches: {wanted} descriptors would be needed, and {hard} are allowed")
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
 def take_role(service: Service, store: Store, follow: Address | None) -> Replica:
     """What the folder remembers goes before the configuration: promotions and depositions were explicit."""
     kept, epoch = store.role, store.state.epoch
--- a/ironledge/directory/service.py
+++ b/ironledge/directory/service.py
@@ -29,7 +29,7 @@
 COALESCE = 0.01  # s that changes are gathered before watches are told
 PENDING = 1024  # writes that wait for the disk; further ones are turned away
 BATCH = 256  # of them that one sync covers
-CALLERS = 1024  # connections that are no watches
+CALLERS = 512  # connections that are no watches
 CACHED = 16  # lines for readers that stand alike, kept until the next change
 BUFFER = 64 * 1024  # bytes unread by a watch beyond which nothing more is written to it
 STALLED = 20.0  # s that a watch may leave them unread
@@ -571,6 +571,8 @@
             self.service.counts.bytes_told += len(told)
             self.send(200, told, close=not message.keep_alive)
             return None
+        if message.minor == 0:
+            raise Refused(400, "a watch is HTTP/1.1: it has no end that could be announced")
         if len(self.service.watches) >= self.service.max_watchers:
             raise Refused(503, "too many watches")
         self.service.counts.watches += 1
--- a/tests/test_directory_service.py
+++ b/tests/test_directory_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 import resource
 import signal
 import socket
@@ -19,7 +20,7 @@
 from ironledge.directory import service as service_module
 from ironledge.directory.leases import Leases
 from ironledge.directory.service import Service
-from ironledge.directory.state import LEAP
+from ironledge.directory.state import LEAP, Broken, State
 from ironledge.directory.store import Store
 from tests.directory_helpers import HOST, ROOT, Program, Watching, call, names
 
@@ -414,6 +415,58 @@
     assert all(told[f"s-{n}"] == ("up" if n % 2 else "removed") for n in range(50)) and lines < 50
 
 
+async def test_a_copy_that_waits_behind_a_promotion_is_dropped(tmp_path: Path) -> None:
+    """It could be the whole list of the epoch before."""
+    service = Service(Store(tmp_path / "data"), Leases(), (1000, 60_000), 1)
+    service.role = "follower"
+    async with service._turn:
+        copies = asyncio.create_task(service.copy([], State("other")))
+        await asyncio.sleep(0)
+        service.role = "leader"
+    with pytest.raises(Broken, match="promoted meanwhile"):
+        await copies
+    assert service.state.lineage != "other"
+    service.store.close()
+
+
+async def test_a_watch_of_http_1_0_is_refused(program: Program) -> None:
+    reader, writer = await asyncio.open_connection(HOST, program.reads)
+    writer.write(b"GET /discovery/hosts?watch=1&from=0 HTTP/1.0\r\n\r\n")
+    async with asyncio.timeout(10):
+        assert (await reader.read()).startswith(b"HTTP/1.1 400 ")
+    writer.close()
+
+
+async def test_noise_is_refused_and_calls_go_on(program: Program) -> None:
+    dice, taken = random.Random(7), 0
+    pieces = [b"GET ", b"PUT ", b"/servers/a", b"/discovery/hosts?watch=1&from=", b" HTTP/1.1\r\n", b"\r\n"]
+    pieces += [b"Host: x\r\n", b"Content-Length: 5\r\n", b"Transfer-Encoding: chunked\r\n"]
+    pieces += [b"{}", b"9", b"\xff\x00"]
+
+    async def noise(port: int) -> None:
+        nonlocal taken
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"".join(dice.choices(pieces, k=dice.randint(1, 12))))
+        writer.write_eof()
+        async with asyncio.timeout(10):
+            await reader.read(1 << 16)
+        writer.transport.abort()
+        taken += 1
+
+    for _ in range(20):
+        await asyncio.gather(*(noise(port) for port in (program.reads, program.writes) * 10))
+    assert taken == 400 and "Traceback" not in program.said()
+    assert await program.register("a", 1) == (await program.status())["index"]
+
+
+async def test_descriptors_that_cannot_be_had_are_refused_at_the_start(tmp_path: Path) -> None:
+    config = {"data": str(tmp_path / "data"), "reads": f"{HOST}:0", "writes": f"{HOST}:0", "watches": 100_000}
+    (tmp_path / "c.json").write_text(json.dumps(config))
+    command = f"ulimit -n 1024; exec {sys.executable} -m ironledge.directory {tmp_path / 'c.json'}"
+    done = subprocess.run(["bash", "-c", command], cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 1 and "100576 descriptors would be needed, and 1024" in done.stderr
+
+
 async def test_too_many_watches_are_turned_away(tmp_path: Path) -> None:
     program = await Program(tmp_path, more={"watches": 2}).start()
     async with Watching(program.reads, "from=0"), Watching(program.reads, "from=0"):
