Test the answer to an oversized call with a body that is still under way

Need: with 70 kB the connection was mostly read in time, and the lingering close could be taken out unseen.

--- a/tests/test_directory_service.py
+++ b/tests/test_directory_service.py
@@ -113,7 +113,7 @@
     ("PUT", "/servers/a", GOOD, {"Host": "a\r\nHost: b"}, 400),
     ("PUT", "/servers/a", GOOD, {"Transfer-Encoding": "chunked"}, 400),
     ("PUT", "/servers/a", GOOD, {"X": "1\r\nContent-Length: 3"}, 400),
-    ("PUT", "/servers/a", b"x" * 70_000, {}, 413),
+    ("PUT", "/servers/a", b"x" * 5_000_000, {}, 413),
     ("PUT", "/servers/a", GOOD, {"X": "y" * 20_000}, 431),
     ("POST", "/promote", None, {}, 409),
     ("POST", "/depose", {"epoch": 9, "leader": "x:1", "lineage": "other"}, {}, 409),
