--- a/ironledge/directory/service.py
+++ b/ironledge/directory/service.py
@@ -27,6 +27,7 @@
 LINGER = 1.0  # s that a connection with more to say is read on after its last answer
 IDLE = 30.0  # s that a connection is kept between calls
 COALESCE = 0.01  # s that changes are gathered before watches are told
+WRITE_TIMEOUT = 5.0  # s that a write waits for the disk before it is told so
 PENDING = 1024  # writes that wait for the disk; further ones are turned away
 BATCH = 256  # of them that one sync covers
 CALLERS = 512  # connections that are no watches
@@ -145,7 +146,11 @@
         done: asyncio.Future[int] = self._loop.create_future()
         self._pending.append((call, done))
         self._wake.set()
-        return await done
+        try:
+            async with asyncio.timeout(WRITE_TIMEOUT):
+                return await done
+        except TimeoutError:
+            raise Refused(503, "not kept in time; it may be yet") from None
 
     def must_lead(self) -> None:
         if self.role != "leader":
@@ -158,7 +163,10 @@
             self._wake.clear()
             while self._pending:
                 async with self._turn:
-                    await self._write_batch()
+                    try:
+                        await self._write_batch()
+                    except Exception:  # those who wait are told when their time is over; others go on
+                        log.exception("while writing")
 
     async def _write_batch(self) -> None:
         work, records = self.state.copy(), list[Record]()
--- a/ironledge/directory/store.py
+++ b/ironledge/directory/store.py
@@ -195,7 +195,10 @@
         """Returns once they are on disk; `after` is the state with them. On OSError none of them counts."""
         payload = [self.state.lineage, self.state.index, [r.raw() for r in records]]
         frame = _frame(json.dumps(payload, separators=(",", ":")).encode())
-        if not self._sure or self.log_size > max(COMPACT, COMPACT_RATIO * self._snapshot_size):
+        if self._sure and self.log_size > max(COMPACT, COMPACT_RATIO * self._snapshot_size):
+            with contextlib.suppress(OSError):  # no room for a snapshot: the log may have some yet
+                self.compact(self.state)
+        if not self._sure:
             self.compact(self.state)
         try:
             _write_all(self._descriptor, frame)
@@ -216,9 +219,9 @@
 
     def compact(self, state: State) -> None:
         """The whole list as the snapshot, then an empty log. Between the two, the log holds what is old."""
-        self._sure = False
         self._write_snapshot(state)
         self.state = state
+        self._sure = False  # until the log that is written to is the one that will be read
         replace_file(self._log, b"")
         descriptor = os.open(self._log, os.O_WRONLY)
         os.close(self._descriptor)
--- a/tests/test_directory_service.py
+++ b/tests/test_directory_service.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import json
+import os
 import random
 import resource
 import signal
 import socket
 import subprocess
 import sys
+import threading
 from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
@@ -415,6 +417,31 @@
     assert all(told[f"s-{n}"] == ("up" if n % 2 else "removed") for n in range(50)) and lines < 50
 
 
+async def test_a_disk_that_hangs_is_told_in_time_and_reads_go_on(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    service = Service(Store(tmp_path / "data"), Leases(), (1000, 60_000), 1)
+    reads, writes = await service.listen((HOST, 0), (HOST, 0))
+    service.start()
+    hung, real = threading.Event(), os.fsync
+
+    def fsync(descriptor: int) -> None:
+        hung.wait(30)
+        real(descriptor)
+
+    monkeypatch.setattr(service_module, "WRITE_TIMEOUT", 0.1)
+    monkeypatch.setattr(os, "fsync", fsync)
+    status, answer = await call(writes, "PUT", "/servers/a", GOOD, {"Request-Id": "x"})
+    assert status == 503 and "may be yet" in answer["error"]
+    assert (await listed(reads))["index"] == 0
+    hung.set()
+    monkeypatch.setattr(service_module, "WRITE_TIMEOUT", 10.0)
+    status, answer = await call(writes, "PUT", "/servers/a", GOOD, {"Request-Id": "x"})
+    assert (status, answer["version"]) == (200, 1)
+    await service.stop()
+    service.store.close()
+
+
 async def test_a_copy_that_waits_behind_a_promotion_is_dropped(tmp_path: Path) -> None:
     """It could be the whole list of the epoch before."""
     service = Service(Store(tmp_path / "data"), Leases(), (1000, 60_000), 1)
--- a/tests/test_directory_store.py
+++ b/tests/test_directory_store.py
@@ -254,6 +254,35 @@
     store.close()
 
 
+@pytest.mark.parametrize("failing", ["snapshot", "log"])
+def test_a_snapshot_that_has_no_room_does_not_stop_a_log_that_has(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, failing: str
+) -> None:
+    store = filled(tmp_path / "data")
+    real = store_module.replace_file
+
+    def fail(path: Path, data: bytes) -> None:
+        if path.name == failing:
+            raise OSError(28, "No space left on device")
+        real(path, data)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(store_module, "COMPACT", 0)
+        patch.setattr(store_module, "COMPACT_RATIO", 0)
+        patch.setattr(store_module, "replace_file", fail)
+        if failing == "snapshot":
+            carry_out(store, [register("late")])
+        else:  # which log will be read is not certain: nothing is taken until it is
+            with pytest.raises(OSError):
+                carry_out(store, [register("late")])
+    carry_out(store, [register("later")])
+    after = store.state.dump()
+    store.close()
+    again = Store(tmp_path / "data")
+    assert again.state.dump() == after and "later" in again.state.servers
+    again.close()
+
+
 def test_a_list_taken_over_whole_is_not_mixed_with_the_log_before(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
