Add the lab's live host: the real programs on loopback amid stand-ins and an open load

Virtual time shows decisions only; sockets, processes and signals have to be seen on the real program.

--- /dev/null
+++ b/ironledge/lab/live/standins.py
@@ -0,0 +1,658 @@
+"""Stand-ins over real sockets: profile servers, the counter, discovery's agents. One process hosts them all.
+
+They speak as PROTOCOL has it and decide by the world that virtual time has; what they see is recorded.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import socket
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from typing import Any, cast
+from urllib.parse import parse_qs, urlsplit
+
+import httptools
+import uvloop
+
+from ironledge.lab import record as rec
+from ironledge.lab.draw import SECOND, Day, day
+from ironledge.lab.live.worker import Spec, listen_to_tool, say, spec_from_argv
+from ironledge.lab.record import Record
+from ironledge.lab.scenario import parse
+from ironledge.lab.troubles import Step, plan
+from ironledge.lab.world.counter import Counter, Said
+from ironledge.lab.world.discovery import Discovery, Entry
+from ironledge.lab.world.network import Network
+from ironledge.lab.world.server import Job, Server, Verdict
+
+HOST = "127.0.0.1"
+BEAT = 2.0  # s between empty lines of a watch (PROTOCOL)
+COUNTER_LINKS = 32  # connections of one gateway to the counter (PROTOCOL)
+HEAD = 16 << 10  # bytes of a head, of a line to the counter
+CODES = {"up": rec.UP, "draining": rec.DRAINING, "removed": rec.REMOVED}
+SAID = list(Said)
+
+
+class Port:
+    """A listening socket that can refuse, or say nothing, and keeps its number all the while."""
+
+    def __init__(self, make: Callable[[], asyncio.Protocol], port: int = 0) -> None:
+        self._make, self._loop = make, asyncio.get_running_loop()
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.setblocking(False)
+        self._sock.bind((HOST, port))
+        self.number: int = self._sock.getsockname()[1]
+        self._fill: list[socket.socket] = []
+        self.state = "closed"
+        self.open()
+
+    def open(self) -> None:
+        """Accepts. What came in meanwhile is reset, as by a machine that is back."""
+        if self.state == "open":
+            return
+        if self.state == "silent":
+            for filler in self._fill:
+                filler.close()
+            self._fill = []
+            with contextlib.suppress(OSError):
+                while True:
+                    made, _ = self._sock.accept()
+                    made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                    made.close()
+        self._sock.listen(1024)
+        self._loop.add_reader(self._sock.fileno(), self._accept)
+        self.state = "open"
+
+    def refuse(self) -> None:
+        """Nobody listens; the number stays taken (Linux keeps what was bound)."""
+        if self.state == "closed":
+            return
+        self._loop.remove_reader(self._sock.fileno())
+        for filler in self._fill:
+            filler.close()
+        self._fill = []
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self.state = "closed"
+
+    def silence(self) -> None:
+        """New connections never come up: the queue is full, and nobody takes from it."""
+        if self.state != "open":
+            return
+        self._loop.remove_reader(self._sock.fileno())
+        self._sock.listen(0)
+        for _ in range(2):
+            filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect((HOST, self.number))
+            self._fill.append(filler)
+        self.state = "silent"
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):  # no more, or it went away again
+            for _ in range(64):
+                made, _ = self._sock.accept()
+                made.setblocking(False)
+                made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                task = self._loop.create_task(self._connect(made))
+                task.add_done_callback(lambda t: t.cancelled() or t.exception())
+
+    async def _connect(self, made: socket.socket) -> None:
+        await self._loop.connect_accepted_socket(self._make, made)
+
+    def close(self) -> None:
+        self.refuse()
+        self._sock.close()
+
+
+class ServerLink(asyncio.Protocol):
+    """One connection to a profile server: a request at a time."""
+
+    transport: asyncio.Transport
+
+    def __init__(self, world: World, server: int, gateway: int) -> None:
+        self.world, self.server, self.gateway = world, server, gateway
+        self.job: Job | None = None
+        self.row, self.first, self.since, self.free_at = -1, -1, 0, 0
+        self.counted = self.gone = False
+        self._parser = httptools.HttpRequestParser(self)
+        self._url, self._id, self._timeout = b"", b"", b""
+        self._idle: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        world, now = self.world, self.world.now()
+        world.record.dials.add(now, max(0, self.gateway), self.server)
+        good, over = world.servers[self.server].open(now)
+        world.settle(self.server, over)
+        if not good:
+            self.transport.abort()
+            return
+        self.counted = True
+        world.links[self.server].add(self)
+        kind = world.day.servers[self.server]
+        self.free_at = now + int(2 * world.way(self) * max(0.5, kind.handshake_rtts - 0.5))
+        self._rest()
+
+    def _rest(self) -> None:
+        if self._idle:
+            self._idle.cancel()
+        self._idle = self.world.loop.call_later(self.world.idle_s, self._too_long)
+
+    def _too_long(self) -> None:
+        if self.job is None:
+            self.transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        if self.world.cut(self):
+            return
+        if self.first < 0:
+            self.first = self.world.now()
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.transport.abort()
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"request-id":
+            self._id = value
+        elif name.lower() == b"request-timeout":
+            self._timeout = value
+
+    def on_message_complete(self) -> None:
+        if self._idle:
+            self._idle.cancel()
+        world, now = self.world, self.world.now()
+        try:
+            number = int(self._id, 16)
+            query = {k: v[0] for k, v in parse_qs(urlsplit(self._url).query.decode()).items()}
+            work, draw, size = float(query["w"]), float(query["e"]), int(query["b"])
+            wait = int(self._timeout[:-1]) * (1000 if self._timeout.endswith(b"m") else 1)
+        except (ValueError, KeyError):
+            world.record.faults.add(now, 0, self.server, max(0, self.gateway))
+            self._write(404 if not self._id else 400, b"", b"")
+            return
+        first = max(self.first, now - 60 * SECOND)
+        self.row = world.record.sends.add(
+            number, max(0, self.gateway), self.server, first, -1, -1, rec.OPEN, 0, 0
+        )
+        self._size, self._number = size, self._id
+        self._url, self._id, self._timeout, self.first = b"", b"", b"", -1
+        job = self.job = Job(self, work, now + wait, draw)
+        delay = max(world.way(self), self.free_at - now)
+        world.loop.call_later(delay / 1e6, self._begin, job)
+
+    def _begin(self, job: Job) -> None:
+        """The request's last byte is at the server, the handshake is over."""
+        world, now = self.world, self.world.now()
+        if self.gone or world.cut(self):
+            return
+        world.record.sends.set(self.row, "whole", now)
+        server = world.servers[self.server]
+        verdict, over = server.offer(now, job)
+        world.settle(self.server, over)
+        if verdict is not None:
+            self.done(job, verdict)
+
+    def done(self, job: Job, verdict: Verdict) -> None:
+        world, sends = self.world, self.world.record.sends
+        now = world.now()
+        code = {Verdict.OK: rec.OK, Verdict.ERROR: rec.ERROR, Verdict.FULL: rec.FULL}.get(verdict, rec.DOWN)
+        sends.set(self.row, "ended", now)
+        sends.set(self.row, "outcome", code)
+        worked = job.target > 0 and verdict in (Verdict.OK, Verdict.ERROR)
+        sends.set(self.row, "work", int(job.work) if worked else 0)
+        self.job = None
+        if job.orphan or self.gone or world.cut(self):
+            return
+        if verdict is Verdict.OK:
+            sends.set(self.row, "useful", 1)
+        if verdict is Verdict.DOWN or (world.network.resets and world.rng.random() < world.network.resets):
+            self.transport.abort()
+            return
+        world.loop.call_later(world.way(self) / 1e6, self._answer, verdict, self._number, self._size)
+
+    def _answer(self, verdict: Verdict, number: bytes, size: int) -> None:
+        if self.gone or self.world.cut(self):
+            return
+        if verdict is Verdict.OK:
+            said = b"%b:%d;" % (number, self.server)
+            self._write(200, b"", said + b"x" * max(0, size - len(said)))
+        elif verdict is Verdict.FULL:
+            self._write(503, b"Not-Started: 1\r\n", b"")
+        else:
+            self._write(500, b"", b"")
+
+    def _write(self, status: int, headers: bytes, body: bytes) -> None:
+        self.transport.write(
+            b"HTTP/1.1 %d x\r\n%bContent-Length: %d\r\n\r\n%b" % (status, headers, len(body), body)
+        )
+        self._rest()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.gone = True
+        if self._idle:
+            self._idle.cancel()
+        world = self.world
+        world.links[self.server].discard(self)
+        server = world.servers[self.server]
+        if self.counted and server.alive:
+            server.close()
+        if (job := self.job) and job.state in ("waiting", "working", "failing"):
+            stopped, over = server.cancel(world.now(), job)
+            world.settle(self.server, over)
+            if stopped:
+                world.record.sends.set(self.row, "ended", world.now())
+                world.record.sends.set(self.row, "outcome", rec.CANCELLED)
+
+
+class CounterLink(asyncio.Protocol):
+    transport: asyncio.Transport
+
+    def __init__(self, world: World, gateway: int) -> None:
+        self.world, self.gateway = world, gateway
+        self._rest, self._last = b"", 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        links = self.world.counting[self.gateway]
+        if len(links) >= COUNTER_LINKS:
+            self.transport.abort()
+            return
+        links.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.world.counting[self.gateway].discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        world = self.world
+        if not world.network.linked(world.day.gateway_zones[self.gateway], 0):
+            return
+        *lines, self._rest = (self._rest + data).split(b"\r\n")
+        if len(self._rest) > HEAD:
+            self.transport.abort()
+        for line in lines:
+            self._call(line)
+
+    def _call(self, line: bytes) -> None:
+        world, now = self.world, self.world.now()
+        if line == b"ping":
+            self._say(b"pong", now)
+            return
+        parts = line.split(b" ")
+        try:
+            verb, name, amount, life = parts[0], parts[1], float(parts[2]), int(parts[3])
+            if verb != b"add" or len(parts) != 4 or not 1 <= len(name) <= 64 or abs(amount) > 1e9:
+                raise ValueError(line)
+        except (ValueError, IndexError):
+            self._say(b"error", now)
+            return
+        way = world.network.way(world.day.gateway_zones[self.gateway], 0, world.rng.random())
+        key = int.from_bytes(name, "big")
+        answer = world.counter.add(now + way, key, amount, life * 1000, world.rng.random())
+        world.record.calls.add(now, SAID.index(answer.said))
+        if answer.said is Said.OK:
+            self._say(b"ok %.7g" % answer.total, answer.at + way)
+        elif answer.said is Said.BUSY:
+            self._say(b"busy", answer.at + way)
+        elif answer.said is Said.SPOILT:
+            self._say(b"ok ?", answer.at + way)
+
+    def _say(self, what: bytes, at: int) -> None:
+        """Answers keep the calls' order, whichever part was sooner."""
+        self._last = max(self._last, at)
+        delay = max(0, self._last - self.world.now()) / 1e6
+        if delay < 0.0005:
+            self._write(what)
+        else:
+            self.world.loop.call_later(delay, self._write, what)
+
+    def _write(self, what: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(what + b"\r\n")
+
+
+class AgentLink(asyncio.Protocol):
+    """Discovery's agent on a gateway's own machine: lists and watches."""
+
+    transport: asyncio.Transport
+
+    def __init__(self, world: World, gateway: int) -> None:
+        self.world, self.gateway = world, gateway
+        self._head, self.watching, self.version = b"", False, 0
+        self._beat: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.world.watches[self.gateway].discard(self)
+        if self._beat:
+            self._beat.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        self._head += data
+        if len(self._head) > HEAD:
+            self.transport.abort()
+        while b"\r\n\r\n" in self._head and not self.watching:
+            head, _, self._head = self._head.partition(b"\r\n\r\n")
+            try:
+                url = urlsplit(head.split(b"\r\n")[0].split(b" ")[1].decode())
+                query = {k: v[0] for k, v in parse_qs(url.query).items()}
+                begun = int(query.get("from", 0))
+            except (ValueError, IndexError):
+                self.transport.abort()
+                return
+            self._answer(query, begun)
+
+    def _answer(self, query: dict[str, str], begun: int) -> None:
+        world = self.world
+        if not world.discovery.up:
+            return
+        if "watch" not in query:
+            body = self._line(world.agents[self.gateway].version, True, world.agents[self.gateway].whole())
+            self.transport.write(
+                b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
+                % (len(body), body)
+            )
+            return
+        self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.watching = True
+        world.watches[self.gateway].add(self)
+        agent = world.agents[self.gateway]
+        known = 0 < begun <= agent.version
+        self.tell(agent.version, not known, agent.since(begun) if known else agent.whole(), first=True)
+        self._beat = world.loop.call_later(BEAT, self._beaten)
+
+    def _beaten(self) -> None:
+        if self.world.discovery.up:
+            self._chunk(b"\n")
+        self._beat = self.world.loop.call_later(BEAT, self._beaten)
+
+    def tell(self, version: int, whole: bool, entries: list[Entry], first: bool = False) -> None:
+        if entries or first:
+            self._chunk(self._line(version, whole, entries) + b"\n")
+            for entry in entries:
+                code = CODES[entry.status]
+                self.world.record.tells.add(self.world.now(), self.gateway, entry.server, code)
+
+    def _line(self, version: int, whole: bool, entries: list[Entry]) -> bytes:
+        endpoints = [self.world.endpoint(e, self.gateway) for e in entries]
+        return json.dumps({"index": version, "snapshot": whole, "endpoints": endpoints}).encode()
+
+    def _chunk(self, data: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+
+class Agent:
+    """What one gateway's agent has been sent."""
+
+    def __init__(self, entries: list[Entry], version: int) -> None:
+        self.version = version
+        self.entries = {e.server: e for e in entries}
+
+    def take(self, version: int, entries: list[Entry]) -> None:
+        self.version = version
+        self.entries |= {e.server: e for e in entries}
+
+    def whole(self) -> list[Entry]:
+        return [self.entries[s] for s in sorted(self.entries) if self.entries[s].status != "removed"]
+
+    def since(self, version: int) -> list[Entry]:
+        return [self.entries[s] for s in sorted(self.entries) if self.entries[s].version > version]
+
+
+class World:
+    def __init__(self, spec: Spec, drawn: Day) -> None:
+        self.spec, self.day, self.record = spec, drawn, Record()
+        self.loop, self.rng = asyncio.get_running_loop(), random.Random(drawn.seed)
+        self.now = spec.now
+        self.network, self.counter = Network.drawn(drawn.network), Counter.drawn(drawn.counter)
+        count = len(drawn.gateway_zones)
+        self.discovery = Discovery.drawn(count, drawn.discovery, random.Random(drawn.seed + 1))
+        self.servers = [Server(kind, -1) for kind in drawn.servers]
+        rules = drawn.scenario.rules
+        for server in self.servers:
+            server.fall_multiple, server.fall_us = rules.fall_multiple, int(rules.fall_ms * 1000)
+        self.discovery.begin(dict.fromkeys(range(len(self.servers)), -1))
+        whole = self.discovery.whole()
+        self.agents = [Agent(whole, self.discovery.version) for _ in range(count)]
+        self.links: list[set[ServerLink]] = [set() for _ in self.servers]
+        self.watches: list[set[AgentLink]] = [set() for _ in range(count)]
+        self.counting: list[set[CounterLink]] = [set() for _ in range(count)]
+        self.vanished: set[int] = set()
+        self._fell: set[int] = set()
+        self._wakes: dict[int, asyncio.TimerHandle] = {}
+        self.idle_s = drawn.scenario.server.idle_s
+        each = range(count) if spec.per_gateway else (-1,)
+        self.ports = [[Port(partial(ServerLink, self, s, g)) for g in each] for s in range(len(self.servers))]
+        self.counter_ports = [Port(partial(CounterLink, self, g)) for g in range(count)]
+        self.agent_ports = [Port(partial(AgentLink, self, g)) for g in range(count)]
+
+    # What the others ask.
+
+    def way(self, link: ServerLink) -> int:
+        zone = self.day.servers[link.server].zone
+        gateway = self.day.gateway_zones[link.gateway] if link.gateway >= 0 else zone
+        return self.network.way(gateway, zone, self.rng.random())
+
+    def cut(self, link: ServerLink) -> bool:
+        """Nothing passes between this server and that gateway."""
+        if link.server in self.vanished:
+            return True
+        zones = self.day.gateway_zones
+        return link.gateway >= 0 and not self.network.linked(
+            zones[link.gateway], self.day.servers[link.server].zone
+        )
+
+    def endpoint(self, entry: Entry, gateway: int) -> dict[str, Any]:
+        ports = self.ports[entry.server]
+        port = ports[gateway if len(ports) > 1 else 0].number
+        started = (self.spec.unix_us + entry.started) // 1000 if entry.started >= 0 else 0
+        zone = self.day.zones[self.day.servers[entry.server].zone]
+        return {
+            "name": f"s-{entry.server}", "address": f"{HOST}:{port}", "zone": zone, "type": "lab", "group": 0,
+            "status": entry.status, "weight": 1.0, "since_ms": started,
+        }  # fmt: skip
+
+    def settle(self, number: int, over: list[tuple[Job, Verdict]]) -> None:
+        server = self.servers[number]
+        if server.fallen and not server.alive and number not in self._fell:
+            self._fell.add(number)
+            self.record.falls.add(self.now(), number)
+            self._gone(number)
+        for job, verdict in over:
+            cast(ServerLink, job.key).done(job, verdict)
+        if handle := self._wakes.pop(number, None):
+            handle.cancel()
+        if due := server.next_at():
+            wait = max(0, due - self.now()) / 1e6
+            self._wakes[number] = self.loop.call_later(wait, self._wake, number)
+
+    def _wake(self, number: int) -> None:
+        self._wakes.pop(number, None)
+        self.settle(number, self.servers[number].advance(self.now()))
+
+    # The list.
+
+    def list_change(self, server: int, status: str, started: int) -> None:
+        say(list=server, status=status, started=started)  # for the list service, where one is used
+        for gateway, when in self.discovery.change(self.now(), server, status, started).items():
+            self.loop.call_later(max(0, when - self.now()) / 1e6, self._tell, gateway)
+
+    def _tell(self, gateway: int) -> None:
+        version, entries = self.discovery.news(gateway)
+        if not entries:
+            return
+        self.agents[gateway].take(version, entries)
+        for watch in list(self.watches[gateway]):
+            watch.tell(version, False, entries)
+
+    # Servers begin and end.
+
+    def _gone(self, number: int) -> None:
+        for port in self.ports[number]:
+            port.refuse()
+        for link in list(self.links[number]):
+            link.transport.abort()
+        self._list_later(number, self.day.discovery["notice_s"])
+
+    def _list_later(self, number: int, wait: float) -> None:
+        started = self.servers[number].started
+        self.loop.call_later(wait, self._list_end, number, started)
+
+    def _list_end(self, number: int, started: int) -> None:
+        if not self.servers[number].alive and self.servers[number].started == started:
+            self.list_change(number, "removed", started)
+
+    def vanish(self, number: int) -> None:
+        if not self.servers[number].alive:
+            return
+        self.vanished.add(number)
+        for port in self.ports[number]:
+            port.silence()
+        self.servers[number].die(self.now())
+        self._list_later(number, self.day.discovery["silent_notice_s"])
+
+    def begin(self, number: int) -> None:
+        self.vanished.discard(number)
+        for link in list(self.links[number]):
+            link.transport.abort()
+        self.servers[number].start(self.now())
+        self._fell.discard(number)
+        for port in self.ports[number]:
+            port.open()
+        started = self.servers[number].started
+        self.loop.call_later(self.day.discovery["add_s"], self._list_up, number, started)
+
+    def _list_up(self, number: int, started: int) -> None:
+        if self.servers[number].alive and self.servers[number].started == started:
+            self.list_change(number, "up", started)
+
+    def _swap(self, number: int) -> None:
+        server = self.servers[number]
+        if not server.alive:
+            return
+        if server.held():
+            self.loop.call_later(0.1, self._swap, number)
+            return
+        server.die(self.now())
+        for link in list(self.links[number]):
+            link.transport.abort()
+        self.begin(number)
+
+    def do(self, step: Step) -> None:
+        server = self.servers[step.target] if 0 <= step.target < len(self.servers) else None
+        match step.verb:
+            case "cut":
+                self.network.cut.add(step.target)
+                self._links_to(step.target, Port.silence)
+            case "mend":
+                self.network.cut.discard(step.target)
+                self._links_to(step.target, Port.open)
+            case "vanish":
+                self.vanish(step.target)
+            case "begin":
+                self.begin(step.target)
+            case "slow" if server:
+                server.slow = step.value
+            case "failing" if server:
+                server.failing = step.value
+            case "replace" if server and server.alive:
+                self.list_change(step.target, "draining", server.started)
+                grace = (self.day.discovery["period_ms"] + self.day.discovery["spread_ms"] + 500) / 1000
+                self.loop.call_later(grace, self._swap, step.target)
+            case "drain" | "undrain" if server and server.alive:
+                self.list_change(step.target, "draining" if step.verb == "drain" else "up", server.started)
+            case "discovery_down":
+                self.discovery.up = False
+            case "discovery_up":
+                self.discovery.up = True
+                for gateway, when in self.discovery.due(self.now()).items():
+                    self.loop.call_later(max(0, when - self.now()) / 1e6, self._tell, gateway)
+            case "counter_down":
+                self.counter.fail()
+                for port in self.counter_ports:
+                    port.refuse()
+                for links in self.counting:
+                    for link in list(links):
+                        link.transport.abort()
+            case "counter_up":
+                self.counter.back(self.now())
+                for port in self.counter_ports:
+                    port.open()
+            case "counter_spoilt":
+                self.counter.spoilt = step.value
+            case "resets":
+                self.network.resets = step.value
+            case _:
+                pass
+
+    def _links_to(self, zone: int, act: Callable[[Port], None]) -> None:
+        """Ports between that zone and the others; the connections there are read as `cut` says."""
+        for server, ports in enumerate(self.ports):
+            for gateway, port in enumerate(ports):
+                here, there = self.day.servers[server].zone, self.day.gateway_zones[gateway]
+                if here != there and zone in (here, there) and server not in self.vanished:
+                    act(port)
+        if act is Port.open:  # what stood through the cut is reset once the machine is back (PROTOCOL)
+            for links in self.links:
+                for link in list(links):
+                    here = self.day.servers[link.server].zone
+                    there = self.day.gateway_zones[link.gateway] if link.gateway >= 0 else here
+                    if here != there and zone in (here, there):
+                        link.transport.abort()
+
+    # The run.
+
+    def sample(self) -> None:
+        now, seen = self.now(), []
+        for number, server in enumerate(self.servers):
+            self.settle(number, server.advance(now))
+            row = (server.held(), server.connections, int(server.spent), int(server.warmth(now) * 1000))
+            self.record.servers.add(now, number, *row, int(server.alive), server.kind.slots)
+            seen.append((*row, server.alive))
+        say(servers=seen, at=now, calls=self.counter.calls)
+        self.loop.call_later(1.0, self.sample)
+
+
+async def main() -> None:
+    spec = spec_from_argv()
+    drawn = day(parse(spec.scenario, spec.name), spec.seed)
+    world = World(spec, drawn)
+    say(
+        ready=True,
+        servers=[[p.number for p in ports] for ports in world.ports],
+        counters=[p.number for p in world.counter_ports],
+        agents=[p.number for p in world.agent_ports],
+        known=[world.endpoint(e, g) for g in range(spec.gateways) for e in world.discovery.whole()],
+    )
+
+    def heard(said: dict[str, Any]) -> bool:
+        if "began_ns" in said:
+            spec.began_ns, spec.unix_us = said["began_ns"], said["unix_us"]
+            for step in plan(drawn):
+                if not step.on_gateways:
+                    world.loop.call_later(max(0, step.at - world.now()) / 1e6, world.do, step)
+            world.loop.call_later(max(0, -world.now()) / 1e6, world.sample)
+        if "step" in said:
+            world.do(Step(0, said["step"], said.get("target", -1), said.get("value", 0.0)))
+        return "end" in said
+
+    await listen_to_tool(heard)
+    world.record.save(Path(spec.folder) / "standins.npz")
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
--- a/ironledge/lab/simulate.py
+++ b/ironledge/lab/simulate.py
@@ -19,7 +19,7 @@
 from ironledge.lab import record as rec
 from ironledge.lab.draw import SECOND, Day
 from ironledge.lab.record import Record
-from ironledge.lab.scenario import Trouble
+from ironledge.lab.troubles import Step, plan
 from ironledge.lab.world import clients as world_clients
 from ironledge.lab.world import counter as world_counter
 from ironledge.lab.world.clients import Arrival, Clients
@@ -155,7 +155,10 @@
         arrivals = self.clients.arrivals()
         following = next(arrivals, None)
         for number, trouble in enumerate(self.day.scenario.trouble):
-            self._plan(number, trouble)
+            begin = int(trouble.at_s * SECOND)
+            self.record.marks.add(begin, begin + int(trouble.len_s * SECOND), number)
+        for step in plan(self.day):
+            self.at(step.at, self._do, step)
         end = self.day.length + max(c.deadline_us for c in self.day.classes) + SECOND
         for second in range(0, self.day.length + SECOND, SECOND):
             self.at(second, self._sample)
@@ -693,62 +696,52 @@
 
     # Troubles.
 
-    def _plan(self, number: int, trouble: Trouble) -> None:
-        begin, length = int(trouble.at_s * SECOND), int(trouble.len_s * SECOND)
-        some, end = self.day.chosen(number, trouble), begin + length
-        self.record.marks.add(begin, end, number)
-        match trouble.kind:
-            case "gateways_killed":
-                self._each(begin, some, self._kill)
-                self._each(end, some, self._restart)
-            case "gateways_stopped":
-                self._each(begin, some, self._stop)
-                self._each(end, some, self._go_on)
-            case "rolling_restart" | "upgrade":
-                act = self._terminate if trouble.kind == "rolling_restart" else self._upgrade
-                for step, gateway in enumerate(sorted(some)):
-                    self.at(begin + int(step * trouble.step_s * SECOND), act, gateway)
-            case "zone_cut":
-                zone = self.day.zone(trouble)
-                self.at(begin, self.network.cut.add, zone)
-                self.at(end, self.network.cut.discard, zone)
-            case "zone_lost" | "servers_lost":
-                self.at(begin, self._lose, some)
-                self._each(end, some, self._begin_server)
-                if trouble.kind == "zone_lost" and self.day.zone(trouble) == 0:
-                    self.at(begin, self.counter.fail)
-                    back = begin + int(self.day.counter["back_s"] * SECOND)
-                    self.at(back, self.counter.back, back)
-            case "slow_servers" | "fast_errors":
-                name = "slow" if trouble.kind == "slow_servers" else "failing"
-                self._each(begin, some, lambda n: setattr(self.servers[n], name, trouble.size))
-                self._each(end, some, lambda n: setattr(self.servers[n], name, 0.0))
-            case "release":
-                steps = max(1, int(length / max(1, trouble.step_s * SECOND)))
-                for position, server in enumerate(some):
-                    step = begin + position * steps // max(1, len(some)) * int(trouble.step_s * SECOND)
-                    self.at(step, self._replace, server)
-            case "drain":
-                self._each(begin, some, lambda n: self._drain(n, True))
-                self._each(end, some, lambda n: self._drain(n, False))
+    def _do(self, step: Step) -> None:
+        match step.verb:
+            case "kill":
+                self._kill(step.target)
+            case "restart":
+                self._restart(step.target)
+            case "stop":
+                self._stop(step.target)
+            case "go_on":
+                self._go_on(step.target)
+            case "terminate":
+                self._terminate(step.target)
+            case "upgrade":  # to the module that is the same life: nothing is seen of it here
+                pass
+            case "reload":
+                self._reload(step.settings)
+            case "cut":
+                self.network.cut.add(step.target)
+            case "mend":
+                self.network.cut.discard(step.target)
+            case "vanish":
+                self._lose(step.target)
+            case "begin":
+                self._begin_server(step.target)
+            case "slow":
+                self.servers[step.target].slow = step.value
+            case "failing":
+                self.servers[step.target].failing = step.value
+            case "replace":
+                self._replace(step.target)
+            case "drain" | "undrain":
+                self._drain(step.target, step.verb == "drain")
             case "discovery_down":
-                self.at(begin, setattr, self.discovery, "up", False)
-                self.at(end, self._discovery_back)
+                self.discovery.up = False
+            case "discovery_up":
+                self._discovery_back()
             case "counter_down":
-                self.at(begin, self.counter.fail)
-                self.at(end, self.counter.back, end)
+                self.counter.fail()
+            case "counter_up":
+                self.counter.back(self.now)
             case "counter_spoilt":
-                self.at(begin, setattr, self.counter, "spoilt", trouble.size)
-                self.at(end, setattr, self.counter, "spoilt", 0.0)
+                self.counter.spoilt = step.value
             case "resets":
-                self.at(begin, setattr, self.network, "resets", trouble.size)
-                self.at(end, setattr, self.network, "resets", 0.0)
-            case "reload":
-                self.at(begin, self._reload, dict(trouble.set))
-
-    def _each(self, when: int, some: list[int], act: Callable[[int], None]) -> None:
-        for number in some:
-            self.at(when, act, number)
+                self.network.resets = step.value
+            case _:
+                raise ValueError(step.verb)
 
     def _kill(self, gateway: int) -> None:
         host = self.hosts[gateway]
@@ -808,9 +801,6 @@
         self._kill(gateway)
         self._restart(gateway)
 
-    def _upgrade(self, gateway: int) -> None:
-        """A new process takes over: to the module that is the same life. Nothing is seen of it here."""
-
     def _stop(self, gateway: int) -> None:
         host = self.hosts[gateway]
         host.stopped = True
@@ -839,19 +829,17 @@
         if not self.servers[number].alive and self.servers[number].started == started:
             self._list(number, "removed", started)
 
-    def _lose(self, some: list[int]) -> None:
-        """These vanish without a word: connections stay, and nothing comes any more."""
-        for number in some:
-            if not self.servers[number].alive:
-                continue
-            self.vanished.add(number)
-            idle = {host.index: len(host.idle.get(number, ())) for host in self.hosts}
-            kept = {host.index: host.idle.get(number, []) for host in self.hosts}
-            self.servers[number].die(self.now)
-            self._gone(number)
-            for host in self.hosts:  # nobody has told them: their idle connections look as before
-                if idle[host.index]:
-                    host.idle[number] = kept[host.index]
+    def _lose(self, number: int) -> None:
+        """It vanishes without a word: connections stay, and nothing comes any more."""
+        if not self.servers[number].alive:
+            return
+        self.vanished.add(number)
+        kept = {host.index: host.idle[number] for host in self.hosts if host.idle.get(number)}
+        self.servers[number].die(self.now)
+        self._gone(number)
+        for host in self.hosts:  # nobody has told them: their idle connections look as before
+            if host.index in kept:
+                host.idle[number] = kept[host.index]
 
     def _begin_server(self, number: int) -> None:
         self.vanished.discard(number)
