--- a/ironledge/lab/draw.py
+++ b/ironledge/lab/draw.py
@@ -4,12 +4,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 from zlib import crc32
 
 import numpy as np
 from msgspec import Struct, structs
 
-from ironledge.lab.scenario import Scenario, Trouble
+from ironledge.lab.scenario import Scenario, ScenarioError, Trouble
 
 SECOND = 1_000_000
 
@@ -99,6 +100,7 @@
     clients: dict[str, float]
     traffic: dict[str, float]
     waits: bool  # clients wait before a retry
+    told: tuple[tuple[str, object], ...] = ()  # settings other than the scenario's, by dotted path
 
     def stream(self, name: str) -> np.random.Generator:
         return stream(self.seed, name)
@@ -124,9 +126,23 @@
         work = sum(c.share * c.work_us for c in self.classes) / SECOND
         return sum(s.cores * s.speed for s in self.servers) / work
 
-    def raw_settings(self, me: int, changed: dict[str, float] | None = None) -> dict[str, object]:
+    def raw_settings(self, me: int, changed: dict[str, float] | None = None) -> dict[str, Any]:
         """What a gateway is told, in the platform's form (WIRE, 'Read your settings')."""
-        s, changed = self.scenario, changed or {}
+        raw = self._raw(me, changed or {})
+        for path, value in self.told:
+            *parents, last = path.split(".")
+            at: Any = raw
+            try:
+                for part in parents:
+                    at = at[int(part) if isinstance(at, list) else part]
+                at[last]  # an unknown key would be told to nobody
+                at[last] = value
+            except (KeyError, IndexError, ValueError, TypeError):
+                raise ScenarioError([f"settings.{path}: is not there"]) from None
+        return raw
+
+    def _raw(self, me: int, changed: dict[str, float]) -> dict[str, Any]:
+        s = self.scenario
         slowest = min(k.cold_from for k in self.servers)
         return {
             "me": me,
--- a/ironledge/lab/judge.py
+++ b/ironledge/lab/judge.py
@@ -22,7 +22,6 @@
 )
 MOST_BROKEN = 20  # broken rules named, a rule
 LIVE_CEILING = 150_000  # us of a ceiling's rate by which its slack grows on sockets (PROTOCOL)
-LATE_START_LOST = 0.7  # s after SIGTERM (PROTOCOL); what comes later and finds nobody was not taken
 
 
 @dataclass(slots=True)
@@ -72,6 +71,15 @@
         return self.level
 
 
+def first_sends(record: Record) -> dict[int, int]:
+    """When each try's first attempt had come whole to a server, us: it takes its units then."""
+    ids, whole = record.sends["id"], record.sends["whole"]
+    order = np.lexsort((whole, ids))
+    order = order[whole[order] >= 0]
+    sent, first = np.unique(ids[order], return_index=True)
+    return dict(zip(sent.tolist(), whole[order][first].tolist(), strict=True))
+
+
 class Judge:
     def __init__(self, day: Day, record: Record, live: bool = False) -> None:
         self.day, self.record, self.live = day, record, live
@@ -83,7 +91,7 @@
         v.tries, v.sends = len(tries), len(self.record.sends)
         v.requests = int(np.sum(tries["id"] == tries["root"]))
         v.kinds = {k: int(np.sum(tries["kind"] == n)) for n, k in enumerate(rec.KINDS)}
-        self._first_sends()
+        self.first = first_sends(self.record)
         self._quotas()
         self._worth()
         self._answers()
@@ -100,15 +108,6 @@
 
     # Quotas and ceilings.
 
-    def _first_sends(self) -> None:
-        """When each try's first attempt had come whole to a server: it takes its units then."""
-        sends = self.record.sends
-        ids, whole = sends["id"], sends["whole"]
-        order = np.lexsort((whole, ids))
-        order = order[whole[order] >= 0]
-        sent, first = np.unique(ids[order], return_index=True)
-        self.first = dict(zip(sent.tolist(), whole[order][first].tolist(), strict=True))
-
     def _quotas(self) -> None:
         tries, v = self.record.tries, self.verdict
         ids, customers, plans = tries["id"].tolist(), tries["customer"].tolist(), tries["plan"].tolist()
--- a/ironledge/lab/live/worker.py
+++ b/ironledge/lab/live/worker.py
@@ -28,6 +28,7 @@
     """Run in a child before exec: the kernel kills it once `parent` ends, however that ends."""
 
     def prepare() -> None:
+        os.setpgid(0, 0)  # the terminal's Ctrl-C is the tool's, which ends what it started in order
         _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
         if os.getppid() != parent:  # it ended before the call took hold
             os._exit(1)
@@ -36,9 +37,8 @@
 
 
 def spawn(command: list[str], **more: Any) -> subprocess.Popen[bytes]:
-    """From the main thread only: the kernel counts the thread that started a child as its parent. A group of
-    its own keeps the terminal's Ctrl-C for the tool, which ends what it started in order."""
-    return subprocess.Popen(command, preexec_fn=die_with(os.getpid()), process_group=0, **more)
+    """From the main thread only: the kernel counts the thread that started a child as its parent."""
+    return subprocess.Popen(command, preexec_fn=die_with(os.getpid()), **more)
 
 
 class Spec(msgspec.Struct):
--- a/ironledge/lab/scenario.py
+++ b/ironledge/lab/scenario.py
@@ -21,7 +21,7 @@
 Positive = Annotated[float, Meta(gt=0)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 Spread = Annotated[list[NonNegative], Meta(min_length=2, max_length=2)]
-Range = float | Spread
+Range = NonNegative | Spread
 
 
 class ScenarioError(Exception):
@@ -96,7 +96,9 @@
 
 
 class DiscoveryModel(Struct, forbid_unknown_fields=True):
-    use: Annotated[Literal["agent", "list-service"], about("what tells in a live run")] = "agent"
+    use: Annotated[Literal["agent", "list-service"], about("what tells in a live run; bench: agent")] = (
+        "agent"
+    )
     add_s: Annotated[Range, about("s until a start is listed; site")] = span(0.42, 2)
     notice_s: Annotated[Range, about("s until an end is listed; site")] = span(1.1, 4.8)
     silent_notice_s: Annotated[Range, about("s until a silent end is listed; site")] = span(5.9, 14)
--- a/tests/test_directory_store.py
+++ b/tests/test_directory_store.py
@@ -50,9 +50,12 @@
     return answered
 
 
+@pytest.mark.parametrize("part", range(3))  # of the bytes: each in a test of its own, side by side
 @FIXED
-@given(st.lists(st.lists(CALLS, min_size=1, max_size=3), min_size=1, max_size=12))
-def test_a_crash_at_every_byte_leaves_a_prefix_with_all_acknowledged(batches: list[list[Any]]) -> None:
+@given(batches=st.lists(st.lists(CALLS, min_size=1, max_size=3), min_size=1, max_size=12))
+def test_a_crash_at_every_byte_leaves_a_prefix_with_all_acknowledged(
+    batches: list[list[Any]], part: int
+) -> None:
     with TemporaryDirectory() as folder:
         data, cut = Path(folder) / "data", Path(folder) / "cut"
         store = Store(data)
@@ -74,7 +77,7 @@
         store.close()
         assert versions == sorted(set(versions))
         log = (data / "log").read_bytes()
-        for size in range(len(log) + 1):
+        for size in range(part, len(log) + 1, 3):
             shutil.rmtree(cut, ignore_errors=True)
             shutil.copytree(data, cut)
             (cut / "log").write_bytes(log[:size])
