--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -39,12 +39,14 @@
 
 
 async def serve(config: Config) -> None:
-    loop, clock, sockets = asyncio.get_running_loop(), Clock(), Sockets(config.sockets)
+    loop, clock = asyncio.get_running_loop(), Clock()
+    sockets = Sockets(config.sockets, config.pool.server_share)
     names = Names(config.settings, config.raw)
     gateway = Gateway(config.settings, config.seed)
     engine = Engine(gateway, config.settings, names, loop, clock.now)
     limits = config.settings.limits
-    backends = Backends(sockets, config.conn_idle, limits.connect_timeout)
+    fleet = config.settings.fleet_size
+    backends = Backends(sockets, config.conn_idle, limits.connect_timeout, config.pool, fleet)
     engine.servers = backends
     counter = Counter(config.counter, config.settings.counter.timeout) if config.counter else None
     if counter:
@@ -66,16 +68,23 @@
             return
         log.info("new settings; discovery at %s:%d", *config.discovery)
         engine.retune(config.settings, config.raw)
-        sockets.tune(config.sockets)
-        backends.tune(config.conn_idle, config.settings.limits.connect_timeout)
         fleet_size = config.settings.fleet_size
+        sockets.server_share = config.pool.server_share
+        sockets.tune(config.sockets)
+        backends.tune(
+            config.conn_idle, config.settings.limits.connect_timeout, config.pool, fleet_size
+        )
         discovery.retune(config.discovery, fleet_size, config.directory, engine.entries())
         if counter and config.counter:
             counter.tune(config.settings.counter.timeout)
             counter.move(config.counter)
 
     maintenance = Maintenance(engine, temporary / KEPT)
-    ops = Ops(engine, maintenance, lambda: listener.accepting() and engine.can_serve(), discovery.status)
+
+    def serving() -> bool:
+        return listener.accepting() and engine.can_serve()
+
+    ops = Ops(engine, maintenance, serving, discovery.status, backends.figures)
     ops_port = await ops.listen(*config.ops) if config.ops else 0  # before clients: /status says no till then
     claim, index = await Claim.find(temporary / OFFERED), None
     if claim:
--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -6,8 +6,11 @@
 import contextlib
 import logging
 import math
+import random
 import socket
+import time
 from collections.abc import Callable, Iterable
+from typing import Any
 
 import httptools
 
@@ -16,10 +19,13 @@
 from ironledge.net.discovery import Entry
 from ironledge.net.engine import Answer, Flow
 from ironledge.net.http import HttpConnection, Message
+from ironledge.net.pool import Action, Close, GiveUp, HandOut, Open, Options, Pool, Refuse
 from ironledge.net.sockets import Sockets
 
 IDLE_PART = 0.75  # of the time after which a backend closes an idle connection: ours is closed by then
 SWEEP = 1.0  # s between looks for such connections
+GAP = 2.0  # s beyond that for which the process or the machine has stood still: every link is old then
+WARM_RATE = 5.0  # links a second opened ahead at a backend by all gateways together: handshakes cost it work
 PROBE_TIMEOUT = 0.25
 HELD = 0.05  # s that the first part of an answer of unknown length waits for the rest
 STALLED = 6.0  # s without another part of an answer, after which the backend is taken for gone
@@ -31,12 +37,14 @@
 class Exchange:
     """An attempt: waits for its connection, then is written, then answered. Ends once."""
 
-    __slots__ = ("_ended", "data", "dial", "flow", "link", "over", "written")
+    __slots__ = ("_ended", "_server", "data", "flow", "link", "over", "sent_at", "written")
 
-    def __init__(self, data: bytes, ended: Ended, flow: Flow | None = None) -> None:
-        self.data, self._ended, self.flow = data, ended, flow
-        self.dial: asyncio.Task[None] | None = None
+    def __init__(
+        self, data: bytes, ended: Ended, flow: Flow | None = None, server: Server | None = None
+    ) -> None:
+        self.data, self._ended, self.flow, self._server = data, ended, flow, server
         self.link: Link | None = None
+        self.sent_at = math.inf
         self.written = self.over = False
 
     def end(self, answer: Answer) -> None:
@@ -48,6 +56,10 @@
         """No answer will come: whether it has run depends on whether its last byte was written."""
         self.end(Answer(Outcome.RESET if self.written else Outcome.CONNECT_FAILED))
 
+    def unsent(self) -> None:
+        """There was no link for it, which says nothing of the backend."""
+        self.end(Answer(Outcome.MOOT))
+
     def more(self, data: bytes) -> None:
         if self.link and not self.link.dead:
             self.link.transport.write(data)
@@ -63,9 +75,11 @@
 
     def abort(self) -> bool:
         self.over = True
-        if self.dial:
-            self.dial.cancel()
+        if self.link is None and self._server:
+            self._server.cancelled(self)
         if self.link:
+            if self._server and not self.link.passing:
+                self._server.silent(self.sent_at)
             self.link.drop()
         return self.written
 
@@ -74,17 +88,18 @@
     """One connection to a backend. The socket is ours, so that a send tells how much was written, a look
     tells whether the connection still stands, and giving up takes effect before anything else is sent."""
 
-    def __init__(self, pool: Pool, sock: socket.socket) -> None:
+    def __init__(self, pool: Server, sock: socket.socket) -> None:
         super().__init__(httptools.HttpResponseParser)
         self.pool, self.sock, self.address = pool, sock, pool.address
         self.exchange: Exchange | None = None
         self.idle_since = 0.0
+        self.lost_word = False  # it broke under a request of which nothing had been answered
         self.dead = self.passing = False  # passing: an answer goes on to the client in parts
         self.heard_at = math.inf  # while it does, when the last part came
         self._hold: asyncio.TimerHandle | None = None
 
     def send(self, exchange: Exchange) -> None:
-        self.exchange, exchange.link = exchange, self
+        self.exchange, exchange.link, exchange.sent_at = exchange, self, self.pool.now()
         try:
             sent = self.sock.send(exchange.data)
         except BlockingIOError:
@@ -117,7 +132,7 @@
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
             self.transport.abort()
-            self.pool.left(self)
+            self.pool.left(self, self.lost_word)
 
     def pause_writing(self) -> None:
         self._press(True)
@@ -129,6 +144,10 @@
         if self.exchange and self.exchange.flow and self.exchange.flow.upload:
             self.exchange.flow.upload.pause(paused)
 
+    def data_received(self, data: bytes) -> None:
+        self.pool.heard_at = self.pool.now()
+        super().data_received(data)
+
     def headed(self, message: Message) -> None:
         """An answer of unknown length may be short, and can be asked for again until some of it goes on; it
         is not held for long, as it may be large and slow."""
@@ -180,10 +199,8 @@
         # Answered before it had all been read, or more said than was asked for.
         unsound = self.transport.get_write_buffer_size() > 0 or self._begun or self._lost_framing
         unsound = unsound or (exchange is not None and not exchange.written)
-        if exchange is None or not message.keep_alive or unsound:
-            self.drop()
-        elif not self.dead:
-            self.pool.rest(self)
+        if not self.dead:
+            self.pool.rest(self, exchange is not None and message.keep_alive and not unsound)
         if exchange:
             exchange.end(_answer(message))
 
@@ -201,6 +218,7 @@
         if self._hold:
             self._hold.cancel()
         exchange, self.exchange = self.exchange, None
+        self.lost_word = exchange is not None and not self._begun and not self.wrong
         self.drop()
         if exchange:
             exchange.lost()
@@ -216,157 +234,237 @@
     return Answer(Outcome.ERROR, load=load)  # nothing says that it never ran
 
 
-class Pool:
-    """The connections to one backend."""
+class Server:
+    """The connections to one backend: its pool's decisions, carried out on sockets."""
 
-    __slots__ = ("address", "busy", "dials", "held", "idle", "name", "sockets", "stale", "started", "up")
+    __slots__ = (
+        "_backends", "_dials", "_timer", "address", "heard_at", "held", "name", "pool", "stale", "started",
+        "up",
+    )  # fmt: skip
 
-    def __init__(self, entry: Entry, sockets: Sockets, held: bool) -> None:
-        self.name, self.address, self.sockets = entry.name, entry.address, sockets
+    def __init__(self, entry: Entry, backends: Backends, held: bool) -> None:
+        self.name, self.address, self._backends = entry.name, entry.address, backends
         self.up, self.held, self.started, self.stale = entry.status == "up", held, entry.since_us, False
-        self.idle: list[Link] = []  # the most recently used last
-        self.busy: set[Link] = set()
-        self.dials: set[Exchange] = set()
+        self.pool = Pool(backends.options, backends.idle_for, backends.rng, ready=self.up and not held)
+        self.heard_at = -math.inf  # when anything came from it
+        self._dials: dict[int, asyncio.Task[None]] = {}
+        self._timer: asyncio.TimerHandle | None = None
 
-    @staticmethod
-    def now() -> float:
-        return asyncio.get_running_loop().time()
+    @property
+    def idle(self) -> list[Link]:
+        return self.pool.idle
+
+    @property
+    def busy(self) -> set[Link]:
+        return self.pool.busy
 
     @property
     def ready(self) -> bool:
         return self.up and not self.held
 
-    def rest(self, link: Link) -> None:
-        self.busy.discard(link)
-        if self.ready and link.address == self.address:
-            link.idle_since = asyncio.get_running_loop().time()
-            self.idle.append(link)
+    @staticmethod
+    def now() -> float:
+        return asyncio.get_running_loop().time()
+
+    def ask(self, exchange: Exchange) -> None:
+        patience = exchange.flow.patience if exchange.flow else math.inf
+        self._do(self.pool.ask(self.now(), exchange, patience, Link.stands))
+        if self.pool.waiting and self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(
+                max(0.01, min(1.0, self.pool.next_at() - self.now())), self._waited
+            )
+
+    def _waited(self) -> None:
+        self._timer = None
+        self.tick()
+        if self.pool.waiting:
+            wait = max(0.01, min(1.0, self.pool.next_at() - self.now()))
+            self._timer = asyncio.get_running_loop().call_later(wait, self._waited)
+
+    def tick(self, gap: bool = False) -> None:
+        self._do(self.pool.tick(self.now(), gap))
+
+    def _do(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case HandOut(waiter, link):
+                    link.send(waiter)
+                case Refuse(waiter, failed):
+                    (waiter.lost if failed else waiter.unsent)()
+                case Open(dial):
+                    self._open(dial)
+                case Close(link):
+                    link.drop()
+                case GiveUp(dial):
+                    if task := self._dials.pop(dial, None):
+                        task.cancel()
+
+    # Connections begin.
+
+    def _open(self, dial: int) -> None:
+        sockets = self._backends.sockets
+        if sockets.room_for_server() or self._backends.evict():
+            sockets.opened_to_server()
+            self._dials[dial] = asyncio.get_running_loop().create_task(self._connect(dial))
         else:
-            link.drop()
+            self._do(self.pool.failed(self.now(), dial, True))
 
-    def left(self, link: Link) -> None:
-        self.sockets.closed()
-        self.busy.discard(link)
-        if link in self.idle:
-            self.idle.remove(link)
-
-    def take(self, oldest: float) -> Link | None:
-        """The most recently used connection that surely still stands; those that may be dying are closed."""
-        while self.idle:
-            link = self.idle.pop()
-            if link.idle_since > oldest and link.stands():
-                self.busy.add(link)
-                return link
-            link.drop()
-        return None
+    async def _connect(self, dial: int) -> None:
+        sock: socket.socket | None = None
+        link: Link | None = None
+        loop, refused = asyncio.get_running_loop(), False
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL)
+            async with asyncio.timeout(self._backends.connect_timeout):
+                await loop.sock_connect(sock, self.address)
+                link = made = Link(self, sock)
+                await loop.create_connection(lambda: made, sock=sock)
+        except TimeoutError:
+            link = None
+        except (OSError, ValueError):  # refused, out of descriptors
+            link, refused = None, True
+        finally:
+            wanted = self._dials.pop(dial, None) is not None
+            if link is None or not hasattr(link, "transport"):
+                self._backends.sockets.closed_to_server()
+                if sock:
+                    sock.close()
+                if wanted:
+                    self._do(self.pool.failed(self.now(), dial, refused))
+            elif not wanted:
+                link.drop()
+            else:
+                self._do(self.pool.dialled(self.now(), dial, link))
+
+    def warm(self) -> None:
+        self._do(self.pool.warm(self.now()))
+
+    # Connections rest and end.
 
-    def close_idle(self) -> None:
-        for link in self.idle[:]:
+    def rest(self, link: Link, reusable: bool) -> None:
+        if link in self.busy:
+            self._do(self.pool.freed(self.now(), link, reusable and link.address == self.address))
+        else:  # it spoke though nobody had asked
             link.drop()
 
+    def left(self, link: Link, under_request: bool) -> None:
+        """Its socket is closed, by whichever side."""
+        self._backends.sockets.closed_to_server()
+        self._do(self.pool.lost(self.now(), link, under_request))
+
+    def cancelled(self, exchange: Exchange) -> None:
+        self.pool.cancel(exchange)
+
+    def silent(self, since: float) -> None:
+        """An attempt was given up with no word from this backend since it was written."""
+        if self.heard_at < since and self.now() - since >= self._backends.connect_timeout:
+            self.pool.doubt()
+
     def withdraw(self) -> None:
         """Attempts that wait for a connection have not been written, and will not be."""
-        self.close_idle()
-        for exchange in list(self.dials):
-            if exchange.dial:
-                exchange.dial.cancel()
-            exchange.lost()
+        self._do(self.pool.withdraw(self.ready))
+
+    def figures(self) -> dict[str, Any]:
+        """For operators."""
+        pool, counts = self.pool, self.pool.counts
+        return {
+            "name": self.name, "open": pool.open(), "idle": len(pool.idle), "busy": len(pool.busy),
+            "waiting": len(pool.waiting), "dialling": len(pool.dials), "dials": counts.dials,
+            "dials_failed": counts.failed, "asked": counts.asked,
+            "reuse": round(counts.reused / max(1, counts.asked), 3), "stale_caught": counts.caught,
+            "stale_missed": counts.missed, "refused": counts.refused, "bound": pool.bound(),
+            "why": pool.why().value, "expected": round(pool.expected(self.now()), 1),
+        }  # fmt: skip
 
 
 class Backends:
-    def __init__(self, sockets: Sockets, conn_idle_us: int, connect_timeout_us: int) -> None:
-        self._sockets = sockets
+    def __init__(
+        self, sockets: Sockets, conn_idle_us: int, connect_timeout_us: int, options: Options | None = None,
+        fleet_size: int = 1,
+    ) -> None:  # fmt: skip
+        self.sockets, self.options, self.rng = sockets, options or Options(), random.Random()
+        self._pools: dict[int, Server] = {}
+        self._fleet = fleet_size
         self.tune(conn_idle_us, connect_timeout_us)
-        self._pools: dict[int, Pool] = {}
         self._held: set[int] = set()  # out for maintenance, apart from what is listed
         self._loop = asyncio.get_running_loop()
         self._sweep: asyncio.TimerHandle | None = None
-        sockets.on_crowded(self._evict)
+        self._ticked = (self._loop.time(), time.time())
+        sockets.on_crowded(self.evict)
         self._tick()
 
-    def tune(self, conn_idle_us: int, connect_timeout_us: int) -> None:
-        self._idle, self._connect_timeout = conn_idle_us / 1e6 * IDLE_PART, connect_timeout_us / 1e6
+    def tune(
+        self, conn_idle_us: int, connect_timeout_us: int, options: Options | None = None, fleet_size: int = 0
+    ) -> None:
+        """Other figures from now on, for what is open as well."""
+        self.idle_for, self.connect_timeout = conn_idle_us / 1e6 * IDLE_PART, connect_timeout_us / 1e6
+        self.options, self._fleet = options or self.options, fleet_size or self._fleet
+        for server in self._pools.values():
+            server.pool.options, server.pool.idle_for = self.options, self.idle_for
+        self._size()
+        for server in list(self._pools.values()):
+            server.tick()
+
+    def _size(self) -> None:
+        """The backends' part of the descriptors, shared out over the backends that are in use."""
+        used = sum(1 for s in self._pools.values() if s.pool.open())
+        for server in self._pools.values():
+            server.pool.top = self.sockets.most_servers / max(1, used)
 
     def stop(self) -> None:
         if self._sweep:
             self._sweep.cancel()
-        for pool in self._pools.values():
-            pool.withdraw()
-            for link in list(pool.busy):
+        for server in self._pools.values():
+            server.up = False
+            server.withdraw()
+            for link in list(server.busy):
                 link.drop()
 
     # The list.
 
     def know(self, entry: Entry, backend: int) -> None:
-        pool = self._pools.get(backend)
-        if pool is None:
+        server = self._pools.get(backend)
+        if server is None:
             if entry.status != "removed":
-                self._pools[backend] = Pool(entry, self._sockets, backend in self._held)
+                self._pools[backend] = Server(entry, self, backend in self._held)
             return
-        pool.up = entry.status == "up"
+        server.up = entry.status == "up"
+        server.pool.ready = server.ready
         if entry.status != "removed":  # a new start or address: what was connected leads to the one before
-            pool.stale = pool.address != entry.address or pool.started != entry.since_us
-            pool.address, pool.started = entry.address, entry.since_us
+            server.stale = server.address != entry.address or server.started != entry.since_us
+            server.address, server.started = entry.address, entry.since_us
 
     def settle(self, gone: Iterable[int]) -> None:
         for backend in gone:
-            if pool := self._pools.pop(backend, None):
-                pool.up = False
-                pool.withdraw()
-        for pool in self._pools.values():
-            if pool.stale or not pool.ready:
-                pool.stale = False
-                pool.withdraw()
+            if server := self._pools.pop(backend, None):
+                server.up = False
+                server.withdraw()
+        for server in list(self._pools.values()):
+            if server.stale or not server.ready:
+                server.stale = False
+                server.withdraw()
 
     def hold(self, backend: int, out: bool) -> None:
         (self._held.add if out else self._held.discard)(backend)
-        if pool := self._pools.get(backend):
-            pool.held = out
+        if server := self._pools.get(backend):
+            server.held = out
+            server.pool.ready = server.ready
             if out:
-                pool.withdraw()
+                server.withdraw()
 
     # Attempts.
 
     def send(self, backend: int, data: bytes, ended: Ended, flow: Flow | None = None) -> Exchange:
-        exchange, pool = Exchange(data, ended, flow), self._pools.get(backend)
-        if pool is None or not pool.ready:
+        server = self._pools.get(backend)
+        exchange = Exchange(data, ended, flow, server)
+        if server is None or not server.ready:
             exchange.lost()
-        elif link := pool.take(self._loop.time() - self._idle):
-            link.send(exchange)
-        elif self._sockets.room():
-            self._sockets.open += 1
-            pool.dials.add(exchange)
-            exchange.dial = self._loop.create_task(self._connect(pool, exchange))
         else:
-            exchange.lost()
+            server.ask(exchange)
         return exchange
 
-    async def _connect(self, pool: Pool, exchange: Exchange) -> None:
-        sock: socket.socket | None = None
-        link: Link | None = None
-        try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL)
-            async with asyncio.timeout(self._connect_timeout):
-                await self._loop.sock_connect(sock, pool.address)
-                link = Link(pool, sock)
-                await self._loop.create_connection(lambda: link, sock=sock)
-        except (OSError, ValueError):  # refused, timed out, out of descriptors
-            exchange.lost()
-        finally:
-            pool.dials.discard(exchange)
-            exchange.dial = None
-            if link is None or not hasattr(link, "transport"):
-                self._sockets.closed()
-                if sock:
-                    sock.close()
-            elif exchange.over:
-                link.drop()
-            else:
-                pool.busy.add(link)
-                link.send(exchange)
-
     def probe(self, backend: int, ended: Ended) -> None:
         exchange = self.send(backend, b"GET /metrics/load HTTP/1.1\r\nHost: app.svc\r\n\r\n", ended)
 
@@ -378,24 +476,35 @@
         self._loop.call_later(PROBE_TIMEOUT, give_up)
 
     def close_idle(self, backend: int) -> None:
-        if pool := self._pools.get(backend):
-            pool.close_idle()
+        if server := self._pools.get(backend):
+            for link in list(server.idle):
+                link.drop()
+
+    def figures(self) -> list[dict[str, Any]]:
+        """For operators: every backend that is known, with what its pool does and why."""
+        return [server.figures() for server in self._pools.values()]
 
     # Idle connections.
 
-    def _evict(self) -> bool:
-        for pool in self._pools.values():
-            if pool.idle:
-                pool.idle[0].drop()
+    def evict(self) -> bool:
+        for server in self._pools.values():
+            if server.idle:
+                server.idle[0].drop()
                 return True
         return False
 
     def _tick(self) -> None:
-        oldest = self._loop.time() - self._idle
-        for pool in self._pools.values():
-            while pool.idle and pool.idle[0].idle_since <= oldest:
-                pool.idle[0].drop()
-            for link in [link for link in pool.busy if link.stalled(self._loop.time() - STALLED)]:
-                log.warning("backend %s: silent in the middle of an answer", pool.name)
+        now, wall = self._loop.time(), time.time()
+        gap = max(now - self._ticked[0], abs(wall - self._ticked[1])) > SWEEP + GAP
+        if gap:
+            log.info("stood still for %.0f s: idle connections are not trusted", now - self._ticked[0])
+        self._ticked = (now, wall)
+        self._size()
+        for server in list(self._pools.values()):
+            server.tick(gap)
+            for link in [link for link in server.busy if link.stalled(now - STALLED)]:
+                log.warning("backend %s: silent in the middle of an answer", server.name)
                 link._gone()
+            if self.options.warm and self.rng.random() < WARM_RATE * SWEEP / self._fleet:
+                server.warm()
         self._sweep = self._loop.call_later(SWEEP, self._tick)
--- a/ironledge/net/config.py
+++ b/ironledge/net/config.py
@@ -11,6 +11,7 @@
 from ironledge import interface as it
 from ironledge.brain import check
 from ironledge.net.discovery import HOLD, SHRINK, Directory, Listing
+from ironledge.net.pool import Options
 from ironledge.wire import WireError, settings_from_json
 
 Address = tuple[str, int]
@@ -26,6 +27,7 @@
     listen: Address
     discovery: Address
     directory: Directory | None
+    pool: Options
     counter: Address | None
     ops: Address | None
     seed: int
@@ -64,6 +66,30 @@
     return Directory(found, float(numbers["shrink"]), float(numbers["hold_s"]))
 
 
+POOL = {  # key of `pool`: field, least, most, whole
+    "age_s": ("age", 1, 86_400, False), "requests": ("requests", 1, 10**9, True),
+    "queue": ("queue", 0, 4096, True), "warm": ("warm", 0, 64, True),
+    "server_share": ("server_share", 0.05, 0.6, False),
+}  # fmt: skip
+
+
+def _pool(raw: Any) -> Options:
+    """Connections to the backends; what is not said keeps its default."""
+    if not isinstance(raw, dict):
+        raise ConfigError("pool: not an object")
+    if unknown := sorted(raw.keys() - POOL.keys()):
+        raise ConfigError(f"pool.{unknown[0]}: not known here")
+    found: dict[str, Any] = {}
+    for key, value in raw.items():
+        field, least, most, whole = POOL[key]
+        sound = isinstance(value, int if whole else int | float) and not isinstance(value, bool)
+        if not sound or not least <= value <= most:
+            kind = "a whole number" if whole else "a number"
+            raise ConfigError(f"pool.{key}: {value!r} is not {kind} from {least} to {most}")
+        found[field] = value
+    return Options(**found)
+
+
 def _lacks(before: Any, now: Any, where: str) -> str:
     """The first key that settings had and have no longer: a cut-off file may be sound JSON, and a default in
     a missing key's place would be a rule that nobody set. Named things may come and go."""
@@ -106,6 +132,7 @@
             listen=_address(env.get("EDGE_LISTEN") or top["listen"], "listen"),
             discovery=_address(env.get("EDGE_DISCOVERY") or top["discovery"], "discovery"),
             directory=_directory(top.get("directory")),
+            pool=_pool(top.get("pool", {})),
             counter=_address(top["counter"], "counter") if top.get("counter") else None,
             ops=_address(ops, "ops") if ops else None,
             seed=int(str(top["seed"]), 16),
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Sequence
@@ -68,6 +69,7 @@
     upload: Upload | None
     opened: Callable[[Answer], bool]  # a large answer begins; False if nobody wants it any longer
     part: Callable[[bytes], None]
+    patience: float = math.inf  # s that the attempt has in all
 
 
 class Servers(Protocol):
@@ -414,7 +416,9 @@
             attempt.timer = self._loop.call_later(wait / 1e6, self._timed_out, request, attempt)
         wanted = request.wanted
         data = b"%bRequest-Timeout: %dm\r\n\r\n%b" % (wanted.head, max(1, wait // 1000), wanted.body)
-        flow = Flow(upload, lambda answer: self._opened(request, attempt, answer), request.client.more)
+        flow = Flow(
+            upload, lambda answer: self._opened(request, attempt, answer), request.client.more, wait / 1e6
+        )
         attempt.exchange = self.servers.send(
             backend, data, lambda answer: self._ended(request, attempt, answer), flow
         )
--- a/ironledge/net/ops.py
+++ b/ironledge/net/ops.py
@@ -20,7 +20,8 @@
 PATIENCE = 2.0  # s for a call to come whole
 MAX_ID = 256
 CALLS = {
-    "/status": b"GET", "/discovery": b"GET", "/maintenance/enter": b"POST", "/maintenance/exit": b"POST",
+    "/status": b"GET", "/discovery": b"GET", "/pools": b"GET",
+    "/maintenance/enter": b"POST", "/maintenance/exit": b"POST",
 }  # fmt: skip
 
 log = logging.getLogger(__name__)
@@ -67,9 +68,10 @@
         maintenance: Maintenance,
         serving: Callable[[], bool],
         discovery: Callable[[], dict[str, Any]] = dict,
+        pools: Callable[[], list[dict[str, Any]]] = list,
     ) -> None:
         self._engine, self._maintenance, self._serving = engine, maintenance, serving
-        self._discovery = discovery
+        self._discovery, self._pools = discovery, pools
         self.callers: dict[Caller, None] = {}  # the longest waiting first
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -104,6 +106,8 @@
             caller.answer(200 if yes else 503, "serving" if yes else "not serving")
         elif path == "/discovery":
             caller.answer(200, json.dumps(self._discovery()))
+        elif path == "/pools":
+            caller.answer(200, json.dumps(self._pools()))
         elif len(names) != 1 or len(names[0]) > MAX_ID:
             caller.answer(400, "who=ID is missing")
         elif not self._engine.knows(names[0]):
