--- a/ironledge/net/ops.py
+++ b/ironledge/net/ops.py
@@ -105,9 +105,9 @@
         wanted = CALLS.get(path)
         names = parse_qs(query).get("who", [])
         if wanted is None:
-            caller.answer(404, "no such call")
+            caller.refuse(404, "no such call")
         elif message.method != wanted:
-            caller.answer(405, f"only {wanted.decode()} is known here")
+            caller.refuse(405, f"only {wanted.decode()} is known here")
         elif path == "/status":
             yes = self._serving()
             caller.answer(200 if yes else 503, "serving" if yes else "not serving")
@@ -115,13 +115,13 @@
             if self.metrics:
                 caller.answer(200, self.metrics().decode())
             else:
-                caller.answer(404, "metrics are off")
+                caller.refuse(404, "metrics are off")
         elif path in self._shown:
             caller.answer(200, json.dumps(self._shown[path]()))
         elif len(names) != 1 or len(names[0]) > MAX_ID:
-            caller.answer(400, "who=ID is missing")
+            caller.refuse(400, "who=ID is missing")
         elif not self._engine.knows(names[0]):
-            caller.answer(404, "no such profile server")
+            caller.refuse(404, "no such profile server")
         else:
             out = path == "/maintenance/enter"
             task = asyncio.get_running_loop().create_task(self._change(caller, names[0], out))
@@ -133,7 +133,7 @@
             await self._maintenance.change(name, out)
         except OSError as error:
             log.warning("maintenance: %s stays as it was: %s", name, error)
-            caller.answer(500, "could not be kept; nothing has changed")
+            caller.refuse(500, "could not be kept; nothing has changed")
             return
         caller.answer(200, "out" if out else "back")
 
@@ -170,7 +170,10 @@
     def garbage(self, status: int) -> None:
         if not self._heard:
             self._heard = True
-            self.answer(status, "not understood")
+            self.refuse(status, "not understood")
+
+    def refuse(self, status: int, reason: str) -> None:
+        self.answer(status, json.dumps({"error": reason}))
 
     def answer(self, status: int, text: str) -> None:
         if not self.transport.is_closing():
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -341,6 +341,7 @@
     assert [r["ok"] for r in rows] == [True, False]
     assert front("ops", "maintenance", "enter", "one", ops).returncode == 0
     assert front("ops", "maintenance", "enter", "nobody", ops).returncode == 1
+    assert json.loads(standing.ask("/fly", port=standing.ops)[2]) == {"error": "no such call"}
     pools = json.loads(front("ops", "pools", ops, "--json").stdout)[0]["answer"]
     assert {p["name"] for p in pools} == {"one", "two"} and sum(p["asked"] for p in pools) >= 14
     assert (
