Load OpenSSL only where a hash is asked for, and say what a live run cannot do

A live run that would need zones cut off at the list service, or more descriptors than allowed, is refused before anything starts.

--- a/ironledge/__main__.py
+++ b/ironledge/__main__.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import gc
-import hashlib
 import json
 import logging
 import os
@@ -119,6 +118,8 @@
         return listener.accepting() and engine.can_serve()
 
     def running() -> dict[str, Any]:
+        import hashlib  # for this call alone: it loads OpenSSL
+
         text = json.dumps(config.raw, sort_keys=True)
         return {"hash": hashlib.sha256(text.encode()).hexdigest()[:16], "settings": config.raw}
 
--- a/ironledge/lab/live/host.py
+++ b/ironledge/lab/live/host.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import os
+import resource
 import shutil
 import signal
 import socket
@@ -131,7 +132,23 @@
             await self._end()
         return self.record
 
+    def _check(self) -> None:
+        """What a live run cannot do is said before anything starts."""
+        gateways, servers = len(self.day.gateway_zones), len(self.day.servers)
+        if self._lists() and any(t.kind == "zone_cut" for t in self.day.scenario.trouble):
+            raise LiveError(
+                "with the list service all gateways share addresses: zones cannot be cut off live"
+            )
+        most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+        # Each address is held and listened at; each server may have a connection or two of each gateway.
+        needed = 4 * gateways * servers + 200
+        if most != resource.RLIM_INFINITY and needed > most:
+            raise LiveError(
+                f"{gateways} x {servers} needs some {needed} descriptors live, {most} are allowed"
+            )
+
     async def _start(self) -> None:
+        self._check()
         spec = self._spec()
         self.standins = Worker("standins", spec, self._heard)
         said = await self._ready(self.standins)
@@ -160,9 +177,19 @@
     def _spec(self, number: int = 0) -> Spec:
         text = (self.folder / "scenario.toml").read_text()
         return Spec(
-            text, self.day.scenario.name, self.day.seed, 0, 0, str(self.folder), len(self.day.gateway_zones),
-            number, self.options.loaders, not self._lists(), self.options.rate, self.length_s,
-        )  # fmt: skip
+            text,
+            self.day.scenario.name,
+            self.day.seed,
+            0,
+            0,
+            str(self.folder),
+            len(self.day.gateway_zones),
+            number,
+            self.options.loaders,
+            not self._lists(),
+            self.options.rate,
+            self.length_s,
+        )
 
     async def _ready(self, worker: Worker) -> dict[str, Any]:
         try:
@@ -180,14 +207,16 @@
         ]
         limits = self.day.scenario.limits
         config: dict[str, Any] = {
-            "name": f"n{gateway.index}", "listen": f"{HOST}:{gateway.port}", "ops": f"{HOST}:{gateway.ops}",
+            "name": f"n{gateway.index}",
+            "listen": f"{HOST}:{gateway.port}",
+            "ops": f"{HOST}:{gateway.ops}",
             "discovery": f"{HOST}:{self.agents[gateway.index]}",
             "counter": f"{HOST}:{self.counters[gateway.index]}",
             "seed": f"{self.day.seed * 1000 + gateway.index:016x}",
             "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
             "known": {"index": len(self.day.servers), "snapshot": True, "endpoints": endpoints},
             "settings": self.day.raw_settings(gateway.index, self._changed),
-        }  # fmt: skip
+        }
         if self._lists():
             reads = f"{HOST}:{self.list_ports[0]}"
             config |= {"discovery": reads, "directory": {"addresses": [reads]}}
@@ -245,9 +274,11 @@
             await asyncio.sleep(0.02)
         for number, endpoint in enumerate(self.known[: len(self.day.servers)]):
             self._leases[number] = {
-                "address": endpoint["address"], "zone": endpoint["zone"], "type": endpoint["type"],
+                "address": endpoint["address"],
+                "zone": endpoint["zone"],
+                "type": endpoint["type"],
                 "lease_ms": LEASE_MS,
-            }  # fmt: skip
+            }
             await self._register(number)
         self._task(self._renew())
 
@@ -524,9 +555,12 @@
         if others > OTHERS:
             self.void.append(f"other programs used {others:.1f} cores meanwhile")
         self.record.figures |= {
-            "late_ms": late, "other_cores": others, "void": self.void, "span_s": span,
+            "late_ms": late,
+            "other_cores": others,
+            "void": self.void,
+            "span_s": span,
             "latency_ms": {str(p): latency.get_value_at_percentile(p) / 1000 for p in (50, 90, 99, 99.9)},
-        }  # fmt: skip
+        }
 
     @property
     def _cpu_of_ended(self) -> list[float]:
--- a/ironledge/lab/live/worker.py
+++ b/ironledge/lab/live/worker.py
@@ -7,6 +7,7 @@
 import ctypes
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -147,4 +148,7 @@
 
 
 def spec_from_argv() -> Spec:
+    """What this worker is told; all the descriptors that are allowed are its own from here on."""
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
     return msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=Spec)
--- a/ironledge/net/http.py
+++ b/ironledge/net/http.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from http import HTTPStatus
 from typing import Any, cast
 
 import httptools
@@ -31,7 +30,9 @@
 
 
 def reason(status: int) -> bytes:
-    if status not in REASONS:
+    if status not in REASONS:  # only where answers are relayed; the table of all costs every start
+        from http import HTTPStatus
+
         REASONS[status] = HTTPStatus(status).phrase.encode() if status in set(HTTPStatus) else b"Other"
     return REASONS[status]
 
--- a/ironledge/net/requests.py
+++ b/ironledge/net/requests.py
@@ -8,10 +8,9 @@
 
 import math
 import re
-import secrets
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from hashlib import blake2b
+from os import urandom
 from urllib.parse import parse_qs
 
 from ironledge import interface as it
@@ -122,6 +121,13 @@
     def reader(self) -> Reader:
         return self._read
 
+    @staticmethod
+    def number(who: bytes) -> int:
+        """A customer's number, alike at every ingress."""
+        from hashlib import blake2b  # loads OpenSSL: the platform's start, which has no use for it, would pay
+
+        return int.from_bytes(blake2b(who, digest_size=8).digest()) % MAX_CUSTOMER
+
     def _read(
         self, message: Message, names: Names, classes: Sequence[it.RequestClass], began: int
     ) -> Wanted:
@@ -148,8 +154,8 @@
         if not NUMBER.fullmatch(units) or not 0 < float(units) < math.inf:
             raise BadRequest(400, "the units are no number over 0")
         id = message.headers.get(b"request-id", b"")
-        id = id if ID.fullmatch(id) else secrets.token_hex(8).encode()
-        customer = int.from_bytes(blake2b(who, digest_size=8).digest()) % MAX_CUSTOMER
+        id = id if ID.fullmatch(id) else urandom(8).hex().encode()
+        customer = self.number(who)
         spread = max(1, names.gateways)
         return Wanted(
             id, cls, plan, customer, float(units), spread, 0, timeout, began, False, self._head(message, id),
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -375,6 +376,18 @@
     assert (tmp_path / "out/report.html").exists() and ran.returncode == (1 if verdict["void"] else 0)
 
 
+def test_what_cannot_be_done_live_is_said_before_anything_starts(tmp_path: Path) -> None:
+    lists = '[discovery]\nuse = "list-service"\n'
+    for text, wanted in (
+        (SHORT + lists, "zones cannot be cut off"),
+        (SHORT.replace("= 4", "= 256").replace("servers = 6", "servers = 256"), "descriptors"),
+    ):
+        (tmp_path / "short.toml").write_text(text)
+        more = {"preexec_fn": lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (4096, 4096))}
+        ran = lab("run", str(tmp_path / "short.toml"), "--live", "--out", str(tmp_path / "out"), **more)
+        assert ran.returncode == 1 and wanted in ran.stderr, ran.stderr
+
+
 @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGINT])
 def test_no_process_of_a_live_run_outlives_the_tool(tmp_path: Path, number: signal.Signals) -> None:
     ran, end = started(tmp_path, 60), time.monotonic() + 60
