Count a dial once that comes up as its time ends, and no eviction as a stale link

Read again: a dial whose connection came up in the very step its time-out fired was counted down twice (its own end and the time-out's), and idle links closed to make room counted as stale ones caught.

--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -322,7 +322,7 @@
     async def _connect(self, dial: int) -> None:
         sock: socket.socket | None = None
         link: Link | None = None
-        loop, refused = asyncio.get_running_loop(), False
+        loop, up, refused = asyncio.get_running_loop(), False, False
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -331,26 +331,30 @@
                 await loop.sock_connect(sock, self.address)
                 link = made = Link(self, sock)
                 await loop.create_connection(lambda: made, sock=sock)
+                up = True
         except TimeoutError:
-            link = None
+            pass
         except (OSError, ValueError):  # refused, out of descriptors
-            link, refused = None, True
+            refused = True
         finally:
             wanted = self._dials.pop(dial, None) is not None
             if link is None or not hasattr(link, "transport"):
                 self._backends.sockets.closed_to_server()
                 if sock:
                     sock.close()
-                if wanted:
-                    self._do(self.pool.failed(self.now(), dial, refused))
-            elif not wanted:
+            elif not (up and wanted):  # it came up just as its time was over: its end is counted once
                 link.drop()
-            else:
+            if up and wanted and link:
                 self._do(self.pool.dialled(self.now(), dial, link))
+            elif wanted:
+                self._do(self.pool.failed(self.now(), dial, refused))
 
     def warm(self) -> None:
         self._do(self.pool.warm(self.now()))
 
+    def close_idle(self, count: int) -> None:
+        self._do(self.pool.close_idle(count))
+
     # Connections rest and end.
 
     def rest(self, link: Link, reusable: bool) -> None:
@@ -488,8 +492,7 @@
 
     def close_idle(self, backend: int) -> None:
         if server := self._pools.get(backend):
-            for link in list(server.idle):
-                link.drop()
+            server.close_idle(len(server.idle))
 
     def figures(self) -> list[dict[str, Any]]:
         """For operators: every backend that is known, with what its pool does and why."""
@@ -500,7 +503,7 @@
     def evict(self) -> bool:
         for server in self._pools.values():
             if server.idle:
-                server.idle[0].drop()
+                server.close_idle(1)
                 return True
         return False
 
--- a/ironledge/net/pool.py
+++ b/ironledge/net/pool.py
@@ -343,6 +343,14 @@
             self._forget(self.idle.pop(0), actions)
         return actions
 
+    def close_idle(self, count: int) -> list[Action]:
+        """Room is needed elsewhere, or they are not wanted: the least recently used go."""
+        actions: list[Action] = []
+        for link in self.idle[:count]:
+            self._forget(link, actions)
+        del self.idle[:count]
+        return actions
+
     def warm(self, now: float) -> list[Action]:
         """One link ahead of its request, where the traffic of late would use it; requests come first."""
         wanted = min(float(self.options.warm), math.ceil(self.expected(now)), self.bound())
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -5,12 +5,13 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator
+from typing import Any
 
 import pytest
 import pytest_asyncio
 
 from ironledge.interface import Outcome
-from ironledge.net.backends import Backends
+from ironledge.net.backends import Backends, Server
 from ironledge.net.engine import Answer, Flow
 from ironledge.net.sockets import Sockets
 from tests.net_helpers import HOST, OK, PeerServer, answers, entry
@@ -284,3 +285,31 @@
     async with asyncio.timeout(10):
         assert (await done).outcome is Outcome.MOOT
     assert len(fleet.server.peers) == 2 and not any(h.done() for h in held)
+
+
+async def test_a_dial_that_comes_up_as_its_time_ends_is_counted_once(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    loop = asyncio.get_running_loop()
+    made = loop.create_connection
+
+    async def late(*args: Any, **more: Any) -> Any:
+        await made(*args, **more)
+        raise TimeoutError
+
+    monkeypatch.setattr(Server, "now", staticmethod(loop.time))
+    monkeypatch.setattr("ironledge.net.backends.asyncio.get_running_loop", lambda: Late(loop, late))
+    assert await fleet.outcome() is Outcome.CONNECT_FAILED
+    monkeypatch.undo()
+    await fleet.server.until(lambda: len(fleet.server.closed) == len(fleet.server.peers) == 1)
+    assert (fleet.sockets.open, fleet.sockets.servers) == (0, 0)
+
+
+class Late:
+    """The loop, but for one call."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, late: Any) -> None:
+        self._loop, self.create_connection = loop, late
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._loop, name)
--- a/tests/test_net_pool.py
+++ b/tests/test_net_pool.py
@@ -113,6 +113,12 @@
         self.pool.top = top
         self.do(self.pool.tick(self.now))
 
+    @rule(count=st.integers(0, 3))
+    def room_is_needed_elsewhere(self, count: int) -> None:
+        caught = self.pool.counts.caught
+        self.do(self.pool.close_idle(count))
+        assert self.pool.counts.caught == caught  # nothing was wrong with them
+
     @rule()
     def doubted(self) -> None:
         self.pool.doubt()
