Call what is there already: one look-up of scenarios, of configurations, of the checkout

Read again as a whole: the lab's command looked a scenario's file up beside scenario.load, config convert read both forms beside config diff, the live host found the checkout's folder twice beside play.HERE, and the record named an outcome that nothing sets. Nothing of run is touched.

--- a/ironledge/front/__main__.py
+++ b/ironledge/front/__main__.py
@@ -185,10 +185,7 @@
     platform's."""
     import tomli_w
 
-    path = Path(source)
-    text = reading.text_of(path)
-    raw = reading.raw_of(path, text)
-    found = reading.from_platform(raw) if "settings" in raw else reading.read(source, env={}).config
+    found = _either(source)
     if form == "toml":
         click.echo(tomli_w.dumps(written(found)), nl=False)
     else:
--- a/ironledge/lab/__main__.py
+++ b/ironledge/lab/__main__.py
@@ -29,8 +29,7 @@
     texts: dict[str, str] = {}
     errors: list[str] = []
     for name in names or tuple(n for n in scenario.shipped() if n not in ("demo", "fleet-200")):
-        path = scenario.SHIPPED / f"{name}.toml"
-        path = path if path.is_file() else Path(name)
+        path = scenario.path_of(name)
         try:
             made = scenario.load(name)
         except scenario.ScenarioError as error:
--- a/ironledge/lab/live/host.py
+++ b/ironledge/lab/live/host.py
@@ -26,6 +26,7 @@
 from ironledge.lab.draw import SECOND, Day
 from ironledge.lab.live.loader import histogram
 from ironledge.lab.live.worker import Spec, Worker, spawn
+from ironledge.lab.play import HERE
 from ironledge.lab.record import Record
 from ironledge.lab.troubles import Step, plan
 
@@ -226,7 +227,7 @@
         temporary.rename(path)
 
     def _launch(self, gateway: Gateway, **env: str) -> None:
-        checkout = self.options.checkout or Path(__file__).parents[3]
+        checkout = self.options.checkout or HERE
         kept = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_") and k != "PYTHONPATH"}
         kept |= {"EDGE_CONFIG": str(gateway.folder / "config.json"), "TMPDIR": str(gateway.folder)}
         module = "ironledge.lab.live.null" if self.options.null_gateway else "ironledge"
@@ -266,7 +267,7 @@
         )
         with (folder / "log.txt").open("ab") as log:
             command = [sys.executable, "-m", "ironledge.directory", str(path)]
-            self.list_service = spawn(command, cwd=Path(__file__).parents[3], stdout=log, stderr=log)
+            self.list_service = spawn(command, cwd=HERE, stdout=log, stderr=log)
         end = time.monotonic() + READY
         while (await call(writes, "GET", "/status"))[0] != 200:
             if time.monotonic() > end or self.list_service.poll() is not None:
--- a/ironledge/lab/record.py
+++ b/ironledge/lab/record.py
@@ -13,7 +13,7 @@
 NONE, SERVED, REFUSED, FAILED, BROKEN, UNREACHED, GONE = range(7)
 KINDS = ("none", "served", "refused", "failed", "broken", "unreached", "client left")
 # How an attempt ended, as its server saw it.
-OPEN, OK, ERROR, FULL, DOWN, CANCELLED, NOT_REACHED = range(7)
+OPEN, OK, ERROR, FULL, DOWN, CANCELLED = range(6)
 UP, DRAINING, REMOVED = range(3)  # what a gateway was told of a server
 STATUS = ("up", "draining", "removed")
 
--- a/ironledge/lab/scenario.py
+++ b/ironledge/lab/scenario.py
@@ -358,9 +358,14 @@
     return found
 
 
+def path_of(name: str) -> Path:
+    path = SHIPPED / f"{name}.toml"
+    return path if path.is_file() else Path(name)
+
+
 def load(name: str) -> Scenario:
     """A shipped scenario by its name, or a file by its path."""
-    path = SHIPPED / f"{name}.toml" if (SHIPPED / f"{name}.toml").is_file() else Path(name)
+    path = path_of(name)
     try:
         return parse(path.read_text(), str(path.name))
     except OSError as error:
