Let refusals wait for the disk, and tell a follower's age from when it asked

Two writes in one batch: the second, conditional, was refused for the version of the first before that was on disk, so its caller knew of a value that readers did not see yet and that a failing disk would take back. And a follower counted its age from when a line came: a line that had been long on its way, or was still being synced, made a list look fresh that was not (reads 0.03 to 0.07 s older than stated; any time with a slow link).

A refusal is now answered with its batch. A follower asks its leader for its version each second (GET /discovery/version) and is as old as the last question whose answer it holds; from an older leader, which has no such call, as before. Its status has age_s. Followers hear with the first line where writes go.

--- a/ironledge/directory/lines.py
+++ b/ironledge/directory/lines.py
@@ -45,7 +45,7 @@
     return {} if reader.kind == "plain" else {"epoch": state.epoch, "lineage": state.lineage}
 
 
-def whole(state: State, reader: Reader) -> Told:
+def whole(state: State, reader: Reader, writes_at: str = "") -> Told:
     extended = reader.kind != "plain"
     what: dict[str, Any] = {
         "index": state.index, "snapshot": True,
@@ -54,15 +54,16 @@
     if extended:
         what["gone"] = list(state.gone.items())
     if reader.kind == "follow":
-        what["state"] = state.dump()
+        what |= {"state": state.dump(), "writes_at": writes_at}
     return Told(_line(what), state.index, state.epoch, True)
 
 
-def since(state: State, reader: Reader, index: int) -> Told:
-    """What has changed after a version, or the whole list where that cannot be told."""
+def since(state: State, reader: Reader, index: int, writes_at: str = "") -> Told:
+    """What has changed after a version, or the whole list where that cannot be told. A follower hears with it
+    where writes go."""
     another = reader.lineage is not None and reader.lineage != state.lineage
     if another or not state.knows(index, reader.epoch):
-        return whole(state, reader)
+        return whole(state, reader, writes_at)
     extended, marks = reader.kind != "plain", _marks(state, reader)
     servers, removed, back = state.changes(index)
     newer = index < state.index if reader.kind == "follow" else extended and reader.epoch != state.epoch
@@ -77,6 +78,7 @@
         "index": state.index, "snapshot": False, "endpoints": gone + [s.listed(extended) for s in servers]
     } | marks  # fmt: skip
     if reader.kind == "follow":
+        what["writes_at"] = writes_at
         what["record"] = {
             "i": state.index, "e": state.epoch, "set": [asdict(s) for s in servers],
             "gone": [(n, state.gone[n]) for n in removed + back],
--- a/ironledge/directory/replica.py
+++ b/ironledge/directory/replica.py
@@ -1,15 +1,22 @@
 """A follower: watches its leader, keeps what it is told as its own list, and can be promoted.
 
-`Following` decides, from lines and `now`; `Replica` is its connection.
+How old its list may be it tells from questions of its own: a line may be long on its way, or wait here for
+the disk, but the version that the leader names when it is asked is, once it is held here, no older than the
+question.
+
+`Following` decides, from lines, answers and `now`; `Replica` is its connections.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
+import math
 import random
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 from typing import Any
 
 import httptools
@@ -21,7 +28,10 @@
 BACK_OFF = (0.1, 2.0)  # s between tries: the first, the longest
 CONNECT_TIMEOUT = 1.0
 ANSWER_TIMEOUT = 2.0
+PULSE = 1.0  # s between questions for the leader's version
+PULSES = 16  # answers whose versions are not held yet; of more the oldest is dropped
 UNHEARD = 10.0  # s of age at the least of a list whose leader was not heard: readers go elsewhere
+MAX_ANSWER = 64 * 1024
 MAX_LINE = 64 * 1024 * 1024
 
 log = logging.getLogger(__name__)
@@ -37,12 +47,26 @@
     writes_at: str = ""
     behind_since: float | None = None
     begun: float = 0.0
+    sure_at: float | None = None  # the list here is at least as new as the leader's at that time
+    asks: bool = True  # the leader answers questions: it is no older program
+    _pulses: deque[tuple[int, float]] = field(default_factory=deque)  # versions named, and sure of when
+
+    def named(self, held: State, index: int, epoch: int, lineage: str, sure_at: float) -> None:
+        """The leader's answer: that version is as new as `sure_at`, when it was asked less its own age."""
+        if (epoch, lineage) != (held.epoch, held.lineage):
+            return  # the watch brings that list first
+        self._pulses.append((index, sure_at))
+        if len(self._pulses) > PULSES:
+            self._pulses.popleft()
 
-    def age(self, now: float) -> float:
-        """s since the list here was last the leader's; of what an earlier process kept, it is a guess."""
-        if self.heard_at is None:
-            return UNHEARD + now - self.begun
-        return self.leader_age + now - self.heard_at
+    def age(self, held: State, now: float) -> float:
+        """s that the list here may be behind the leader's; of what an earlier process kept, it is a guess."""
+        while self._pulses and self._pulses[0][0] <= held.index:
+            sure_at = self._pulses.popleft()[1]
+            self.sure_at = sure_at if self.sure_at is None else max(self.sure_at, sure_at)
+        if not self.asks and self.heard_at is not None:
+            return self.leader_age + now - self.heard_at
+        return UNHEARD + now - self.begun if self.sure_at is None else now - self.sure_at
 
     def hear(self, held: State, line: Any, now: float) -> State | Record | None:
         """A list to take as a whole, a record to add, or nothing; Broken if it must not be followed."""
@@ -63,6 +87,9 @@
             self.writes_at = str(line.get("writes_at", self.writes_at))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise Broken(f"a line that cannot be read: {error!r}") from None
+        if epoch != held.epoch:  # another leader: what the one before vouched for says nothing of its list
+            self._pulses.clear()
+            self.sure_at, self.begun = None, now
         self.heard_at, self.leader_index = now, index
         return found
 
@@ -75,31 +102,42 @@
         self.service, self.leader = service, leader
         self.following = Following(begun=self._loop.time())
         self._deposes = deposes
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
         if leader:
             service.role, service.promote = "follower", self.promote
-            service.age = lambda: self.following.age(self._loop.time()) if service.role == "follower" else 0.0
+            service.age = self.age
             service.more_status = self.status
 
     def start(self) -> None:
         if self.leader:
-            self._task = self._loop.create_task(self._keep_following(*self.leader))
+            for run in (self._keep_following, self._keep_asking):
+                self._tasks.append(self._loop.create_task(run(*self.leader)))
         elif self._deposes:
-            self._task = self._loop.create_task(self._tell_deposed(self._deposes))
+            self._tasks.append(self._loop.create_task(self._tell_deposed(self._deposes)))
 
     async def stop(self) -> None:
-        if self._task:
-            self._task.cancel()
-            await asyncio.wait([self._task])
+        tasks, self._tasks = self._tasks, []
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
+
+    def age(self) -> float:
+        """s that the list here may be behind the leader's."""
+        if self.service.role != "follower":
+            return 0.0
+        return self.following.age(self.service.state, self._loop.time())
 
     def status(self) -> dict[str, Any]:
         if self.service.role != "follower":
             return {}
         now, following = self._loop.time(), self.following
-        heard = None if following.heard_at is None else round(following.age(now), 1)
+        heard = None if following.heard_at is None else round(now - following.heard_at, 1)
         behind = max(0, following.leader_index - self.service.state.index)
         since = None if following.behind_since is None else round(now - following.behind_since, 1)
-        return {"follows": {"versions_behind": behind, "behind_for_s": since, "heard_s_ago": heard}}
+        age = math.ceil(self.age() * 1000) / 1000
+        told = {"versions_behind": behind, "behind_for_s": since, "heard_s_ago": heard, "age_s": age}
+        return {"follows": told}
 
     async def promote(self) -> None:
         old = self.following.writes_at
@@ -120,7 +158,8 @@
             try:
                 answer = await _ask(host, int(port), call % (old.encode(), len(body), body))
                 if answer.split()[1:2] in ([b"200"], [b"409"]):  # deposed, or of another list or epoch by now
-                    log.info("the leader before, at %s, was told: %s", old, answer.strip().decode("latin-1"))
+                    said = answer.partition(b"\r\n")[0].decode("latin-1")
+                    log.info("the leader before, at %s, was told: %s", old, said)
                     return
             except (OSError, ValueError):  # TimeoutError is one of the first
                 pass
@@ -147,6 +186,21 @@
             await asyncio.sleep(wait * random.uniform(0.5, 1.0))
             wait = min(2 * wait, BACK_OFF[1])
 
+    async def _keep_asking(self, host: str, port: int) -> None:
+        call = f"GET /discovery/version HTTP/1.1\r\nHost: {host}:{port}\r\nConnection: close\r\n\r\n".encode()
+        while True:
+            asked = self._loop.time()
+            with contextlib.suppress(OSError, ValueError, KeyError, TypeError, IndexError):
+                head, _, body = (await _ask(host, port, call)).partition(b"\r\n\r\n")
+                status = head.split()[1]
+                self.following.asks = status != b"404"
+                if status == b"200":
+                    said = json.loads(body)
+                    named = int(said["index"]), int(said["epoch"]), str(said["lineage"])
+                    sure_at = asked - float(said["age_ms"]) / 1000
+                    self.following.named(self.service.state, *named, sure_at)
+            await asyncio.sleep(PULSE * random.uniform(0.5, 1.0))
+
     async def _follow_once(self, host: str, port: int) -> None:
         state = self.service.state
         async with asyncio.timeout(CONNECT_TIMEOUT):
@@ -192,12 +246,15 @@
 
 
 async def _ask(host: str, port: int, call: bytes) -> bytes:
-    """The first line of the answer."""
+    """The whole answer, of one that is asked to close."""
     async with asyncio.timeout(ANSWER_TIMEOUT):
         reader, writer = await asyncio.open_connection(host, port)
         try:
             writer.write(call)
-            return await reader.readline()
+            answer = b""
+            while (data := await reader.read(MAX_ANSWER)) and len(answer) <= MAX_ANSWER:
+                answer += data
+            return answer
         finally:
             writer.close()
 
--- a/ironledge/directory/service.py
+++ b/ironledge/directory/service.py
@@ -6,6 +6,7 @@
 import errno
 import json
 import logging
+import math
 import socket
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -170,7 +171,8 @@
 
     async def _write_batch(self) -> None:
         work, records = self.state.copy(), list[Record]()
-        answers: list[tuple[Call, asyncio.Future[int], int]] = []
+        # A refusal may rest on what is written here: it waits for the disk as a yes does.
+        answers: list[tuple[Call, asyncio.Future[int], int | Refused]] = []
         while self._pending and len(answers) < BATCH:
             call, done = self._pending.popleft()
             if done.done():  # whoever asked has gone, and nothing was begun
@@ -179,7 +181,7 @@
                 self.must_lead()
                 record, version = work.decide(call)
             except Refused as error:
-                done.set_exception(error)
+                answers.append((call, done, error))
                 continue
             if record:
                 work.apply(record)
@@ -193,15 +195,16 @@
                 failed = Refused(503, f"not kept: {error.strerror}")
                 if error.errno in NO_ROOM:
                     failed = Refused(507, "not kept: the disk is full")
-        for call, done, version in answers:
-            if failed is None:
+        for call, done, answer in answers:
+            refused = failed or (answer if isinstance(answer, Refused) else None)
+            if refused is None:
                 self._settle_lease(call)
             if done.done():
                 continue
-            if failed:
-                done.set_exception(failed)
-            else:
-                done.set_result(version)
+            if refused:
+                done.set_exception(refused)
+            elif not isinstance(answer, Refused):
+                done.set_result(answer)
         if records and failed is None:
             self.changed()
 
@@ -323,7 +326,7 @@
         if (found := self._told.get((reader, index))) is None:
             if len(self._told) >= CACHED:
                 self._told.clear()
-            found = self._told[reader, index] = lines.since(self.state, reader, index)
+            found = self._told[reader, index] = lines.since(self.state, reader, index, self.writes_at)
         return found
 
     def changed(self) -> None:
@@ -555,7 +558,7 @@
 
     async def call(self, message: Message) -> dict[str, Any] | None:
         path, _, query = message.target.decode("latin-1").partition("?")
-        if path != "/discovery/hosts":
+        if path not in ("/discovery/hosts", "/discovery/version"):
             raise Refused(404, "no such call")
         if message.method != b"GET":
             raise Refused(405, "only GET is known here")
@@ -563,6 +566,8 @@
         if any(len(values) > 1 for values in asked.values()):
             raise Refused(400, "a parameter given twice")
         given = {name: values[0] for name, values in asked.items()}
+        if path == "/discovery/version":
+            return self._version()
         if given.get("watch", "0") not in ("0", "1"):
             raise Refused(400, "watch: 0 or 1")
         index, reader = _number(given, "from") or 0, Reader(epoch=_number(given, "epoch"))
@@ -591,6 +596,16 @@
         self.transport.resume_reading()  # only its end is of interest
         return None
 
+    def _version(self) -> dict[str, Any]:
+        """What is held here: a list of that version is no older than the call, but for `age_ms` more."""
+        service, state = self.service, self.service.state
+        if not service.serves(Reader(kind="follow")):
+            raise Refused(503, "nothing to tell here", leader=service.leader_at)
+        return {
+            "index": state.index, "epoch": state.epoch, "lineage": state.lineage,
+            "age_ms": math.ceil(service.age() * 1000),
+        }  # fmt: skip
+
     def data_received(self, data: bytes) -> None:
         if self._watch is None:
             super().data_received(data)
--- a/tests/test_directory_lines.py
+++ b/tests/test_directory_lines.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ironledge.directory import lines
+from ironledge.directory import lines, replica
 from ironledge.directory.lines import Reader
 from ironledge.directory.replica import Following
 from ironledge.directory.state import Broken, Call, Record, Refused, State
@@ -149,3 +149,23 @@
             assert following.heard_at is None
         else:
             raise AssertionError(line)
+
+
+def test_a_follower_vouches_for_its_list_from_when_it_asked_and_only_once_it_holds_the_answer() -> None:
+    held, following = State("l", index=4), Following(begun=10.0)
+    assert following.age(held, 11.0) == replica.UNHEARD + 1  # it has asked nothing yet
+    following.named(held, 4, 1, "l", 12.0)
+    assert following.age(held, 12.5) == 0.5
+    following.hear(held, {"index": 4, "epoch": 1, "lineage": "l"}, 13.0)  # a beat, however long on its way
+    assert following.age(held, 13.0) == 1.0
+    following.named(held, 6, 1, "l", 14.0)  # not held yet
+    following.named(held, 9, 2, "l", 14.5)  # of a term that is not held either
+    following.named(held, 4, 1, "other", 14.5)
+    assert following.age(held, 15.0) == 3.0
+    held.index = 6
+    assert following.age(held, 15.0) == 1.0
+    promoted = {"i": 7, "e": 2, "spans": []}
+    following.hear(held, {"index": 7, "epoch": 2, "lineage": "l", "record": promoted}, 16.0)
+    assert following.age(held, 17.0) == replica.UNHEARD + 1  # another leader: nothing is vouched for
+    following.asks = False  # a leader of before this: from when it was heard, as then
+    assert following.age(held, 17.0) == 1.0
--- a/tests/test_directory_service.py
+++ b/tests/test_directory_service.py
@@ -22,9 +22,9 @@
 from ironledge.directory import service as service_module
 from ironledge.directory.leases import Leases
 from ironledge.directory.service import Service
-from ironledge.directory.state import LEAP, Broken, State
+from ironledge.directory.state import LEAP, Broken, Refused, State
 from ironledge.directory.store import Store
-from tests.directory_helpers import HOST, ROOT, Program, Watching, call, names
+from tests.directory_helpers import HOST, ROOT, Program, Watching, call, names, register
 
 
 @pytest_asyncio.fixture
@@ -445,6 +445,37 @@
     service.store.close()
 
 
+async def test_a_refusal_that_rests_on_a_write_waits_for_the_disk_as_the_write_does(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Else whoever is refused knows of a version that nobody can read, and that may never be."""
+    service = Service(Store(tmp_path / "data"), Leases(), (1000, 60_000), 1)
+    service.start()
+    assert await service.write(register("a", 1)) == 1
+    hung, real, broken = threading.Event(), os.fsync, False
+
+    def fsync(descriptor: int) -> None:
+        assert hung.wait(30)
+        if broken:
+            raise OSError(5, "no")
+        real(descriptor)
+
+    monkeypatch.setattr(os, "fsync", fsync)
+    for fails, statuses in ((True, [503, 503]), (False, [200, 409])):
+        broken = fails
+        hung.clear()
+        calls = [register("a", 2), register("a", 9, expected=1)]
+        writes = [asyncio.create_task(service.write(c)) for c in calls]
+        for _ in range(20):
+            await asyncio.sleep(0.001)
+        assert not any(w.done() for w in writes) and service.state.index == 1
+        hung.set()
+        said = await asyncio.gather(*writes, return_exceptions=True)
+        assert [s.status if isinstance(s, Refused) else 200 for s in said] == statuses
+    await service.stop()
+    service.store.close()
+
+
 async def test_a_copy_that_waits_behind_a_promotion_is_dropped(tmp_path: Path) -> None:
     """It could be the whole list of the epoch before."""
     service = Service(Store(tmp_path / "data"), Leases(), (1000, 60_000), 1)
