Build the fault lab: relays, wrapped programs, schedules, callers and a judge

Each later part has to be shown by several processes with faults between them. ironledge/lab/faults runs the list service, ingresses, servers and counter as processes; each directed pair meets through a relay whose delay, rate, cuts, resets, refusals and datagram faults change while it runs; the program runs as it is inside a wrapper that owns its routes, clocks and disk. Schedules are TOML, shipped by name or drawn by a seed.

--- a/ironledge/lab/__main__.py
+++ b/ironledge/lab/__main__.py
@@ -19,6 +19,7 @@
 from rich.progress import Progress as Bar
 
 from ironledge.lab import experiment, scenario
+from ironledge.lab.faults.cli import faults
 from ironledge.lab.play import Run, Variant, VariantError
 
 BAD, FAILED, STOPPED = 2, 1, 130
@@ -72,6 +73,9 @@
     """An emulator of the platform, its load, its judge and its experiments."""
 
 
+main.add_command(faults)
+
+
 @main.command()
 def scenarios() -> None:
     """The scenarios that are shipped."""
--- /dev/null
+++ b/ironledge/lab/faults/cli.py
@@ -0,0 +1,198 @@
+"""`faults`: what the lab's command line has of the fault lab.
+
+Exit status: 0 nothing broken, 1 something broken or undecided, 2 bad input (nothing was started), 130 Ctrl-C.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import shutil
+import signal
+import sys
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+from rich.console import Console
+from rich.status import Status
+
+from ironledge.lab.faults import schedule as schedules
+from ironledge.lab.faults.judge import PROPERTIES
+from ironledge.lab.faults.plants import PLANTS
+from ironledge.lab.scenario import ScenarioError, parameters
+
+T = TypeVar("T")
+OUT = Path("lab-out/faults")
+plant_option = click.option("--plant", type=click.Choice(sorted(PLANTS)), help="a known defect to put in")
+
+
+@click.group()
+def faults() -> None:
+    """Several real processes, faults between them, and a judge of what they did together."""
+
+
+def _until_done(what: Coroutine[Any, Any, T]) -> T:
+    """Ctrl-C and SIGTERM cancel it, so that all it started is ended."""
+
+    async def run() -> T:
+        task = asyncio.current_task()
+        assert task
+        for number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await what
+
+    try:
+        return asyncio.run(run())
+    except asyncio.CancelledError:
+        raise click.Abort from None
+
+
+@faults.command("list")
+def list_() -> None:
+    """The schedules that are shipped."""
+    for name in schedules.shipped():
+        click.echo(f"{name:20} {schedules.load(name).title}")
+    click.echo(f"{'random[:INTENSITY]':20} drawn by the seed; INTENSITY faults each 2 s (1)")
+
+
+@faults.command("parameters")
+def parameters_() -> None:
+    """Every key of a schedule, its default and its unit."""
+    for key, default, text in parameters(schedules.Schedule):
+        click.echo(f"{key:24} {default:12} {text}")
+
+
+@faults.command()
+@click.argument("files", nargs=-1, required=True)
+def check(files: tuple[str, ...]) -> None:
+    """Checks schedules, by name or path, and says all that is wrong with them."""
+    errors: list[str] = []
+    for name in files:
+        try:
+            schedules.load(name)
+        except ScenarioError as error:
+            errors += error.errors
+    if errors:
+        raise ScenarioError(errors)
+
+
+@faults.command()
+@click.argument("name")
+@click.option("--seed", default=1, show_default=True, help="of the load, and of a random schedule")
+@click.option("--json", "as_json", is_flag=True, help="the verdict as JSON on standard output")
+@click.option("--out", type=click.Path(path_type=Path), help=f"the run's folder; {OUT}/NAME-SEED")
+@plant_option
+def run(name: str, seed: int, as_json: bool, out: Path | None, plant: str | None) -> None:
+    """Plays a schedule once, by name or path, and judges what was seen."""
+    from ironledge.lab.faults import host, many
+
+    chosen = schedules.load(name, seed)
+    if plant:
+        chosen.plant = plant
+    folder = out or OUT / f"{chosen.name}-{seed}"
+    result = _until_done(host.play(chosen, seed, folder))
+    if as_json:
+        click.echo(many.as_json(result, folder))
+    else:
+        from ironledge.lab.faults.picture import page
+
+        for happened in result.happened:
+            click.echo(f"{happened.begin:6.2f} to {happened.end:6.2f} s  {happened.what}")
+        for finding in result.verdict.findings:
+            click.echo(f"\n{finding.property}: {finding.text}")
+            for event in finding.events:
+                click.echo(f"    {event}")
+        calls = ", ".join(f"{count} {what}" for what, count in result.verdict.calls.items())
+        click.echo(f"\n{calls}")
+        for property, said in result.verdict.properties.items():
+            click.echo(f"{property:14} {said}")
+        click.echo(f"report: {page(result, folder)}")
+    sys.exit(0 if result.verdict.passed else 1)
+
+
+@faults.command()
+@click.argument("name", default="random")
+@click.option("--minutes", default=5.0, show_default=True, type=click.FloatRange(min=0, min_open=True))
+@click.option("--seeds", default=0, help="at most so many; 0: as many as there is time for")
+@click.option("--from", "first", default=1, show_default=True, help="the first seed")
+@click.option("--jobs", default=0, help="runs at once; 0: two for each core")
+@click.option("--out", type=click.Path(path_type=Path), default=OUT / "hunt", show_default=True)
+@click.option("--stop-on", type=click.Choice(PROPERTIES), help="end at the first run that breaks it")
+@plant_option
+def hunt(
+    name: str, minutes: float, seeds: int, first: int, jobs: int, out: Path, stop_on: str | None,
+    plant: str | None,
+) -> None:  # fmt: skip
+    """Plays one schedule after another over seeds, on all cores, and keeps the runs that failed."""
+    from ironledge.lab.faults import many
+
+    schedules.load(name, first)
+    numbers = iter(range(first, first + seeds)) if seeds else itertools.count(first)
+    console = Console(stderr=True)
+    with Status("starting", console=console) as status:
+        found = _until_done(
+            many.hunt(
+                name, numbers, minutes, jobs or many.default_jobs(), out, plant or "", stop_on or "",
+                lambda found: status.update(found.told()),
+            )
+        )  # fmt: skip
+    click.echo(found.told())
+    for property, folders in sorted(found.broken.items()):
+        click.echo(f"{property}: {' '.join(str(f) for f in folders)}")
+    for folder in found.failed:
+        click.echo(f"not made: {folder.with_suffix('.log')}")
+    sys.exit(0 if found.runs and found.held == found.runs else 1)
+
+
+@faults.command()
+@click.argument("folder", type=click.Path(path_type=Path, exists=True, file_okay=False))
+@click.option("--times", default=3, show_default=True, help="tries of each smaller schedule")
+@click.option("--bound", default=40, show_default=True, help="schedules that are tried at the most")
+@click.option("--jobs", default=0, help="runs at once; 0: two for each core")
+def shrink(folder: Path, times: int, bound: int, jobs: int) -> None:
+    """Finds a smaller schedule that fails as this run did, and writes it into the run's folder."""
+    from ironledge.lab.faults import many
+
+    result = _result(folder)
+    if not result.verdict.broken:
+        raise click.UsageError(f"{folder}: this run broke nothing")
+    console = Console(stderr=True)
+    with Status("trying", console=console) as status:
+
+        def progress(now: many.Shrunk) -> None:
+            faults = len(now.schedule.fault)
+            status.update(f"{now.tried} tried; {faults} faults, failed {now.failed} of {now.of}")
+
+        found = _until_done(many.shrink(result, folder, jobs or many.default_jobs(), times, bound, progress))
+    shutil.rmtree(folder / "tries", ignore_errors=True)
+    path = folder / "shrunk.toml"
+    many.write_shrunk(found, result, path)
+    click.echo(f"{path}: {len(found.schedule.fault)} of {len(result.schedule.fault)} faults, failed "
+               f"{found.failed} times of {found.of}; {found.tried} schedules were tried")  # fmt: skip
+    sys.exit(0 if found.failed else 1)
+
+
+def _result(folder: Path) -> Any:
+    from ironledge.lab.faults import host
+
+    try:
+        return host.result_of(folder)
+    except (OSError, ValueError) as error:
+        raise click.UsageError(f"{folder}: no run: {error}") from None
+
+
+@faults.command()
+@click.argument("folder", type=click.Path(path_type=Path, exists=True, file_okay=False))
+@click.option("--out", type=click.Path(path_type=Path), help="an .svg or .png file; FOLDER/run.svg")
+def show(folder: Path, out: Path | None) -> None:
+    """Draws a run: processes over time, faults, who acted in which term, calls; and writes its report."""
+    from ironledge.lab.faults.picture import draw, page
+
+    result = _result(folder)
+    path = out or folder / "run.svg"
+    if path.suffix not in (".svg", ".png"):
+        raise click.BadParameter(f"{path}: .svg or .png is wanted")
+    draw(result, folder, path)
+    click.echo(f"{path}\n{page(result, folder)}")
--- /dev/null
+++ b/ironledge/lab/faults/launch.py
@@ -0,0 +1,226 @@
+"""Runs a program of this project with the lab around it: `python -m ironledge.lab.faults.launch SPEC`.
+
+The program itself is as it is. What it asks of the machine goes by what the lab says: where it connects to
+(routes through relays), what the clocks show, and what the disk does. None of it can be set in the program's
+own configuration. A *plant* puts a known defect into the program, so that the judge can be seen to find it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import mmap
+import os
+import runpy
+import signal
+import stat
+import struct
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any, cast
+
+import msgspec
+import uvloop
+
+from ironledge.lab.faults.plants import PLANTS
+
+CONTROL = struct.Struct("<qdqdqq")  # see Control
+FULL, FAILING = 1, 2
+_real_time, _real_monotonic = time.time_ns, time.monotonic_ns
+_real_write, _real_fsync = os.write, os.fsync
+
+
+class Launch(msgspec.Struct):
+    """What the wrapper is told. Addresses are `HOST:PORT` as the program knows them; ports are relays'."""
+
+    module: str
+    argv: list[str]
+    control: str  # file
+    synced: str  # file that tells which bytes of which file a power cut would leave
+    routes: dict[str, int]
+    datagrams: dict[str, int] = {}
+    plant: str = ""
+    skewed: bool = False  # a clock of this process may run fast or slow: then on a loop in Python
+
+
+class Control:
+    """A few words in a file that the lab writes and this process reads, with no call between them."""
+
+    def __init__(self, path: Path, create: bool = False) -> None:
+        if create:
+            path.write_bytes(CONTROL.pack(0, 1.0, 0, 0.0, 0, 0))
+        with path.open("r+b") as file:
+            self._map = mmap.mmap(file.fileno(), CONTROL.size)
+
+    def read(self) -> tuple[int, float, int, float, int, int]:
+        """us that the wall clock is off, rate of both clocks, what the disk does, ms of each sync, and the
+        number of syncs after which the process is killed (0: none) of those counted so far."""
+        return CONTROL.unpack(self._map[:])
+
+    def change(self, **fields: float) -> None:
+        names = ("wall_us", "rate", "disk", "sync_ms", "die_at", "syncs")
+        values = dict(zip(names, self.read(), strict=True)) | fields
+        self._map[:] = CONTROL.pack(*(values[n] for n in names))
+
+    @property
+    def syncs(self) -> int:
+        return self.read()[5]
+
+
+class Clocks:
+    """Wall and monotonic time as the lab wants them; a new rate counts from where the clock is."""
+
+    def __init__(self, control: Control) -> None:
+        self._control, self._rate = control, 1.0
+        self._real = self._shown = _real_monotonic()
+        self._wall = _real_time() - self._real
+
+    def monotonic_ns(self) -> int:
+        real, rate = _real_monotonic(), self._control.read()[1]
+        shown = self._shown + int((real - self._real) * self._rate)
+        if rate != self._rate:
+            self._real, self._shown, self._rate = real, shown, rate
+        return shown
+
+    def time_ns(self) -> int:
+        return self._wall + self.monotonic_ns() + self._control.read()[0] * 1000
+
+    def install(self) -> None:
+        time.monotonic_ns, time.time_ns = self.monotonic_ns, self.time_ns
+        time.monotonic = lambda: self.monotonic_ns() / 1e9
+        time.time = lambda: self.time_ns() / 1e9
+
+
+class Disk:
+    """What a full, slow or failing disk says, and a record of what it has promised to keep."""
+
+    def __init__(self, control: Control, synced: Path) -> None:
+        self._control = control
+        self._log = os.open(synced, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
+        self.unsynced = False  # a plant: syncs are left out
+
+    def write(self, fd: int, data: Any, /) -> int:
+        if self._control.read()[2] == FULL and stat.S_ISREG(os.fstat(fd).st_mode):
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        return _real_write(fd, data)
+
+    def fsync(self, fd: Any, /) -> None:
+        _, _, disk, sync_ms, die_at, syncs = self._control.read()
+        if sync_ms:
+            time.sleep(sync_ms / 1000)
+        if disk == FAILING:
+            raise OSError(errno.EIO, os.strerror(errno.EIO))
+        if not self.unsynced:
+            _real_fsync(fd)
+            found = os.fstat(fd)
+            if stat.S_ISREG(found.st_mode):
+                _real_write(self._log, b"%d %d\n" % (found.st_ino, found.st_size))
+        self._control.change(syncs=syncs + 1)
+        if die_at and syncs + 1 >= die_at:  # it is on disk, and nobody has been told
+            os.kill(os.getpid(), signal.SIGKILL)
+
+    def install(self) -> None:
+        os.write = self.write
+        os.fsync = self.fsync  # type: ignore[assignment]
+
+
+def cut_power(folder: Path, synced: Path) -> int:
+    """What a loss of power leaves of a folder: of each file, what was synced. The bytes that were lost."""
+    kept = {}
+    if synced.exists():
+        for line in synced.read_text().splitlines():
+            inode, synced_size = line.split()
+            kept[int(inode)] = int(synced_size)
+    lost = 0
+    for path in folder.rglob("*"):
+        if path.is_file() and path.name != "lock":
+            found = path.stat()
+            size = min(found.st_size, kept.get(found.st_ino, 0))
+            lost += found.st_size - size
+            os.truncate(path, size)
+    return lost
+
+
+class Routed(asyncio.DatagramProtocol):
+    """A datagram endpoint of the program: it names peers by their own addresses, the wire by relays'."""
+
+    def __init__(self, inner: asyncio.DatagramProtocol, routes: dict[str, int]) -> None:
+        self._inner = inner
+        self._out = {_split(a): port for a, port in routes.items()}
+        self._back = {port: address for address, port in self._out.items()}
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.DatagramTransport, transport)
+        self._inner.connection_made(cast(asyncio.DatagramTransport, self))
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self._inner.datagram_received(data, self._back.get(addr[1], addr))
+
+    def error_received(self, exc: Exception) -> None:
+        self._inner.error_received(exc)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._inner.connection_lost(exc)
+
+    # As a transport.
+
+    def sendto(self, data: Any, addr: Any = None) -> None:
+        port = self._out.get((addr[0], addr[1]))
+        self._transport.sendto(data, (addr[0], port) if port else addr)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._transport, name)
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def loops(told: Launch) -> Callable[[], asyncio.AbstractEventLoop]:
+    """Of loops whose connections go by the routes."""
+    base: Any = asyncio.SelectorEventLoop if told.skewed else uvloop.Loop
+
+    class Loop(base):  # type: ignore[misc]
+        async def create_connection(
+            self, factory: Any, host: Any = None, port: Any = None, **more: Any
+        ) -> Any:
+            port = told.routes.get(f"{host}:{port}", port)
+            return await super().create_connection(factory, host, port, **more)
+
+        async def create_datagram_endpoint(self, factory: Any, *args: Any, **more: Any) -> Any:
+            made = Routed(factory(), told.datagrams)
+            await super().create_datagram_endpoint(lambda: made, *args, **more)
+            return made, made._inner
+
+        if told.skewed:
+
+            def time(self) -> float:
+                return time.monotonic()
+
+    return Loop
+
+
+def main() -> None:
+    told = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=Launch)
+    control, make = Control(Path(told.control)), loops(told)
+    if told.skewed:
+        Clocks(control).install()
+    disk = Disk(control, Path(told.synced))
+    disk.install()
+    if told.plant:
+        PLANTS[told.plant](disk)
+
+    def run(main: Coroutine[Any, Any, Any]) -> Any:
+        with asyncio.Runner(loop_factory=make) as runner:
+            return runner.run(main)
+
+    uvloop.run = cast(Any, run)
+    sys.argv = [told.module, *told.argv]
+    runpy.run_module(told.module, run_name="__main__", alter_sys=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/ironledge/lab/faults/schedule.py
@@ -0,0 +1,257 @@
+"""Schedules of faults: TOML with a checked schema, shipped by name, or drawn by a seed."""
+
+from __future__ import annotations
+
+import difflib
+import random
+import tomllib
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+import tomli_w
+from msgspec import Meta, Struct, UnsetType
+
+from ironledge.front.checked import about, sound
+from ironledge.lab.faults.links import Conditions
+from ironledge.lab.faults.plants import PLANTS
+from ironledge.lab.scenario import NonNegative, Positive, ScenarioError, Share
+
+SHIPPED = Path(__file__).parent / "schedules"
+MOST = 64  # processes of a kind
+
+Kind = Literal[
+    "cut", "flap", "slow", "datagrams", "reset", "refuse", "unanswered",
+    "kill", "stop", "terminate", "starve", "clock", "disk", "upgrade", "promote",
+]  # fmt: skip
+DRAWN: tuple[Kind, ...] = (
+    "cut", "cut", "flap", "slow", "reset", "refuse", "unanswered",
+    "kill", "kill", "stop", "terminate", "starve", "clock", "disk", "upgrade",
+)  # fmt: skip
+ON_LINKS = {"cut", "flap", "slow", "datagrams", "reset", "refuse", "unanswered"}
+Count = Annotated[int, Meta(ge=0, le=MOST)]
+
+
+class Fleet(Struct, forbid_unknown_fields=True):
+    lists: Annotated[Count, about("list services: l0 leads, the others follow it")] = 2
+    ingresses: Annotated[Count, about("ingresses that watch them, i0 and so on")] = 2
+    servers: Annotated[Count, about("stand-ins for profile servers, s0 and so on")] = 3
+    counter: Annotated[bool, about("a stand-in for the counter, c0")] = True
+
+
+class Load(Struct, forbid_unknown_fields=True):
+    writers: Annotated[Count, about("callers that write to and read from the leader, one call at a time")] = 4
+    readers: Annotated[Count, about("callers that read from every list service, with the age it states")] = 1
+    clients: Annotated[Count, about("callers of the ingresses")] = 3
+    pause_ms: Annotated[NonNegative, about("ms between a caller's calls, mean")] = 30
+    timeout_ms: Annotated[Positive, about("ms after which a call's outcome is unknown")] = 1000
+
+
+class Fault(Struct, forbid_unknown_fields=True, omit_defaults=True):
+    kind: Kind
+    at_s: Annotated[NonNegative, about("s from the start")]
+    len_s: Annotated[NonNegative, about("s that it lasts; a process is back after that")] = 1.0
+    on: Annotated[list[str], about("processes: names, or lists, ingresses, servers, all")] = msgspec.field(
+        default_factory=list
+    )
+    from_: Annotated[list[str], about("links: the one end")] = msgspec.field(
+        name="from", default_factory=list
+    )
+    to: Annotated[list[str], about("links: the other end; empty: all that are not in `from`")] = (
+        msgspec.field(default_factory=list)
+    )
+    both: Annotated[bool, about("both directions, or only what is sent by `from`")] = True
+    delay_ms: Annotated[NonNegative, about("slow: ms added to the direction")] = 0.0
+    jitter_ms: Annotated[NonNegative, about("slow: ms added beside, exponential, mean")] = 0.0
+    rate: Annotated[NonNegative, about("slow: bytes a second; 0: no bound")] = 0.0
+    loss: Annotated[Share, about("datagrams: share that is lost")] = 0.0
+    duplicate: Annotated[Share, about("datagrams: share that comes twice")] = 0.0
+    reorder: Annotated[Share, about("datagrams: share held back up to 50 ms")] = 0.0
+    truncate: Annotated[Share, about("datagrams: share that is cut short")] = 0.0
+    flip: Annotated[Share, about("datagrams: share with one bit changed")] = 0.0
+    every_s: Annotated[Positive, about("flap, starve: s of a turn, half of it bad")] = 0.6
+    folder: Annotated[
+        Literal["same", "empty", "old"], about("kill, terminate: what it finds when it is back")
+    ] = "same"
+    power: Annotated[bool, about("kill: what was not synced is lost, as with the power")] = False
+    in_write: Annotated[
+        bool, about("kill: after its next sync, before it says so; else once len_s is over")
+    ] = False
+    for_good: Annotated[bool, about("kill: it does not come back")] = False
+    jump_s: Annotated[float, about("clock: s that the wall clock jumps, forwards or back")] = 0.0
+    clock_rate: Annotated[Positive, about("clock: speed of both its clocks")] = 1.0
+    disk: Annotated[Literal["full", "failing", "slow"], about("disk: what it does")] = "full"
+    sync_ms: Annotated[NonNegative, about("disk slow: ms added to each sync")] = 300.0
+
+    def conditions(self) -> Conditions:
+        """Of each link that it lies on."""
+        if self.kind in ("cut", "flap"):
+            return Conditions(cut=True)
+        return Conditions(
+            self.delay_ms, self.jitter_ms, self.rate, False,
+            self.loss, self.duplicate, self.reorder, self.truncate, self.flip,
+        )  # fmt: skip
+
+
+class Schedule(Struct, forbid_unknown_fields=True):
+    name: str
+    title: str = ""
+    length_s: Annotated[Positive, about("s of faults and load")] = 8.0
+    settle_s: Annotated[Positive, about("s within which all agree after the last fault")] = 10.0
+    plant: Annotated[str, about("a known defect that is put into the program; empty: none")] = ""
+    fleet: Fleet = msgspec.field(default_factory=Fleet)
+    load: Load = msgspec.field(default_factory=Load)
+    fault: list[Fault] = msgspec.field(default_factory=list)
+
+    def processes(self) -> list[str]:
+        fleet = self.fleet
+        kinds = (("l", fleet.lists), ("i", fleet.ingresses), ("s", fleet.servers), ("c", int(fleet.counter)))
+        return [f"{kind}{n}" for kind, count in kinds for n in range(count)]
+
+    def callers(self) -> list[str]:
+        load = self.load
+        kinds = (("w", load.writers), ("r", load.readers), ("q", load.clients))
+        return [f"{kind}{n}" for kind, count in kinds for n in range(count)]
+
+    def chosen(self, names: list[str]) -> list[str]:
+        """Processes and callers by name or group, in the order of the fleet; unknown ones are left out."""
+        every = [*self.processes(), *self.callers()]
+        groups = {"lists": "l", "ingresses": "i", "servers": "s", "counter": "c", "callers": "wrq"}
+        found = set(names)
+        for name in names:
+            found |= {p for p in every if name == "all" or p[0] in groups.get(name, "")}
+        return [p for p in every if p in found]
+
+    def pairs(self, fault: Fault) -> list[tuple[str, str]]:
+        """The directions that a fault on links lies on."""
+        ends = self.chosen(fault.from_)
+        others = self.chosen(fault.to) if fault.to else [p for p in self.processes() if p not in ends]
+        found = [(a, b) for a in ends for b in others if a != b]
+        return found + [(b, a) for a, b in found if (b, a) not in found] if fault.both else found
+
+
+GROUPS = {"lists", "ingresses", "servers", "counter", "callers", "all"}
+
+
+def crossed(s: Schedule) -> Iterator[str]:
+    """What no single key shows."""
+    known = {*s.processes(), *s.callers(), *GROUPS}
+    if s.plant and s.plant not in PLANTS:
+        yield f"plant: {s.plant!r} is not known; {', '.join(PLANTS)} are"
+    if s.fleet.ingresses and not s.fleet.lists:
+        yield "fleet.lists: 0 leaves the ingresses nothing to watch"
+    for number, fault in enumerate(s.fault):
+        where, links = f"fault[{number}]", fault.kind in ON_LINKS
+        if fault.at_s + fault.len_s > s.length_s:
+            yield f"{where}.len_s: ends at {fault.at_s + fault.len_s:g} s, after the run's {s.length_s:g} s"
+        wanted, other = ("from", "on") if links else ("on", "from")
+        given = {"from": fault.from_, "on": fault.on}
+        if not given[wanted]:
+            yield f"{where}.{wanted}: is missing for {fault.kind}"
+        if given[other]:
+            yield f"{where}.{other}: not for {fault.kind}; {wanted} is"
+        for key, names in (("on", fault.on), ("from", fault.from_), ("to", fault.to)):
+            for name in sorted(set(names) - known):
+                near = difflib.get_close_matches(name, sorted(known), 1)
+                yield f"{where}.{key}: {name!r} is not there" + (f"; {near[0]!r} is meant?" if near else "")
+        if fault.kind == "slow" and not (fault.delay_ms or fault.jitter_ms or fault.rate):
+            yield f"{where}: slow by nothing: delay_ms, jitter_ms or rate is wanted"
+        if fault.kind == "clock" and not fault.jump_s and fault.clock_rate == 1:
+            yield f"{where}: clock as it is: jump_s or clock_rate is wanted"
+        for name in s.chosen(fault.on):
+            if (
+                fault.kind in ("upgrade", "promote")
+                and name[0] != {"upgrade": "i", "promote": "l"}[fault.kind]
+            ):
+                yield f"{where}.on: {name} cannot {fault.kind}"
+            elif name[0] in "wrq":
+                yield f"{where}.on: {name} is a caller of the lab, no process"
+            elif name[0] in "sc" and fault.kind in ("clock", "disk"):
+                yield f"{where}.on: {name} is a stand-in: no {fault.kind} of its own"
+
+
+def parse(text: str, where: str) -> Schedule:
+    """Raises ScenarioError with every error at once."""
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ScenarioError([f"{where}: {error}"]) from None
+    errors: list[str] = []
+    found: Schedule | UnsetType = sound(raw, Schedule, "", errors)
+    if isinstance(found, Schedule):
+        errors += crossed(found)
+    if errors or not isinstance(found, Schedule):
+        raise ScenarioError([f"{where}: {e}" for e in errors])
+    return found
+
+
+def text_of(schedule: Schedule) -> str:
+    return tomli_w.dumps(msgspec.to_builtins(schedule))
+
+
+def shipped() -> list[str]:
+    return sorted(path.stem for path in SHIPPED.glob("*.toml"))
+
+
+def load(name: str, seed: int = 1) -> Schedule:
+    """A shipped schedule by its name, `random` or `random:INTENSITY` drawn by the seed, or a file."""
+    word, _, intensity = name.partition(":")
+    if word == "random":
+        try:
+            return drawn(seed, float(intensity or 1))
+        except ValueError:
+            raise ScenarioError([f"{name}: the intensity is a number over 0"]) from None
+    path = SHIPPED / f"{name}.toml" if name in shipped() else Path(name)
+    try:
+        return parse(path.read_text(), path.name)
+    except OSError as error:
+        near = difflib.get_close_matches(name, [*shipped(), "random"], 1)
+        hint = f"; {near[0]!r} is meant?" if near else ""
+        raise ScenarioError([f"{name}: {error.strerror or error}{hint}"]) from None
+
+
+def drawn(seed: int, intensity: float = 1.0, base: Schedule | None = None) -> Schedule:
+    """Faults drawn by a seed: `intensity` of them each 2 s, on average, over 8 s; of one intensity, the same
+    seed gives the same schedule. A promotion, where one is drawn, is the operator's who follows the page: the
+    leader is cut off or stopped at that moment."""
+    if not intensity > 0:
+        raise ValueError("intensity")
+    rng, made = random.Random(f"faults {seed} {intensity:g}"), base or Schedule("random")
+    made = msgspec.structs.replace(made, name=f"random-{seed}", title=f"drawn by seed {seed}", fault=[])
+    if base is None:
+        made.fleet = Fleet(lists=rng.choice((1, 2, 3)), ingresses=2, servers=3)
+    lists, ingresses = (made.chosen([group]) for group in ("lists", "ingresses"))
+    own = lists + ingresses
+    span = made.length_s
+    count = max(1, round(intensity * span / 2 + rng.uniform(-1, 1)))
+    for _ in range(count):
+        at = round(rng.uniform(0.5, span - 1.5), 2)
+        lasts = round(min(rng.expovariate(1 / 1.2) + 0.2, span - at - 0.2), 2)
+        kind = rng.choice(DRAWN)
+        fault = Fault(kind, at, lasts)
+        if kind in ON_LINKS:
+            every = made.processes()
+            fault.from_ = sorted(rng.sample(every, rng.randint(1, max(1, len(every) // 2))))
+            fault.both = rng.random() < 0.7
+            if rng.random() < 0.4:
+                fault.to = [rng.choice([p for p in every if p not in fault.from_])]
+        else:
+            fault.on = [rng.choice(ingresses if kind == "upgrade" else own)]
+        match kind:
+            case "slow":
+                fault.delay_ms, fault.jitter_ms = round(rng.uniform(5, 400)), round(rng.uniform(0, 100))
+                fault.rate = rng.choice((0.0, 2000.0, 50_000.0))
+            case "kill":
+                fault.power, fault.in_write = rng.random() < 0.5, rng.random() < 0.3
+                if fault.on[0] in lists[1:] and rng.random() < 0.3:
+                    fault.folder = rng.choice(("empty", "old"))
+            case "clock":
+                fault.jump_s = round(rng.choice((-1, 1)) * rng.expovariate(1 / 600), 1)
+                fault.clock_rate = round(rng.choice((1.0, rng.uniform(0.7, 1.4))), 3)
+            case "disk":
+                fault.disk = rng.choice(("full", "failing", "slow"))
+                fault.on = [rng.choice(lists)]
+        made.fault.append(fault)
+    made.fault.sort(key=lambda f: f.at_s)
+    return made
--- a/ironledge/lab/live/worker.py
+++ b/ironledge/lab/live/worker.py
@@ -63,20 +63,16 @@
         return (time.monotonic_ns() - self.began_ns) // 1000
 
 
-class Worker:
-    """The tool's end of a worker."""
-
-    def __init__(self, module: str, spec: Spec, heard: Callable[[dict[str, Any]], None]) -> None:
-        self._heard, self.name = heard, f"{module}-{spec.number}"
-        folder = Path(spec.folder)
-        path = folder / f"{self.name}.json"
-        path.write_bytes(msgspec.json.encode(spec))
-        self._log: IO[bytes] = (folder / f"{self.name}.log").open("wb")
+class Piped:
+    """The tool's end of a process that is told and heard by lines."""
+
+    def __init__(
+        self, name: str, command: list[str], folder: Path, heard: Callable[[dict[str, Any]], None]
+    ) -> None:
+        self._heard, self.name = heard, name
+        self._log: IO[bytes] = (folder / f"{name}.log").open("wb")
         self.process = spawn(
-            [sys.executable, "-m", f"ironledge.lab.live.{module}", str(path)],
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-            stderr=self._log,
+            [sys.executable, "-m", *command], stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=self._log
         )
         self.ready: asyncio.Future[dict[str, Any]] = asyncio.get_running_loop().create_future()
         self._reader = asyncio.get_running_loop().create_task(self._read())
@@ -126,6 +122,16 @@
                     pipe.close()
 
 
+class Worker(Piped):
+    """A worker of a live run."""
+
+    def __init__(self, module: str, spec: Spec, heard: Callable[[dict[str, Any]], None]) -> None:
+        name, folder = f"{module}-{spec.number}", Path(spec.folder)
+        path = folder / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(spec))
+        super().__init__(name, [f"ironledge.lab.live.{module}", str(path)], folder, heard)
+
+
 def say(**what: Any) -> None:
     """To the tool."""
     sys.stdout.write(json.dumps(what) + "\n")
