--- a/ironledge/directory/store.py
+++ b/ironledge/directory/store.py
@@ -21,6 +21,7 @@
 from zlib import crc32
 
 from ironledge.directory.state import Broken, Record, State, record_from, state_from
+from ironledge.durable import replace_file, sync_folder, write_all
 
 MARK = b"\xc5\xd1"  # never within a payload, which is ASCII: where a frame begins can be found again
 HEAD = struct.Struct(">2sII")
@@ -48,38 +49,6 @@
     return payload if sound and crc32(payload, crc32(struct.pack(">I", length))) == sum else None
 
 
-def _write_all(descriptor: int, data: bytes) -> None:
-    view = memoryview(data)
-    while view:
-        view = view[os.write(descriptor, view) :]
-
-
-def _sync_folder(folder: Path) -> None:
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
-
-
-def replace_file(path: Path, data: bytes) -> None:
-    """In place of what is there, in one step, and durably; on failure what is there stays."""
-    made = path.with_suffix(path.suffix + ".new")
-    try:
-        descriptor = os.open(made, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
-        try:
-            _write_all(descriptor, data)
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-        os.replace(made, path)
-        _sync_folder(path.parent)
-    except OSError:
-        with contextlib.suppress(OSError):
-            made.unlink()
-        raise
-
-
 class Store:
     """One data folder, open in one process. All calls are made from one thread at a time, and may block."""
 
@@ -134,7 +103,7 @@
             os.ftruncate(self._descriptor, end)
         os.lseek(self._descriptor, end, os.SEEK_SET)
         os.fsync(self._descriptor)
-        _sync_folder(self._folder)
+        sync_folder(self._folder)
         self.log_size = end
         return state
 
@@ -201,7 +170,7 @@
         if not self._sure:
             self.compact(self.state)
         try:
-            _write_all(self._descriptor, frame)
+            write_all(self._descriptor, frame)
             os.fsync(self._descriptor)
         except OSError:
             # What a failed sync leaves on disk is unknown: the next write begins with a new log.
--- a/ironledge/lab/faults/calls.py
+++ b/ironledge/lab/faults/calls.py
@@ -5,9 +5,9 @@
 import asyncio
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 from ironledge.lab.faults.history import CONFLICT, OK, REFUSED, UNKNOWN, Call, Writer
 from ironledge.lab.live.ports import HOST
@@ -61,6 +61,13 @@
     return round((weight - 1) / STEP)
 
 
+class Reached(Protocol):
+    """A process by its own addresses."""
+
+    name: str
+    ports: dict[str, int]
+
+
 @dataclass(slots=True)
 class Place:
     """What callers know of a process: its ports by their names, as one caller reaches them."""
@@ -259,3 +266,26 @@
         if status == 200 and said != b"done " + id.encode():
             desk.open[number].value = 1  # somebody else's answer
         desk.end(number, {200: OK, 429: REFUSED, 503: REFUSED}.get(status, UNKNOWN))
+
+
+class Viewer:
+    """Asks members, past all relays, for their view and what they say of themselves."""
+
+    def __init__(self, name: str, desk: Desk, members: Sequence[Reached], rng: random.Random) -> None:
+        self.name, self.desk, self.members, self.rng = name, desk, members, rng
+
+    async def run(self) -> None:
+        while True:
+            for member in self.members:
+                await asyncio.sleep(self.rng.expovariate(1 / self.desk.pause))
+                began = self.desk.now()
+                try:
+                    _, said = await ask(member.ports["ops"], "GET", "/members", timeout=self.desk.timeout)
+                    told = json.loads(said)
+                    view, digest = int(told["view"]), int(told["digest"][:12] or "0", 16)
+                    key, acts = f"{member.name}/{told['pid']}", int(told["acts"])
+                except (NotSent, Lost, ValueError, KeyError, TypeError):
+                    continue
+                now = self.desk.now()
+                call = Call(self.name, member.name, "view", key, began, now, OK, view, digest, acts)
+                self.desk.history.add(call)
--- a/ironledge/lab/faults/host.py
+++ b/ironledge/lab/faults/host.py
@@ -22,6 +22,7 @@
     Lost,
     NotSent,
     Place,
+    Viewer,
     ask,
     value_of,
 )
@@ -125,7 +126,11 @@
         await self.relay.ready
         fronts = [(f"{a}>{b}#{port}", HOST, self.processes.all[b].ports[port])
                   for a, b, port in self.processes.fronts()]  # fmt: skip
-        self.relay.tell(tcp=fronts)
+        datagrams = [
+            (f"{a}>{b}#{port}/udp", HOST, self.processes.all[b].ports[port])
+            for a, b, port in self.processes.datagrams()
+        ]
+        self.relay.tell(tcp=fronts, udp=datagrams)
         await self._heard.wait()
         self.processes.route(self._opened)
         first = [p for p in self.processes.all.values() if p.kind in "lsc"]
@@ -137,7 +142,13 @@
             )
             if status != 200:
                 raise LiveError(f"s{number} was not registered: {said.decode()}")
-        await asyncio.gather(*(self._first_start(p) for p in self.processes.of("i")))
+        others = [*self.processes.of("i"), *self.processes.of("m")]
+        await asyncio.gather(*(self._first_start(p) for p in others))
+        while self._members() and self._apart([(p, await self._told(p)) for p in self.processes.of("m")]):
+            await asyncio.sleep(POLL)
+
+    def _members(self) -> bool:
+        return bool(self.processes.of("m"))
 
     def _registration(self, name: str) -> dict[str, Any]:
         return {"address": self.processes.address(name, "serve"), "lease_ms": LEASE_MS}
@@ -185,9 +196,15 @@
         registers = {p.name: self._registration(p.name) for p in self.processes.of("s")}
         names = {self.processes.address(p.name, "writes"): p.name for p in self.processes.of("l")}
         desk = Desk(history, self.now, load.timeout_ms / 1000, load.pause_ms / 1000, registers, names)
-        callers: list[Any] = []
+        callers: list[Any] = [
+            Viewer(name, desk, self.processes.of("m"), random.Random(f"caller {self.seed} {name}"))
+            for name in schedule.callers()
+            if name[0] == "v" and self._members()
+        ]
         for name in schedule.callers():
             rng = random.Random(f"caller {self.seed} {name}")
+            if name[0] == "v":
+                continue
             make = {"w": ListWriter, "r": ListReader, "q": Client}[name[0]]
             places = [self._place(name, p) for p in self.processes.of("i" if make is Client else "l")]
             if places and registers:
@@ -404,12 +421,14 @@
         begin, tended = self._s(), False
         since = max(begin, self._last_fault)
         while True:
-            alive = [p for p in self.processes.all.values() if p.up and p.kind in "li"]
-            if not any(p.kind == "l" for p in alive):
+            alive = [p for p in self.processes.all.values() if p.up and p.kind in "lim"]
+            if not any(p.kind in "lm" for p in alive):
                 self.seen.nobody = True
                 return
             told = await asyncio.gather(*(self._told(p) for p in alive))
-            different = self._compare([(p, t) for p, t in zip(alive, told, strict=True)])
+            everybody = list(zip(alive, told, strict=True))
+            different = self._apart([(p, t) for p, t in everybody if p.kind == "m"])
+            different += self._compare([(p, t) for p, t in everybody if p.kind in "li"])
             if not different:
                 self.seen.agreed_s = round(self._s() - since, 2)
                 return
@@ -423,6 +442,10 @@
     async def _told(self, it: Process) -> dict[str, Any]:
         """What it holds, asked directly; empty if it does not say."""
         try:
+            if it.kind == "m":
+                _, said = await ask(it.ports["ops"], "GET", "/members")
+                found = json.loads(said)
+                return {k: found[k] for k in ("view", "digest", "size", "standing")}
             if it.kind == "i":
                 _, said = await ask(it.ports["ops"], "GET", "/discovery")
                 found = json.loads(said)
@@ -436,6 +459,18 @@
         except (NotSent, Lost, ValueError, KeyError):
             return {}
 
+    def _apart(self, members: list[tuple[Process, dict[str, Any]]]) -> list[str]:
+        """How members differ from one view, of just those that are up."""
+        first = next((t for _, t in members if t), {})
+        different = []
+        for it, told in members:
+            if told.get("digest") != first.get("digest") or told.get("size") != len(members):
+                shown = f"view {told.get('view')} of {told.get('size')}, {told.get('standing')}"
+                different.append(f"{it.name}: {shown}")
+            elif told["standing"] not in ("whole", "majority"):
+                different.append(f"{it.name}: {told['standing']}")
+        return different
+
     def _compare(self, all_told: list[tuple[Process, dict[str, Any]]]) -> list[str]:
         """How they differ; and, where they do not, the registers' values are those at the end."""
         leaders = [(p, t) for p, t in all_told if t.get("role") == "leader"]
@@ -443,6 +478,8 @@
             return [f"{p.name} leads epoch {t['epoch']} from {t['index']}" for p, t in leaders]
         listed = [t for _, t in leaders] or [t for p, t in all_told if p.kind == "l" and t]
         reference = listed[0] if listed else {}
+        if not all_told:
+            return []
         different = [] if reference else ["no list service answers"]
         for it, told in all_told:
             for key in ("lineage", "epoch", "index", *(("held",) if it.kind == "l" else ())):
@@ -451,7 +488,7 @@
                     break
             if told.get("role") == "deposed":
                 different.append(f"{it.name} is deposed")
-        if not different:
+        if not different and reference:
             self.seen.final = reference["held"]
         return different
 
--- a/ironledge/lab/faults/judge.py
+++ b/ironledge/lab/faults/judge.py
@@ -1,6 +1,6 @@
 """Judges a run by what callers and stand-ins saw, and by nothing that a process says of itself.
 
-Seven properties, each `holds`, `broken` (with the few events that show it) or `undecided`, which is no pass:
+Eight properties, each `holds`, `broken` (with the few events that show it) or `undecided`, which is no pass:
 
     linearizable  conditional writes, writes and reads at whoever leads are as if done one at a time
     kept          no write that was answered is lost
@@ -9,6 +9,7 @@
                   all where it was refused
     one-owner     nobody acts in an older term once another has acted in a later one, nor two in one term
     agreement     after the last fault all processes agree within the time stated
+    views         a member's views go forward, and one number stands for one view everywhere
     standing      no process ended but by a fault
 """
 
@@ -24,7 +25,7 @@
 from ironledge.lab.faults.history import FILE, OK, REFUSED, UNKNOWN, Call, by_key, parted, read
 
 HOLDS, BROKEN, UNDECIDED = "holds", "broken", "undecided"
-PROPERTIES = ("linearizable", "kept", "fresh", "once", "one-owner", "agreement", "standing")
+PROPERTIES = ("linearizable", "kept", "fresh", "once", "one-owner", "views", "agreement", "standing")
 EVENTS = 12  # that a finding shows
 MOST = 5  # findings of a property that are told
 NEVER = 1 << 62
@@ -190,14 +191,34 @@
                     court.find("one-owner", str(term), text, shown)
 
 
+class _Views:
+    """Of each number the view that was seen first; of each member's process the last."""
+
+    def __init__(self) -> None:
+        self.first: dict[int, Call] = {}
+        self.last: dict[str, Call] = {}
+
+    def add(self, court: _Court, call: Call) -> None:
+        if call.kind != "view" or not call.value:
+            return
+        first = self.first.setdefault(call.value, call)
+        if first.expected != call.expected:
+            court.find("views", call.key, f"two views have number {call.value}", [first, call])
+        last = self.last.get(call.key)
+        if last is not None and last.end < call.begin and last.value > call.value:
+            court.find("views", call.key, f"{call.at} went back", [last, call])
+        self.last[call.key] = call
+
+
 def judge_calls(
     calls: Sequence[Call], final: Mapping[str, int], effects: Mapping[str, Sequence[str]] | None = None,
     bound: int = linear.BOUND,
 ) -> Verdict:  # fmt: skip
     """A history that is in memory as a whole, without what the host adds."""
-    court, acts = _Court(), _Acts()
+    court, acts, views = _Court(), _Acts(), _Views()
     for call in calls:
         acts.add(call)
+        views.add(court, call)
     _part(court, calls, final, effects or {}, bound)
     acts.judge(court)
     return court.verdict()
@@ -211,7 +232,7 @@
         name = f"{call.kind} {call.outcome}"
         court.counts[name] = court.counts.get(name, 0) + 1
     once(court, calls, effects)
-    for key, own in sorted(by_key(c for c in calls if c.kind not in ("request", "act")).items()):
+    for key, own in sorted(by_key(c for c in calls if c.kind not in ("request", "act", "view")).items()):
         linearizable(court, key, own, bound)
         kept(court, key, own, final.get(key))
         fresh(court, key, own)
@@ -232,12 +253,13 @@
 
 def judge(folder: Path, seen: Seen, bound: int = linear.BOUND) -> Verdict:
     """The history in the folder, part by part, each key as a whole."""
-    court, acts = _Court(), _Acts()
+    court, acts, views = _Court(), _Acts(), _Views()
     with parted(folder / FILE) as paths:
         for path in paths:
             calls = list(read(path))
             for call in calls:
                 acts.add(call)
+                views.add(court, call)
             wanted = {c.key for c in calls if c.kind == "request"}
             _part(court, calls, seen.final, noted(folder, wanted), bound)
     acts.judge(court)
--- a/ironledge/lab/faults/launch.py
+++ b/ironledge/lab/faults/launch.py
@@ -170,8 +170,17 @@
         port = self._out.get((addr[0], addr[1]))
         self._transport.sendto(data, (addr[0], port) if port else addr)
 
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._transport, name)
+    def close(self) -> None:
+        self._transport.close()
+
+    def abort(self) -> None:
+        self._transport.abort()
+
+    def is_closing(self) -> bool:
+        return self._transport.is_closing()
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return self._transport.get_extra_info(name, default)
 
 
 def _split(address: str) -> tuple[str, int]:
--- a/ironledge/lab/faults/processes.py
+++ b/ironledge/lab/faults/processes.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 import msgspec
+import tomli_w
 
 from ironledge.lab.faults.calls import Lost, NotSent, ask
 from ironledge.lab.faults.launch import Control, Launch, cut_power
@@ -29,6 +30,8 @@
 READY = 20.0  # s for a program to be ready
 LOOK = 0.02  # s between looks whether it is
 STOP = 6.0  # s from SIGTERM to SIGKILL
+PERIOD = 0.2  # s between a member's probes: all that it does goes with that
+SEEDS = 3  # members that others join through
 LEASE_MS = 3_600_000  # servers of a run do not renew
 SETTINGS: dict[str, Any] = {
     "me": 0, "fleet_size": 1, "period": 1000, "failure_domains": ["hall"], "flavors": ["big"],
@@ -47,11 +50,14 @@
     "l": ("reads", "writes"),
     "i": ("clients", "ops"),
     "s": ("serve",),
+    "m": ("member", "ops"),
     "c": ("serve",),
 }
+DATAGRAMS = {"m": {"m": ("member",)}}
 DIALS: dict[str, dict[str, tuple[str, ...]]] = {  # who meets whom, and where
     "l": {"l": ("reads", "writes")},
     "i": {"l": ("reads",), "s": ("serve",), "c": ("serve",)},
+    "m": {"m": ("member",)},
     "w": {"l": ("reads", "writes")},
     "r": {"l": ("reads", "writes")},
     "q": {"i": ("clients",)},
@@ -96,6 +102,7 @@
         self.holders: list[socket.socket] = []
         self.all: dict[str, Process] = {}
         self.routes: dict[str, dict[str, int]] = {}
+        self.udp: dict[str, dict[str, int]] = {}
         skewed = {n for f in schedule.fault if f.kind == "clock" for n in schedule.chosen(f.on)}
         for name in schedule.processes():
             ports = {port: self._hold() for port in PORTS[name[0]]}
@@ -103,7 +110,7 @@
             made.data.mkdir(parents=True)
             if name[0] == "l" and name != "l0":
                 made.follow = self.address("l0", "reads")
-            if name[0] in "li":
+            if name[0] in "lim":
                 made.control = Control(made.folder / "control", create=True)
 
     def _hold(self) -> int:
@@ -124,8 +131,17 @@
                 for port in DIALS.get(a[0], {}).get(b[0], ()) if a != b else ():
                     yield a, b, port
 
+    def datagrams(self) -> Iterator[tuple[str, str, str]]:
+        """Who sends whom datagrams, and to which port."""
+        for a, it in self.all.items():
+            for b in self.all:
+                for port in DATAGRAMS.get(it.kind, {}).get(b[0], ()) if a != b else ():
+                    yield a, b, port
+
     def route(self, opened: dict[str, int]) -> None:
         """`opened`: the relays' ports by front."""
+        for a, b, port in self.datagrams():
+            self.udp.setdefault(a, {})[self.address(b, port)] = opened[f"{a}>{b}#{port}/udp"]
         for a, b, port in self.fronts():
             self.routes.setdefault(a, {})[self.address(b, port)] = opened[f"{a}>{b}#{port}"]
 
@@ -143,6 +159,16 @@
                 return self._wrapped(it, "ironledge.directory", config, [str(it.folder / "config.json")])
             case "i":
                 return self._wrapped(it, "ironledge", self._ingress(it), [])
+            case "m":
+                seeds = [self.address(p.name, "member") for p in self.of("m")[:SEEDS] if p is not it]
+                told = {
+                    "name": it.name, "fleet": "lab", "listen": self.address(it.name, "member"),
+                    "folder": str(it.data), "seeds": seeds, "founds": it.name == "m0",
+                    "ops": self.address(it.name, "ops"), "period_s": PERIOD,
+                }  # fmt: skip
+                path = it.folder / "member.toml"
+                path.write_text(tomli_w.dumps(told))
+                return self._wrapped(it, "ironledge.members", {}, [str(path)])
             case "s":
                 return ["ironledge.lab.faults.standins", "server", str(it.ports["serve"]),
                         str(self.folder / f"effects-{it.name}.txt")]  # fmt: skip
@@ -163,7 +189,7 @@
         (it.folder / "config.json").write_text(json.dumps(config))
         spec = Launch(
             module, argv, str(it.folder / "control"), str(it.folder / "synced"),
-            self.routes.get(it.name, {}), {}, self.schedule.plant, it.skewed,
+            self.routes.get(it.name, {}), self.udp.get(it.name, {}), self.schedule.plant, it.skewed,
         )  # fmt: skip
         path = it.folder / "launch.json"
         path.write_bytes(msgspec.json.encode(spec))
@@ -179,13 +205,17 @@
 
     async def ready(self, it: Process, process: subprocess.Popen[bytes]) -> bool:
         """Whether that process of it is; False once it has ended, or in `READY` s."""
-        path, port = {"l": ("/status", "writes"), "i": ("/status", "ops")}.get(it.kind, ("/", "serve"))
+        path, port = {
+            "l": ("/status", "writes"),
+            "i": ("/status", "ops"),
+            "m": ("/members", "ops"),
+        }.get(it.kind, ("/", "serve"))
         loop = asyncio.get_running_loop()
         end = loop.time() + READY
         while process.poll() is None and loop.time() < end:
             with contextlib.suppress(NotSent, Lost):
                 status, _ = await ask(it.ports[port], "GET", path)
-                if status == (200 if it.kind in "li" else 404) or it.kind == "c":
+                if status == (200 if it.kind in "lim" else 404) or it.kind == "c":
                     return True
             if it.kind == "c" and await _listens(it.ports[port]):
                 return True
--- a/ironledge/lab/faults/schedule.py
+++ b/ironledge/lab/faults/schedule.py
@@ -20,6 +20,7 @@
 
 SHIPPED = Path(__file__).parent / "schedules"
 MOST = 64  # processes of a kind
+CALLERS = "wrqv"
 
 Kind = Literal[
     "cut", "flap", "slow", "datagrams", "reset", "refuse", "unanswered",
@@ -37,6 +38,7 @@
     lists: Annotated[Count, about("list services: l0 leads, the others follow it")] = 2
     ingresses: Annotated[Count, about("ingresses that watch them, i0 and so on")] = 2
     servers: Annotated[Count, about("stand-ins for profile servers, s0 and so on")] = 3
+    members: Annotated[Count, about("members of a fleet that know each other, m0 and so on")] = 0
     counter: Annotated[bool, about("a stand-in for the counter, c0")] = True
 
 
@@ -44,6 +46,7 @@
     writers: Annotated[Count, about("callers that write to and read from the leader, one call at a time")] = 4
     readers: Annotated[Count, about("callers that read from every list service, with the age it states")] = 1
     clients: Annotated[Count, about("callers of the ingresses")] = 3
+    viewers: Annotated[Count, about("callers that ask members for their view and standing")] = 1
     pause_ms: Annotated[NonNegative, about("ms between a caller's calls, mean")] = 30
     timeout_ms: Annotated[Positive, about("ms after which a call's outcome is unknown")] = 1000
 
@@ -52,8 +55,8 @@
     kind: Kind
     at_s: Annotated[NonNegative, about("s from the start")]
     len_s: Annotated[NonNegative, about("s that it lasts; a process is back after that")] = 1.0
-    on: Annotated[list[str], about("processes: names, or lists, ingresses, servers, all")] = msgspec.field(
-        default_factory=list
+    on: Annotated[list[str], about("processes: names, or lists, ingresses, servers, members, all")] = (
+        msgspec.field(default_factory=list)
     )
     from_: Annotated[list[str], about("links: the one end")] = msgspec.field(
         name="from", default_factory=list
@@ -106,18 +109,25 @@
 
     def processes(self) -> list[str]:
         fleet = self.fleet
-        kinds = (("l", fleet.lists), ("i", fleet.ingresses), ("s", fleet.servers), ("c", int(fleet.counter)))
+        kinds: tuple[tuple[str, int], ...] = (
+            ("l", fleet.lists),
+            ("i", fleet.ingresses),
+            ("s", fleet.servers),
+            ("m", fleet.members),
+        )
+        kinds += (("c", int(fleet.counter)),)
         return [f"{kind}{n}" for kind, count in kinds for n in range(count)]
 
     def callers(self) -> list[str]:
         load = self.load
-        kinds = (("w", load.writers), ("r", load.readers), ("q", load.clients))
+        kinds = (("w", load.writers), ("r", load.readers), ("q", load.clients), ("v", load.viewers))
         return [f"{kind}{n}" for kind, count in kinds for n in range(count)]
 
     def chosen(self, names: list[str]) -> list[str]:
         """Processes and callers by name or group, in the order of the fleet; unknown ones are left out."""
         every = [*self.processes(), *self.callers()]
-        groups = {"lists": "l", "ingresses": "i", "servers": "s", "counter": "c", "callers": "wrq"}
+        groups = {"lists": "l", "ingresses": "i", "servers": "s", "members": "m", "counter": "c"}
+        groups["callers"] = CALLERS
         found = set(names)
         for name in names:
             found |= {p for p in every if name == "all" or p[0] in groups.get(name, "")}
@@ -131,7 +141,7 @@
         return found + [(b, a) for a, b in found if (b, a) not in found] if fault.both else found
 
 
-GROUPS = {"lists", "ingresses", "servers", "counter", "callers", "all"}
+GROUPS = {"lists", "ingresses", "servers", "members", "counter", "callers", "all"}
 
 
 def crossed(s: Schedule) -> Iterator[str]:
@@ -165,7 +175,7 @@
                 and name[0] != {"upgrade": "i", "promote": "l"}[fault.kind]
             ):
                 yield f"{where}.on: {name} cannot {fault.kind}"
-            elif name[0] in "wrq":
+            elif name[0] in CALLERS:
                 yield f"{where}.on: {name} is a caller of the lab, no process"
             elif name[0] in "sc" and fault.kind in ("clock", "disk"):
                 yield f"{where}.on: {name} is a stand-in: no {fault.kind} of its own"
