--- a/ironledge/lab/faults/host.py
+++ b/ironledge/lab/faults/host.py
@@ -44,6 +44,7 @@
 AGAIN = 0.4  # s between starts of a process that does not come up
 COPIES = 1.0  # s between copies of folders that are to be put back
 LATE = 2.0  # s that the lab's own loop may be late before a run says nothing
+BUSY = 0.8  # share of a core that the relays may use before a run says nothing
 RESULT = "run.json"
 
 
@@ -113,6 +114,8 @@
                 raise LiveError(f"not all processes were ready in {START:.0f} s") from None
             finally:
                 await self._end()
+        if self._relayed.get("cpu_s", 0.0) > BUSY * self._s():
+            self.seen.void.append("the relays were the bottleneck")
         verdict = await asyncio.to_thread(judge, self.folder, self.seen)
         return Result(
             self.schedule, self.seed, verdict, self.happened, self.bars, self.seen, self._s(), self._relayed,
