Ask the counter anew for those who came to wait, and walk through the system in a feature

The first walk with real processes got 429 far below the quota: a lease is sized for the first that waits, and those who came to wait meanwhile were taken for overflow once it was answered. Where the counter keeps the stores, what is left there tells room from overflow; stores begin full at the first start of all.

--- a/ironledge/account.py
+++ b/ironledge/account.py
@@ -159,7 +159,7 @@
     def admit(self, request: Asking, answered: bool = False) -> None:
         """First stage. `answered`: the counter has just been heard, so what the bucket lacks is overflow."""
         account, units, counter = request.account, request.event.units, self.settings.counter
-        plan, tight, late = account.plan, self.tight(account), self.now + 2 * counter.timeout >= request.cut
+        plan, tight, late = account.plan, self.tight(account), self.late(request)
         late = late or not counter.allowed or (not account.asking and self.call_at > self.now)
         known = self.now - account.heard_at < account.window_us
         if 0 < counter.expiry < self.now - account.leased_at:
@@ -180,6 +180,9 @@
             if not account.asking:
                 self.ask(account, request.event.customer)
 
+    def late(self, request: Asking) -> bool:  # no time left for a call
+        return self.now + 2 * self.settings.counter.timeout >= request.cut
+
     def part(self, account: Account) -> float:  # of the store's room that one lease may take ahead
         return self.settings.counter.part or 1 / (2 * account.spread)
 
@@ -214,7 +217,7 @@
             account.level, account.level_at = room - units, self.now
 
     def ask(self, account: Account, customer: int) -> None:  # a lease: what waits, and demand ahead
-        room, units = account.bound(self.now), account.waiting[0].event.units
+        room, units = account.bound(self.now), sum(r.event.units for r in account.waiting)
         need = max(0.0, min(units - account.tokens, room))
         ahead = min(max(account.usual * LEASE_LIFE, units) * self.crowd, (room - need) * self.part(account))
         ahead = 0.0 if self.retired else ahead  # the customer's next requests come to the other process
@@ -277,7 +280,14 @@
         account.tokens += amount - over
         account.rate = min(plan.rate, (amount - over) / LEASE_LIFE)
         for request in waiting:
-            self.admit(request, answered=True)
+            # Where the counter keeps the store, more came to wait than the lease was for: it is no overflow yet.
+            more = event.left is not None and account.bound(self.now) >= request.event.units
+            if more and account.tokens < request.event.units and not self.late(request):
+                account.waiting.append(request)
+            else:
+                self.admit(request, answered=True)
+        if account.waiting:
+            self.ask(account, account.waiting[0].event.customer)
 
     def overflow(self, request: Asking) -> None:  # second stage: retry-after, or a firm refusal
         plan = request.account.plan
--- a/playhouse/boxoffice/till.py
+++ b/playhouse/boxoffice/till.py
@@ -33,8 +33,9 @@
 
 
 class Till:
-    def __init__(self, now: float, bounds: Bounds) -> None:
-        self._began, self._bounds = now, bounds
+    def __init__(self, now: float, bounds: Bounds, ever: bool = True) -> None:
+        """`ever`: somebody may have leased units before, who has paid from stores that nobody knows now."""
+        self._began, self._bounds, self._ever = now, bounds, ever
         self._stores: dict[str, Store] = {}
         self._quotas: dict[str, tuple[float, float]] = {}
 
@@ -50,7 +51,7 @@
             return None
         rate, burst = self._quotas[tenant]
         most = room(rate, burst, self._bounds)
-        store = self._stores.setdefault(tenant, Store(0.0, self._began))
+        store = self._stores.setdefault(tenant, Store(0.0 if self._ever else most, self._began))
         store.level = min(most, store.level + rate * (now - store.at))
         store.at = now
         store.level -= told
--- a/playhouse/company/roll.py
+++ b/playhouse/company/roll.py
@@ -20,6 +20,7 @@
     lease_end: float
     heard_at: float
     script: int  # the version it has told that it serves by
+    current: bool = False  # it had heard all that was told of servers when it last asked
     waiting: bool = False  # its next ask is here, to be answered when there is news
 
 
--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -35,7 +35,7 @@
 BYTES = 4 * 1024 * 1024  # ... or so many bytes of them
 PASS_ON = 2.5  # s for the holder to answer what is passed on to it
 ASK_WAIT = 1.0  # s that the holder may keep an ask for news
-REPORT = 1.0  # s between reports of beats that said nothing new
+REPORT = 0.6  # beats between reports of those that said nothing new
 TURNS = 64  # changes that wait for the one before
 
 
@@ -287,7 +287,7 @@
     async def _reports(self) -> None:
         """Beats that said nothing new are told of together."""
         while True:
-            await asyncio.sleep(REPORT * random.uniform(0.8, 1.2))
+            await asyncio.sleep(REPORT * self.settings.heartbeat * random.uniform(0.8, 1.2))
             beats, self._beats = self._beats, {}
             if beats and self.reach.hint and not self.duty:
                 told_of = pb.Beats(id=list(beats), seq=list(beats.values()))
@@ -372,7 +372,12 @@
                 return told(200, self.state.content) if self.state.gen else wrong(404, "no configuration yet")
             case "show":
                 return told(
-                    200, duty.show(now, self.state) | {"members": [m.door for m in self.machine.members]}
+                    200,
+                    duty.show(now, self.state)
+                    | {
+                        "holder": self.me.door,
+                        "members": [[m.door, m.disk] for m in self.machine.members],
+                    },
                 )
             case "replace" | "update":
                 verb = Verb.REPLACE if found.call == "replace" else Verb.UPDATE
--- a/playhouse/promptbook/machine.py
+++ b/playhouse/promptbook/machine.py
@@ -256,7 +256,9 @@
             elif now >= self._beat_at:
                 self._beat(now, step)
         elif not self.is_member():
-            if now >= self._join_at:  # though it is heard: that may be meant for the disk that was here before
+            if (
+                now >= self._join_at
+            ):  # though it is heard: that may be meant for the disk that was here before
                 self._join_at = now + self.times.join * (1 + self.rng.random())
                 for door in self._others():
                     step.sends.append((door, Join(self.view, self.me)))
--- /dev/null
+++ b/playhouse/rehearsal/world.py
@@ -0,0 +1,298 @@
+"""Starts the system's real processes, does things to them, and judges from what the stand-ins wrote down."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import shutil
+import signal
+import socket
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from subprocess import DEVNULL, Popen
+from typing import Any
+
+from playhouse.rehearsal.standins import Ledger, Server, ask
+
+ROOT = Path(__file__).parent.parent.parent
+ZONES = {"north-a": "north", "north-b": "north", "south-a": "south", "south-b": "south", "south-c": "south"}
+KEY, OTHER_KEY = "key-of-north", "key-of-south"
+PORTS = 16  # of a machine
+
+
+def free_base() -> int:
+    """The first of PORTS ports in a row that nobody uses."""
+    for _ in range(200):
+        base = random.randrange(20_000, 32_000 - PORTS, PORTS)
+        try:
+            for port in range(base, base + PORTS):
+                with socket.socket() as probe:
+                    probe.bind(("127.0.0.1", port))
+            return base
+        except OSError:
+            continue
+    raise OSError("no free ports")
+
+
+@dataclass(slots=True)
+class Machine:
+    name: str
+    ip: str
+    zone: str
+    core: bool
+    process: Popen[bytes] | None = None
+    starts: int = 0
+
+
+@dataclass(slots=True)
+class Heard:
+    """What a client was told of one try; 0: no answer."""
+
+    request: str
+    method: str
+    status: int
+    body: bytes = b""
+
+
+@dataclass
+class World:
+    folder: Path
+    cores: int = 3
+    edges: int = 2
+    servers: int = 2  # of each service
+    services: tuple[str, ...] = ("tiles", "books")
+    ledger: Ledger = field(default_factory=Ledger)
+    heard: list[Heard] = field(default_factory=list)
+    gen: int = 0
+
+    def __post_init__(self) -> None:
+        self.base, block = free_base(), random.randrange(1, 250)
+        names = list(ZONES)
+        self.machines: dict[str, Machine] = {}
+        for number in range(self.cores + self.edges):
+            core = number < self.cores
+            zone = names[(number if core else number - self.cores) % len(names)]
+            name = f"core-{number + 1}" if core else f"edge-{number - self.cores + 1}"
+            self.machines[name] = Machine(name, f"127.{block}.0.{number + 1}", zone, core)
+        self._server_ip, self._server_port = f"127.{block}.1.1", self.base
+        self.up: list[Server] = []
+        self.seeds = [self.door(m, 1) for m in self.machines.values() if m.core][:3]
+
+    # Addresses: ctl, dir, http and readyz follow the ports that processes have among themselves.
+
+    def door(self, machine: Machine, which: int) -> str:
+        return f"{machine.ip}:{self.base + 8 + which}"
+
+    @property
+    def control(self) -> list[str]:
+        return [self.door(m, 1) for m in self.machines.values() if m.core]
+
+    def settings(self, machine: Machine) -> dict[str, Any]:
+        listen = {"ctl": 1, "dir": 2} if machine.core else {"http": 3, "readyz": 4}
+        state = self.folder / machine.name
+        return {
+            "self": {
+                "hostname": machine.name, "role": "core" if machine.core else "stage",
+                "serves": ["ctl", "dir"] if machine.core else ["edge"], "ip": machine.ip,
+                "zone": machine.zone,
+                "region": ZONES[machine.zone], "quorum": machine.core, "bootstrap": machine.starts == 0,
+                "stateDir": str(state) if machine.core else None, "limits": {"memMb": 300, "nofile": 1024},
+            },
+            "network": {
+                "listen": {name: self.door(machine, which) for name, which in listen.items()},
+                "portRange": [self.base, self.base + 7], "peers": self.seeds, "zones": ZONES,
+            },
+            "infra": {"heartbeat": "300ms"},
+            "sla": {
+                "slo": {
+                    "ack": "6000ms", "drain": "3000ms", "grace": "3s", "failClosed": True, "revoke": "5000ms",
+                    "retryRatio": 0.2, "retryWindow": "10s", "retrySlack": 60, "quotaWindow": "5s",
+                    "quotaOverrun": 0.1, "quotaSlack": 20, "warmupOverrun": 1.5, "warmupSlack": 5,
+                }
+            },
+        }  # fmt: skip
+
+    # Processes.
+
+    def start(self, name: str) -> None:
+        machine = self.machines[name]
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(self.settings(machine)))
+        machine.starts += 1
+        env = {"PATH": os.environ.get("PATH", ""), "CAIRNDALE_CONFIG": str(path)}
+        with open(self.folder / f"{name}.log", "ab") as log:
+            machine.process = Popen(
+                [sys.executable, "-m", "playhouse"], cwd=ROOT, env=env, stdin=DEVNULL, stdout=log, stderr=log
+            )
+
+    def tell(self, name: str, number: int) -> None:
+        if process := self.machines[name].process:
+            process.send_signal(number)
+
+    async def kill(self, name: str, number: int = signal.SIGKILL, within: float = 10.0) -> None:
+        """Its end is waited for."""
+        machine = self.machines[name]
+        if machine.process:
+            machine.process.send_signal(number)
+            async with asyncio.timeout(within):
+                while machine.process.poll() is None:
+                    await asyncio.sleep(0.01)
+            machine.process = None
+
+    async def wipe(self, name: str) -> None:
+        await self.kill(name)
+        shutil.rmtree(self.folder / name, ignore_errors=True)
+
+    async def begin(self) -> None:
+        for name in self.machines:
+            self.start(name)
+        for service in self.services:
+            for number in range(self.servers):
+                await self.add_server(service, list(ZONES)[number % len(ZONES)])
+
+    async def add_server(self, service: str, zone: str) -> Server:
+        self._server_port += 1
+        server = Server(service, zone, (self._server_ip, self._server_port), self.ledger, self.control)
+        await server.start()
+        self.up.append(server)
+        return server
+
+    async def end(self) -> None:
+        for server in self.up:
+            server.crash()
+        running = [m for m in self.machines.values() if m.process]
+        for machine in running:
+            assert machine.process
+            machine.process.send_signal(signal.SIGCONT)
+            machine.process.kill()
+        for machine in running:
+            assert machine.process
+            machine.process.wait(10)
+
+    # Operators.
+
+    def content(self, **fields: Any) -> dict[str, Any]:
+        """A configuration: tiles may be repeated, books may not; a key for each of two tenants."""
+        common = {"host": "a.example", "deadline": "4000ms", "target_time": "1000ms", "tries": 2, "prio": 1}
+        return {
+            "routes": [
+                {
+                    "name": "tiles", "pathPrefix": "/tiles/", "kind": "idempotent", "backend": "tiles",
+                    **common,
+                },
+                {"name": "books", "pathPrefix": "/books/", "kind": "mutating", "backend": "books", **common},
+                {
+                    "name": "open", "pathPrefix": "/open/", "kind": "idempotent", "backend": "tiles",
+                    "public": True, **common,
+                },
+            ],
+            "backends": [{"name": s, "healthPath": "/h", "maxConns": 50} for s in self.services],
+            "limits": {"headerTimeout": "3000ms", "idleTimeout": "15000ms"},
+            "tenants": [
+                {"name": "north", "apiKeys": [KEY], "ratePerS": 1000, "burst": 1000},
+                {"name": "south", "apiKeys": [OTHER_KEY], "ratePerS": 5, "burst": 5},
+            ],
+        } | fields  # fmt: skip
+
+    async def order(self, method: str, call: str, raw: Any = None, within: float = 15.0) -> tuple[int, Any]:
+        """As operators do: the next ingress after a failure, again and again for a while."""
+        body = json.dumps(raw).encode() if raw is not None else b""
+        async with asyncio.timeout(within):
+            while True:
+                for door in random.sample(self.control, len(self.control)):
+                    try:
+                        async with asyncio.timeout(2.0):
+                            status, answer = await ask(door, method, f"/-/{call}", body)
+                    except (OSError, ValueError, TimeoutError):
+                        continue
+                    if status < 500:
+                        return status, json.loads(answer)
+                await asyncio.sleep(0.1)
+
+    async def configure(self, **fields: Any) -> tuple[int, Any]:
+        gen = self.gen + random.randint(1, 3)
+        status, told = await self.order(
+            "POST", "Config.Replace", self.content(**fields) | {"gen": gen, "parent": self.gen}
+        )
+        if status == 200:
+            self.gen = gen
+        return status, told
+
+    async def ready(self, edges: int, within: float = 20.0) -> None:
+        """Until so many ingresses say that they are, and clients are sent to all of them."""
+        async with asyncio.timeout(within):
+            while True:
+                count = 0
+                for machine in self.machines.values():
+                    if not machine.core and machine.process:
+                        try:
+                            status, _ = await ask(self.door(machine, 4), "GET", "/-/readyz")
+                        except (OSError, ValueError):
+                            continue
+                        count += status == 200
+                if count >= edges and len(await self.look_up("south")) >= min(1, edges):
+                    return
+                await asyncio.sleep(0.05)
+
+    # Clients.
+
+    async def look_up(self, region: str) -> list[str]:
+        for machine in self.machines.values():
+            if machine.core and machine.process:
+                try:
+                    async with asyncio.timeout(1.0):
+                        door = self.door(machine, 2)
+                        status, body = await ask(
+                            door, "GET", f"/-/lookup?name=a.example&region={region}&zone=x"
+                        )
+                except (OSError, ValueError, TimeoutError):
+                    continue
+                if status == 200:
+                    addrs: list[str] = json.loads(body)["addrs"]
+                    return addrs
+        return []
+
+    async def request(
+        self, method: str, path: str, key: str = KEY, body: bytes = b"", at: str = "", **headers: str
+    ) -> Heard:
+        """One try, at any ingress that clients are told of or at the one named."""
+        doors = [at] if at else await self.look_up(random.choice(["north", "south"]))
+        made = Heard(f"{random.getrandbits(64):016x}", method, 0)
+        fields = {"Host": "a.example", "X-Request-Id": made.request, "X-Deadline-Ms": "3000"}
+        fields |= {"Authorization": f"Token {key}"} if key else {}
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+        if doors:
+            try:
+                async with asyncio.timeout(4.0):
+                    made.status, made.body = await ask(random.choice(doors), method, path, body, fields)
+            except (OSError, ValueError, TimeoutError):
+                pass
+        self.heard.append(made)
+        return made
+
+    def edge(self, name: str) -> str:
+        return self.door(self.machines[name], 3)
+
+    # Judging.
+
+    def verdict(self) -> list[str]:
+        """What was broken, from the servers' ledger and the clients' records alone."""
+        wrong, times = [], self.ledger.times()
+        known = {h.request for h in self.heard}
+        for line in self.ledger.ran:
+            if line.request not in known:
+                wrong.append(f"{line.request}: nobody asked for it")
+            if line.key:
+                wrong.append(f"{line.request}: the key was passed on")
+        for heard in self.heard:
+            ran = times[heard.request]
+            if heard.method != "GET" and ran > 1:
+                wrong.append(f"{heard.request}: ran {ran} times")
+            if heard.method != "GET" and heard.status in (408, 421, 429, 503) and ran:
+                wrong.append(f"{heard.request}: promised not to run, and ran")
+            if heard.status == 200 and not ran:
+                wrong.append(f"{heard.request}: a made-up success")
+        return wrong
--- a/playhouse/stagedoor/doors.py
+++ b/playhouse/stagedoor/doors.py
@@ -50,13 +50,33 @@
             visitor.transport.close()
 
 
-class Visitor(HttpConnection):
+class Whole(HttpConnection):
+    """Takes requests whose bodies are collected, up to a size."""
+
+    _came: list[bytes]
+    _size_come = 0
+
+    def opened(self, message: Message) -> None:
+        self._came, self._size_come = [], 0
+
+    def part(self, message: Message, data: bytes) -> None:
+        self._size_come += len(data)
+        if self._size_come > MOST_BODY:
+            self._lost_framing = True
+            self.garbage(413)
+        else:
+            self._came.append(data)
+
+    def ended(self, message: Message) -> None:
+        message.body, self._came = b"".join(self._came), []
+        self.received(message)
+
+
+class Visitor(Whole):
     def __init__(self, doors: Doors) -> None:
         super().__init__(httptools.HttpRequestParser)
         self._doors, self._busy = doors, False
         self._timer: asyncio.TimerHandle | None = None
-        self._came: list[bytes] = []
-        self._size_come = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -78,21 +98,6 @@
             self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_later(PATIENCE, self.transport.abort)
 
-    def opened(self, message: Message) -> None:
-        self._came, self._size_come = [], 0
-
-    def part(self, message: Message, data: bytes) -> None:
-        self._size_come += len(data)
-        if self._size_come > MOST_BODY:
-            self._lost_framing = True
-            self.garbage(413)
-        else:
-            self._came.append(data)
-
-    def ended(self, message: Message) -> None:
-        message.body, self._came = b"".join(self._came), []
-        self.received(message)
-
     def garbage(self, status: int) -> None:
         if not self.transport.is_closing():
             self._say(status, wrong(status, self.wrong or "not understood")[1], False)
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -41,7 +41,7 @@
     ) -> None:
         """`ever`: somebody may have held the duty before. `board` and `roll` are as they were last heard."""
         self.view, self.began, self._beat = view, now, beat
-        self.board, self.roll, self.till = board, roll, Till(now, bounds)
+        self.board, self.roll, self.till = board, roll, Till(now, bounds, ever)
         self._from_nothing = ever and not board.servers
         self._shared: dict[str, float] = {}  # ingresses of late, and until when they count
         for seen in board.servers.values():
@@ -85,7 +85,9 @@
 
     def asked(self, now: float, ask: pb.Ask) -> bool:
         """True if it is news to others."""
-        return self.roll.ask(now, ask.node, ask.script)
+        news = self.roll.ask(now, ask.node, ask.script)
+        self.roll.held[ask.node.name].current = ask.servers == self.board.number
+        return news
 
     def has_news(self, now: float, ask: pb.Ask, state: State) -> bool:
         if ask.epoch != self.epoch(now) or ask.script != state.version:
@@ -121,7 +123,7 @@
         nodes = [
             {
                 "name": n, "kind": h.node.kind, "zone": h.node.zone, "ready": h.node.ready,
-                "version": h.script,
+                "version": h.script, "current": h.current,
                 "lease_left": round(h.lease_end - now, 1),
             }
             for n, h in sorted(self.roll.held.items())
--- /dev/null
+++ b/tests/features/steps/system.py
@@ -0,0 +1,327 @@
+"""What a person would do and look at, step by step."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from behave import given, then, when
+
+from playhouse.rehearsal.standins import ask, parsed
+from playhouse.rehearsal.world import KEY, OTHER_KEY, World
+
+
+def step(kind: Any, text: str) -> Callable[[Callable[..., Awaitable[None]]], None]:
+    def register(work: Callable[..., Awaitable[None]]) -> None:
+        def run(context: Any, **args: Any) -> None:
+            context.loop.run_until_complete(asyncio.wait_for(work(context, context.world, **args), 60))
+
+        def begin(context: Any, **args: Any) -> None:
+            context.world = None
+            context.loop.run_until_complete(asyncio.wait_for(work(context, None, **args), 60))
+
+        kind(text)(begin if "a system of" in text else run)
+
+    return register
+
+
+async def until(what: Callable[[], Awaitable[bool]], within: float = 20.0) -> None:
+    async with asyncio.timeout(within):
+        while not await what():
+            await asyncio.sleep(0.05)
+
+
+@step(
+    given,
+    "a system of {cores:d} control and {edges:d} data-plane ingresses with "
+    "{servers:d} servers of each service",
+)
+async def _(context: Any, _: Any, cores: int, edges: int, servers: int) -> None:
+    context.world = World(context.folder, cores, edges, servers)
+    await context.world.begin()
+
+
+@step(given, "the first configuration is in force")
+async def _(context: Any, world: World) -> None:
+    status, told = await world.configure()
+    assert status == 200, told
+    await world.ready(2)
+
+
+@step(when, "the first configuration is sent to all control ingresses at once")
+async def _(context: Any, world: World) -> None:
+    context.order = world.content() | {"gen": 4, "parent": 0}
+    body = json.dumps(context.order).encode()
+
+    async def send(door: str) -> int:
+        for _ in range(100):
+            try:
+                status, _ = await ask(door, "POST", "/-/Config.Replace", body)
+                if status < 500:
+                    return status
+            except (OSError, ValueError):
+                pass
+            await asyncio.sleep(0.1)
+        return 0
+
+    context.statuses = await asyncio.gather(*(send(door) for door in world.control))
+    world.gen = 4
+
+
+@step(then, "each that answers acknowledges it, and it is read back as it was sent")
+async def _(context: Any, world: World) -> None:
+    assert context.statuses == [200] * len(world.control), context.statuses
+    status, read = await world.order("GET", "Config.Read")
+    assert status == 200 and read == {k: v for k, v in context.order.items() if k != "parent"}
+
+
+@step(then, "both data-plane ingresses say that they are ready")
+async def _(context: Any, world: World) -> None:
+    await world.ready(2)
+
+
+async def send(context: Any, world: World, safe: int, unsafe: int) -> None:
+    asked = [world.request("GET", f"/tiles/{n}?q=1") for n in range(safe)]
+    asked += [world.request("POST", f"/books/{n}", body=b"b%d" % n) for n in range(unsafe)]
+    random.shuffle(asked)
+    context.came = []
+    for at in range(0, len(asked), 10):  # more at once than servers have room for would be refused
+        context.came += await asyncio.gather(*asked[at : at + 10])
+
+
+@step(when, "clients send {safe:d} requests that may be repeated and {unsafe:d} that may not")
+async def _(context: Any, world: World, safe: int, unsafe: int) -> None:
+    await send(context, world, safe, unsafe)
+
+
+@step(when, "clients send {unsafe:d} requests that may not be repeated")
+async def _(context: Any, world: World, unsafe: int) -> None:
+    await send(context, world, 0, unsafe)
+
+
+def all_served(context: Any, world: World) -> None:
+    statuses = [heard.status for heard in context.came]
+    assert statuses == [200] * len(statuses), statuses
+
+
+@step(then, "every one is served, and ran once")
+async def _(context: Any, world: World) -> None:
+    all_served(context, world)
+    times = world.ledger.times()
+    assert all(times[heard.request] == 1 for heard in context.came)
+
+
+@step(then, "servers saw the tenant of each key, and no key")
+async def _(context: Any, world: World) -> None:
+    assert world.ledger.ran and all(line.tenant == "north" and not line.key for line in world.ledger.ran)
+
+
+@step(when, 'a server of "{service}" says that it is draining and is heard')
+async def _(context: Any, world: World, service: str) -> None:
+    context.drained = next(s for s in world.up if s.service == service)
+    await context.drained.drain()
+    # Told to all within the bound; here as soon as both ingresses have heard, which a reader can see at once.
+    await until(lambda: settled(world))
+
+
+async def settled(world: World) -> bool:
+    """Every ingress has the newest news that the holder knows of."""
+    status, shown = await world.order("GET", "Fleet.Show")
+    nodes = [n for n in shown["nodes"] if n["kind"] == "edge"]
+    return status == 200 and all(n["version"] == shown["version"] and n["current"] for n in nodes)
+
+
+@step(then, "every one is served, and none of these reached the one that drains")
+async def _(context: Any, world: World) -> None:
+    all_served(context, world)
+    mine = {heard.request for heard in context.came}
+    assert not [
+        line for line in world.ledger.ran if line.request in mine and line.server == context.drained.id
+    ]
+
+
+async def holder(world: World) -> str:
+    _, shown = await world.order("GET", "Fleet.Show")
+    return next(n for n, m in world.machines.items() if shown["holder"].startswith(f"{m.ip}:"))
+
+
+@step(when, "the holder of the duty is killed")
+async def _(context: Any, world: World) -> None:
+    context.killed = await holder(world)
+    await world.kill(context.killed)
+
+
+@step(when, "a route is added by an update")
+async def _(context: Any, world: World) -> None:
+    added = world.content()["routes"][0] | {"name": "new", "pathPrefix": "/new/"}
+    order = {"gen": world.gen + 5, "parent": world.gen, "upsert": {"routes": [added]}}
+    context.answer = await world.order("POST", "Config.Update", order, within=20.0)
+    world.gen += 5
+
+
+@step(then, "it is acknowledged and served at both data-plane ingresses")
+async def _(context: Any, world: World) -> None:
+    assert context.answer[0] == 200, context.answer
+    for name in ("edge-1", "edge-2"):
+        heard = await world.request("GET", "/new/1", at=world.edge(name))
+        assert heard.status == 200, heard
+
+
+@step(when, "the killed one comes back with an empty disk and other seeds")
+async def _(context: Any, world: World) -> None:
+    await world.wipe(context.killed)
+    world.seeds = [world.door(m, 1) for m in world.machines.values() if m.core and m.name != context.killed]
+    world.start(context.killed)
+
+
+@step(then, "it is a member of the core again")
+async def _(context: Any, world: World) -> None:
+    disk = []
+
+    async def back() -> bool:
+        _, shown = await world.order("GET", "Fleet.Show")
+        disk[:] = [m for m in shown["members"] if m[0].startswith(f"{world.machines[context.killed].ip}:")]
+        return len(shown["members"]) == world.cores and not disk[0][1].startswith("first-")
+
+    await until(back)
+
+
+@step(then, "nothing was broken")
+async def _(context: Any, world: World) -> None:
+    assert world.verdict() == []
+
+
+@step(then, "these requests are answered so, and none of them runs:")
+async def _(context: Any, world: World) -> None:
+    for row in context.table:
+        heard = await world.request(row["method"], row["path"], row["key"], Host=row["host"])
+        assert heard.status == int(row["status"]), (row, heard)
+    assert not world.ledger.ran
+
+
+@step(then, "these requests are served:")
+async def _(context: Any, world: World) -> None:
+    for row in context.table:
+        heard = await world.request(row["method"], row["path"], row["key"], Host=row["host"])
+        assert heard.status == 200, (row, heard)
+
+
+@step(then, "a tenant named by the client is not believed")
+async def _(context: Any, world: World) -> None:
+    heard = await world.request("GET", "/tiles/1", OTHER_KEY, X_Tenant="north", X_Target_Instance="i-none")
+    assert heard.status == 200 and world.ledger.ran[-1].tenant == "south"
+    await world.request("GET", "/open/1", "", X_Tenant="north")
+    assert world.ledger.ran[-1].tenant == ""
+
+
+@step(then, "these calls are refused and change nothing:")
+async def _(context: Any, world: World) -> None:
+    _, before = await world.order("GET", "Config.Read")
+    for row in context.table:
+        for door in world.control:  # at each: those that do not hold the duty pass it on
+            status, body = await ask(door, row["method"], f"/-/{row['call']}", row["body"].encode())
+            assert status == int(row["status"]) and row["told"] in body.decode(), (row, status, body)
+    assert (await world.order("GET", "Config.Read"))[1] == before
+
+
+@step(then, "of two changes on the same version one wins, and the one that won is acknowledged again")
+async def _(context: Any, world: World) -> None:
+    orders = [
+        {"gen": world.gen + n, "parent": world.gen, "remove": {"routes": [r]}}
+        for n, r in ((3, "open"), (4, "tiles"))
+    ]
+    told = await asyncio.gather(*(world.order("POST", "Config.Update", order) for order in orders))
+    assert sorted(status for status, _ in told) == [200, 412], told
+    won = orders[[status for status, _ in told].index(200)]
+    assert (await world.order("POST", "Config.Update", won))[0] == 200
+    assert (await world.order("GET", "Config.Read"))[1]["gen"] == won["gen"]
+
+
+HOW = {"send a second answer after each": "late", "break off their answers": "cut", "turn all away": "full"}
+
+
+@step(when, 'the servers of "{service}" {how}')
+async def _(context: Any, world: World, service: str, how: str) -> None:
+    for server in world.up:
+        if server.service == service:
+            server.how = HOW.get(how, "")
+            server.chunked = how == "answer in chunks"
+            server.work = 0.5 if how == "take half a second" else server.work
+
+
+@step(then, "{count:d} requests on one connection each get their own answer")
+async def _(context: Any, world: World, count: int) -> None:
+    host, _, port = world.edge("edge-1").rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    ids = [f"own-{n}" for n in range(count)]
+    for id in ids:
+        writer.write(
+            f"GET /tiles/{id} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 2000\r\n"
+            f"Authorization: Token {KEY}\r\n\r\n".encode()
+        )
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
+        assert b"X-Request-Id: " + id.encode() + b"\r\n" in head and head.startswith(b"HTTP/1.1 200"), head
+        length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
+        await reader.readexactly(length)
+        await asyncio.sleep(0.03)  # the answer too many is on its way: it belongs to nobody
+    writer.close()
+    assert all(n == 1 for n in (world.ledger.times()[id] for id in ids))
+    world.ledger.ran = [line for line in world.ledger.ran if line.request not in ids]
+
+
+@step(then, "a request that may not be repeated gets {status:d}, and {ran}")
+async def _(context: Any, world: World, status: int, ran: str) -> None:
+    heard = await world.request("POST", "/books/1", body=b"x")
+    assert heard.status == status, heard
+    assert world.ledger.times()[heard.request] == (1 if ran == "ran once" else 0)
+
+
+@step(then, "a body in chunks comes back whole")
+async def _(context: Any, world: World) -> None:
+    host, _, port = world.edge("edge-1").rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    parts = [b"abc" * 1000, b"d", b"ef" * 50_000]
+    writer.write(
+        b"POST /books/c HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: chunks\r\nX-Deadline-Ms: 3000\r\n"
+        b"Authorization: Token "
+        + KEY.encode()
+        + b"\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+    )
+    for part in parts:
+        writer.write(b"%x\r\n%b\r\n" % (len(part), part))
+    writer.write(b"0\r\n\r\n")
+    status, body = parsed(await asyncio.wait_for(reader.read(), 5))
+    writer.close()
+    assert status == 200 and body.partition(b":")[2] == b"".join(parts)
+    world.ledger.ran = [line for line in world.ledger.ran if line.request != "chunks"]
+
+
+@step(when, "a data-plane ingress is told to stop while requests are under way there")
+async def _(context: Any, world: World) -> None:
+    before = len(world.ledger.ran)
+    asked = [
+        asyncio.ensure_future(world.request("POST", "/books/1", at=world.edge("edge-1"))) for _ in range(4)
+    ]
+
+    async def under_way() -> bool:
+        return len(world.ledger.ran) >= before + 4
+
+    await until(under_way)
+    world.tell("edge-1", signal.SIGTERM)
+    context.came = await asyncio.gather(*asked)
+
+
+@step(then, "all of them are answered in full, and clients are no longer sent there")
+async def _(context: Any, world: World) -> None:
+    all_served(context, world)
+    process = world.machines["edge-1"].process
+    assert process
+
+    async def gone() -> bool:
+        return world.edge("edge-1") not in await world.look_up("north") and process.poll() == 0
+
+    await until(gone)
--- a/tests/test_playhouse_control.py
+++ b/tests/test_playhouse_control.py
@@ -119,7 +119,7 @@
 @settings(max_examples=200, deadline=None, derandomize=True)
 @given(st.lists(CHANGES, max_size=12))
 def test_changes_are_applied_as_the_plain_model_has_it(changes: list[Any]) -> None:
-    """The model keeps a dict by name. Only what builds on the version in force is taken, and nothing goes back."""
+    """The model keeps a dict by name. Only what builds on the version in force is taken."""
     state = State()
     assert state.apply(Command(Verb.REPLACE, "first", content(gen=1)))
     model, gen, version = {"r1": content()["routes"][0]}, 1, 1
