Let only one of lease and part be spent by an ingress that may be out of touch

An ingress spends leased units only while the counter hears it, and its part only once it is surely taken for silent; the stores refill slower by those that may be. A new holder counts once all who may spend are known. Calls are passed on by peers where the straight way is cut, and the straight way is tried ever more rarely.

--- a/ironledge/account.py
+++ b/ironledge/account.py
@@ -8,6 +8,7 @@
 import math
 import random
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Generic, Protocol, TypeVar
 
@@ -15,6 +16,7 @@
 from ironledge.interface import Outcome
 
 SECOND = 1_000_000
+SHARE_SPAN = 0.4  # s of its part that a gateway may have saved up when it loses touch with a strict counter
 LEASE_LIFE = 1.0  # s of demand taken ahead: long enough to save calls, short enough not to strand units
 OFFSETS = (1, 3, 7)  # slots looked at: d_0, then doubling; N = 3 retries, a client's usual most; S = the last
 SPARE = 0.6  # part of the bound under which a fleet has room for second copies and paid units beyond a quota
@@ -71,6 +73,7 @@
     asking: bool = False
     open: int = 0  # attempts out
     elsewhere: int = 0  # and those out from the process that this one takes over from
+    strict: bool = False  # the counter takes into account how much may be spent without it at once
     leased_at: int = 0  # when the newest lease was asked for
     waiting: list[Any] = field(default_factory=list)  # for the counter's answer
 
@@ -88,7 +91,8 @@
         gone, self.demand_at, plan, part = (now - self.demand_at) / SECOND, now, self.plan, 1 / self.spread
         fill = self.window_us / SECOND
         self.usual = self.usual * math.exp(-gone / fill) + (0.0 if again else units / fill)
-        self.share = min(max(units, plan.burst * part), self.share + plan.rate * part * gone)  # one fits
+        most = max(units, plan.rate * part * SHARE_SPAN if self.strict else plan.burst * part)  # one fits
+        self.share = min(most, self.share + plan.rate * part * gone)
         self.unheard = max(0.0, self.unheard - plan.rate * part * gone)
         if retired:
             return
@@ -133,6 +137,7 @@
         self.retired = False  # another process has taken over; what is still open ends here
         self.unasked, self.speaks = 0, 1.0  # requests since the last call, and how many a call speaks for
         self.actions: list[it.Action] = []
+        self.in_touch: Callable[[], bool] = lambda: True  # whether the counter is there
         self.follow(settings)
 
     def follow(self, settings: it.Settings) -> None:
@@ -160,7 +165,8 @@
         """First stage. `answered`: the counter has just been heard, so what the bucket lacks is overflow."""
         account, units, counter = request.account, request.event.units, self.settings.counter
         plan, tight, late = account.plan, self.tight(account), self.late(request)
-        late = late or not counter.allowed or (not account.asking and self.call_at > self.now)
+        late = late or not (counter.allowed and self.in_touch())
+        late = late or (not account.asking and self.call_at > self.now)
         known = self.now - account.heard_at < account.window_us
         if 0 < counter.expiry < self.now - account.leased_at:
             account.tokens = 0.0  # the counter takes them for spent
@@ -191,12 +197,16 @@
 
     def admit_unheard(self, request: Asking) -> None:  # without a call: a part, by a draw if under one
         account, units = request.account, request.event.units
+        strict = self.settings.counter.strict
+        if strict and self.in_touch():
+            self.overflow(request)
+            return
         room, self.unasked = account.bound(self.now), self.unasked + (not request.event.is_retry)
         even = account.plan.burst / account.spread if request.event.is_retry else room
         part = min(account.share, room, even) / units if units else 1.0
         if self.tight(account) and self.now - account.heard_at < KNOWN * account.window_us:
             part = account.chance
-        elif account.plan.burst >= units * account.spread:
+        elif strict or account.plan.burst >= units * account.spread:
             part = part // 1  # else never as much as one
         if self.rng.random() >= part:
             self.overflow(request)
@@ -205,6 +215,8 @@
 
     def saves_call(self, account: Account, units: float) -> bool:
         """Crowded: what this gateway's own part covers needs no call, but for one where others leave room."""
+        if self.settings.counter.strict:
+            return False
         needed = self.crowd > CROWDED and self.now - self.call_at < self.settings.fleet_size * SECOND / TRIALS
         sure = not account.plan.ceiling_rate or account.sure >= units
         return needed and sure and min(account.share, account.bound(self.now)) >= units
@@ -226,7 +238,7 @@
         account.asking, window = True, self.now // account.window_us
         name, start = count_name(customer, window), window * account.window_us
         told, account.unheard = account.unheard + account.back * (account.back_for == name), 0.0
-        account.back = 0.0
+        account.back, told = 0.0, 0.0 if self.settings.counter.strict else told
         self.call(account, name, start, need + max(0.0, min(ahead, room - need)), True, told, customer)
 
     def call(
@@ -280,7 +292,8 @@
         account.tokens += amount - over
         account.rate = min(plan.rate, (amount - over) / LEASE_LIFE)
         for request in waiting:
-            # Where the counter keeps the store, more came to wait than the lease was for: it is no overflow yet.
+            # Where the counter keeps the store, more came to wait than the lease was for: it is no
+            # overflow yet.
             more = event.left is not None and account.bound(self.now) >= request.event.units
             if more and account.tokens < request.event.units and not self.late(request):
                 account.waiting.append(request)
--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -115,9 +115,12 @@
             spread = min(s.fleet_size, max(1, event.spread))
             plan, age = s.plans[event.plan], (self.now - self.began) / SECOND
             account = Account(plan, spread, self.slot_us, self.now, ceiling=plan.ceiling_burst)
+            account.strict = s.counter.strict
             account.sure = min(plan.ceiling_burst, plan.ceiling_rate * age) / spread
             if self.retired:  # this customer's ceiling is the other process's
                 account.ceiling = account.sure = 0.0
+        if account.strict:
+            account.spread = max(1, event.spread)
         cls, self.accounts[event.customer] = s.classes[event.cls], account
         cut, end = self.span(cls, event.time_left)
         request = Request(event, cls, account, cut, end, s.limits)
--- a/ironledge/interface.py
+++ b/ironledge/interface.py
@@ -111,6 +111,8 @@
     price: float = 0.0
     calls_out: float = 64.0  # calls in its time-out by all gateways: more than a healthy one has waiting
     part: float = 0.0  # of a store's room that a lease may take ahead; 0: by the gateways a customer has
+    # while it is in touch no unit is spent but those it leased, and none is told of later
+    strict: bool = False
     expiry: int = 0  # us after which the counter takes leased units for spent; 0: never
 
 
--- a/playhouse/boxoffice/till.py
+++ b/playhouse/boxoffice/till.py
@@ -6,36 +6,41 @@
 
     burst' + rate * (T + L) <= (rate * T + burst) * (1 + overrun) + slack
 
-A new holder of the duty begins with empty stores: what the one before has leased has been paid from them.
+An ingress that is out of touch spends at the quota's rate over the number of all ingresses, and has saved
+up `SHARE_SPAN` of that at the most: this is left out of the bound, and stores refill the slower the more
+ingresses may be out of touch. A new holder of the duty begins to count, with empty stores, once all who may
+spend so have been heard of.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
+from ironledge.account import SHARE_SPAN
 from playhouse.settings import Bounds
 
 EXPIRY = 1.0  # s that an ingress may hold leased units
 MARGIN = 0.9  # of the room that the bound leaves
 
 
-def room(rate: float, burst: float, bounds: Bounds) -> float:
+def room(rate: float, burst: float, bounds: Bounds, edges: int) -> float:
     """burst': the most a store may hold, in units."""
     window = bounds.quota_window
     bound = (rate * window + burst) * (1 + bounds.quota_overrun) + bounds.quota_slack
-    return max(1.0, min(burst, (bound - rate * (window + EXPIRY)) * MARGIN))
+    return max(1.0, min(burst, (bound - rate * (window + EXPIRY) - max(edges, rate * SHARE_SPAN)) * MARGIN))
 
 
 @dataclass(slots=True)
 class Store:
     level: float
-    at: float
+    at: float  # of the till's refill time
 
 
 class Till:
     def __init__(self, now: float, bounds: Bounds, ever: bool = True) -> None:
         """`ever`: somebody may have leased units before, who has paid from stores that nobody knows now."""
-        self._began, self._bounds, self._ever = now, bounds, ever
+        self._bounds, self._ever, self._edges = bounds, ever, 1
+        self._at, self._part, self._time = now, 1.0, 0.0  # s of refill at the whole rate, since the beginning
         self._stores: dict[str, Store] = {}
         self._quotas: dict[str, tuple[float, float]] = {}
 
@@ -44,16 +49,30 @@
         self._quotas = quotas
         self._stores = {tenant: s for tenant, s in self._stores.items() if tenant in quotas}
 
+    def follow(self, before: Till) -> None:
+        """The same quotas, with stores of its own."""
+        self._quotas = before._quotas
+
+    def silent(self, now: float, count: int, edges: int) -> None:
+        """So many of all ingresses may be out of touch from now on."""
+        self._refilled(now)
+        self._edges, self._part = max(1, edges), max(0.0, 1 - count / max(1, edges))
+
+    def _refilled(self, now: float) -> float:
+        self._time += self._part * max(0.0, now - self._at)
+        self._at = max(self._at, now)
+        return self._time
+
     def lease(self, now: float, tenant: str, amount: float, told: float) -> float | None:
         """What is left after taking `amount` and `told` (spent already); under 0 by what was not granted.
         None: the tenant has no quota here."""
         if tenant not in self._quotas or not (0 <= amount < 1e9 and 0 <= told < 1e9):
             return None
         rate, burst = self._quotas[tenant]
-        most = room(rate, burst, self._bounds)
-        store = self._stores.setdefault(tenant, Store(0.0 if self._ever else most, self._began))
-        store.level = min(most, store.level + rate * (now - store.at))
-        store.at = now
+        most, time = room(rate, burst, self._bounds, self._edges), self._refilled(now)
+        store = self._stores.setdefault(tenant, Store(0.0 if self._ever else most, 0.0))
+        store.level = min(most, store.level + rate * (time - store.at))
+        store.at = time
         store.level -= told
         left = store.level - amount
         store.level = left + min(amount, max(0.0, -left))
--- a/playhouse/company/roll.py
+++ b/playhouse/company/roll.py
@@ -11,7 +11,15 @@
 from playhouse.wings import cues_pb2 as pb
 
 LEASE = 4.5  # s: shorter than `ack`, as an acknowledgement waits for those silent to have stopped
-MISSED = 2.2  # s without a word after which clients are no longer sent there
+MISSED = 1.2  # s without a word after which clients are no longer sent there
+HOLD = 0.25  # s that an ask may be kept while there is no news, or ...
+HOLD_EACH = 0.015  # ... so many for each ingress, if that is more
+HEARD = 0.25  # s beyond that after which an ingress may be out of touch, as far as its holder can tell ...
+LOST = 0.6  # ... and after which it is, as it sees it itself
+
+
+def hold(edges: int) -> float:
+    return max(HOLD, HOLD_EACH * edges)
 
 
 @dataclass(slots=True)
@@ -19,7 +27,9 @@
     node: pb.Node
     lease_end: float
     heard_at: float
+    asked_at: float  # when its newest ask came
     script: int  # the version it has told that it serves by
+    counting: bool = False  # it spends leased units only
     current: bool = False  # it had heard all that was told of servers when it last asked
     waiting: bool = False  # its next ask is here, to be answered when there is news
 
@@ -35,22 +45,31 @@
         self.grace = now + LEASE if ever else float("-inf")
         for held in self.held.values():
             held.lease_end, held.heard_at, held.script = now + LEASE, now, -1
+            held.counting = False
 
     def ask(self, now: float, node: pb.Node, script: int) -> bool:
         """True if it is news to others."""
         known = self.held.get(node.name)
         if known is None:
-            self.held[node.name] = Held(node, now + LEASE, now, script, True)
+            self.held[node.name] = Held(node, now + LEASE, now, now, script, waiting=True)
             self.number += 1
             return True
         news = known.node != node or now > known.lease_end
         news = news or (not known.waiting and now - known.heard_at > MISSED)
         new_life = known.node.life != node.life  # a machine runs one life of a role: the one before is over
         known.script = script if new_life else max(known.script, script)
-        known.node, known.heard_at, known.waiting = node, now, True
+        known.node, known.heard_at, known.asked_at, known.waiting = node, now, now, True
         self.number += news
         return news
 
+    def in_touch(self, now: float, held: Held, edges: int) -> bool:
+        return held.counting and now - held.asked_at <= hold(edges) + HEARD
+
+    def silent(self, now: float, edges: int) -> int:
+        """Ingresses that may serve, and may be out of touch with the counter."""
+        here = [h for h in self.held.values() if h.node.kind == "edge" and h.lease_end >= now]
+        return sum(1 for h in here if not self.in_touch(now, h, edges))
+
     def answered(self, now: float, name: str) -> None:
         if held := self.held.get(name):
             held.lease_end, held.heard_at, held.waiting = now + LEASE, now, False
@@ -75,5 +94,5 @@
 
     def take(self, nodes: list[pb.Node], now: float, number: int) -> None:
         """What the holder's roll says, for one that may hold the duty next."""
-        self.held = {n.name: Held(n, now + LEASE, now, -1) for n in nodes}
+        self.held = {n.name: Held(n, now + LEASE, now, now, -1) for n in nodes}
         self.number = number
--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -214,8 +214,7 @@
                 case "ask":
                     return pb.Envelope(cue=await self._ask(envelope.ask))
                 case "lease":
-                    lease = envelope.lease
-                    left = self._held().till.lease(self.now(), lease.tenant, lease.amount, lease.told)
+                    left = self._held().lease(self.now(), envelope.lease)
                     if left is None:
                         raise SystemFailure(Code.REFUSED)
                     return pb.Envelope(leased=pb.Leased(left=left))
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -20,6 +20,7 @@
 from ironledge.net.engine import Answered, Clock, Engine, Names
 from ironledge.net.sockets import Sockets
 from playhouse.boxoffice.till import EXPIRY
+from playhouse.company.roll import LOST, hold
 from playhouse.errors import Code, SystemFailure
 from playhouse.events import Event, note
 from playhouse.script.playbill import Playbill
@@ -33,10 +34,10 @@
 from playhouse.wings.links import Wings
 from playhouse.wings.reach import Reach
 
-ASK_WAIT = 1.0  # s that the holder may keep an ask for news
 ASK_WITHIN = 3.0  # s for an answer over all tries
 DRIFT = 0.02  # of a lease, by which the two clocks may differ
-LEASE_WAIT = 0.25  # s for the counter's answer
+LEASE_WAIT, LEASE_PATIENCE = 0.5, 0.2  # s for the counter's answer over all tries, and for one
+LEASE_PAUSE = 0.03  # s before it is asked again where it said no
 RETRY_AFTER = 300_000  # us that a refused client is told to wait: T0, d_0
 CONNECT = 400_000  # us for a connection to a server: a region is 40 ms away and back
 IDLE = 6_000_000  # us that an idle connection to a server is kept, if it does not say how long
@@ -74,7 +75,8 @@
         self.servers: dict[str, Known] = {}
         self.nodes: list[pb.Node] = []
         self.evacuated: frozenset[str] = frozenset()
-        self.lease_end = float("-inf")
+        self.lease_end = self.heard_at = float("-inf")
+        self._counting = False
         self._seen: tuple[str, int, int, int, int] = ("", 0, 0, 0, 0)
         self._life = f"{os.getpid():x}{random.getrandbits(40):x}"
         self._leaving = False
@@ -83,7 +85,7 @@
         self._services: dict[str, int] = {}
         self._customers: dict[str, int] = {}
         self._tenants: dict[int, str] = {}
-        self._edges = 1
+        self._edges = 0  # ingresses that shares are parted over; 0: never told, so none may be spent
         self._tasks: list[asyncio.Task[Any]] = []
         self._leases: set[asyncio.Task[None]] = set()
         self._readyz = Doors(self._ready_door)
@@ -93,6 +95,7 @@
         settings = self.settings
         first = self._settings_of(self.bill)
         self.gateway = Gateway(first, random.getrandbits(32), Rows)
+        self.gateway.in_touch = self.in_touch
         self.sockets = Sockets(settings.descriptors - 200)
         self.engine = Engine(self.gateway, first, Names(first, {}), self._loop, self.clock.now)
         self.engine.refusals = (429, 503)
@@ -124,7 +127,12 @@
             patient=True,
         )
         counter = it.CounterLimits(
-            True, round(LEASE_WAIT * 1e6), calls_out=1e6, part=0.25, expiry=round(EXPIRY * 0.95 * 1e6)
+            True,
+            round(LEASE_PATIENCE * 1e6),
+            calls_out=1e6,
+            part=0.25,
+            strict=True,
+            expiry=round(EXPIRY * 0.95 * 1e6),
         )
         return it.Settings(
             0, max(1, self._edges), self._zones.get(self.settings.zone, 0), 50_000,
@@ -196,7 +204,12 @@
         return number
 
     def spread(self) -> int:
-        return 2 * self._edges  # without the counter all together stay under half the quota's rate
+        return self._edges or 1_000_000
+
+    def in_touch(self) -> bool:
+        """The counter counts, and heard of this ingress so lately that it knows it does not spend by
+        itself."""
+        return self._counting and self._loop.time() < self.heard_at + hold(self._edges) + LOST
 
     def stands(self, server: str, service: str) -> bool:
         known = self.servers.get(server)
@@ -244,11 +257,11 @@
             epoch, script, servers, nodes, gen = self._seen
             ask = pb.Ask(
                 node=self._node(), epoch=epoch, script=script, gen=gen, servers=servers, nodes=nodes,
-                wait_ms=round(ASK_WAIT * 1000),
+                wait_ms=round(hold(self._edges) * 1000), counting=self._counting, share_of=self._edges,
             )  # fmt: skip
             asked = self._loop.time()
             try:
-                answer = await self.reach.call(pb.Envelope(ask=ask), ASK_WITHIN, ASK_WAIT + 0.6)
+                answer = await self.reach.call(pb.Envelope(ask=ask), ASK_WITHIN, hold(self._edges) + 0.35)
             except SystemFailure as failure:
                 if not self.may_serve():
                     note(Event.NO_HOLDER, "%s", failure)
@@ -278,12 +291,14 @@
         if cue.has_nodes:
             self.nodes = list(cue.node)
             self._know_cores(n.door for n in self.nodes if n.kind == "core")
-        self._edges = max(1, cue.share_of)
+        self._counting = cue.counting
+        self._edges = cue.share_of if cue.counting else max(self._edges, cue.share_of)
         if cue.has_nodes or cue.has_content:
             self._set_place()
         if cue.server or cue.servers_whole or cue.has_script:
             self._list_servers()
         self._seen = (cue.epoch, cue.script, cue.servers, cue.nodes, cue.gen)
+        self.heard_at = self._loop.time()
         self.lease_end = asked + cue.lease_ms / 1000 * (1 - DRIFT)
 
     def _know_server(self, server: pb.Server, now: int) -> None:
@@ -304,7 +319,7 @@
         bounds, place = self.settings.bounds, self.rows.place
         place.zone = self._zones.get(self.settings.zone, -1)
         place.region = self._regions.get(self.settings.region, -1)
-        place.edges = self._edges
+        place.edges = max(1, self._edges)
         place.edges_in = {}
         for node in self.nodes:
             if node.kind == "edge" and not node.leaving:
@@ -352,9 +367,11 @@
     async def _lease(self, tenant: str, amount: float, told: float, answered: Answered) -> None:
         asked = pb.Lease(tenant=tenant, amount=amount, told=told)
         try:
-            answer = await self.reach.call(pb.Envelope(lease=asked), LEASE_WAIT, LEASE_WAIT)
+            answer = await self.reach.call(pb.Envelope(lease=asked), LEASE_WAIT, LEASE_PATIENCE)
         except SystemFailure as failure:
-            answered(Outcome.TIMEOUT if failure.may_have_run else Outcome.CONNECT_FAILED, 0.0)
+            if failure.code not in (Code.SILENT, Code.UNREACHABLE):
+                await asyncio.sleep(LEASE_PAUSE)
+            answered(Outcome.RESET, 0.0)  # asked anew while there is time, or spent without the counter
             return
         answered(Outcome.OK, 0.0, answer.leased.left)
 
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -43,6 +43,8 @@
         self.view, self.began, self._beat = view, now, beat
         self.board, self.roll, self.till = board, roll, Till(now, bounds, ever)
         self._from_nothing = ever and not board.servers
+        self._ever, self._bounds, self.counting = ever, bounds, not ever
+        self._told_of = 0  # ingresses that others parted shares over before
         self._shared: dict[str, float] = {}  # ingresses of late, and until when they count
         for seen in board.servers.values():
             seen.heard_at = now
@@ -68,6 +70,24 @@
 
     def tick(self, now: float) -> bool:
         """True if there is news."""
+        return self._count(now) | self._expire(now)
+
+    def _count(self, now: float) -> bool:
+        """Begins to count once all who may spend without the counter are known: those who were, by what any
+        of them was told, or whoever still has a lease."""
+        edges = self.shared_by(now)
+        if self.counting:
+            self.till.silent(now, self.roll.silent(now, edges), edges)
+            return False
+        here = sum(1 for h in self.roll.held.values() if h.node.kind == "edge" and h.asked_at > self.began)
+        if now >= self.roll.grace or (self._told_of and here >= self._told_of):
+            quotas, self.till = self.till, Till(now, self._bounds)
+            self.till.follow(quotas)
+            self.counting = True
+            self.till.silent(now, self.roll.silent(now, edges), edges)
+        return self.counting
+
+    def _expire(self, now: float) -> bool:
         if not self.settled(now):
             return self.roll.expire(now)
         return self.board.expire(now, self._beat) | self.roll.expire(now)
@@ -81,16 +101,25 @@
             if held.node.kind == "edge":
                 self._shared[held.node.name] = now + COUNTED
         self._shared = {name: until for name, until in self._shared.items() if until > now}
-        return max(1, len(self._shared))
+        return max(1, len(self._shared), 0 if self.counting else self._told_of)
+
+    def lease(self, now: float, lease: pb.Lease) -> float | None:
+        """What is left of a tenant's units; None: none are leased, as they are not counted yet or have no
+        bound."""
+        self._count(now)
+        return self.till.lease(now, lease.tenant, lease.amount, lease.told) if self.counting else None
 
     def asked(self, now: float, ask: pb.Ask) -> bool:
         """True if it is news to others."""
         news = self.roll.ask(now, ask.node, ask.script)
-        self.roll.held[ask.node.name].current = ask.servers == self.board.number
+        held = self.roll.held[ask.node.name]
+        held.current, held.counting = ask.servers == self.board.number, ask.counting and self.counting
+        self._told_of = max(self._told_of, ask.share_of)
+        news |= self._count(now)
         return news
 
     def has_news(self, now: float, ask: pb.Ask, state: State) -> bool:
-        if ask.epoch != self.epoch(now) or ask.script != state.version:
+        if ask.epoch != self.epoch(now) or ask.script != state.version or ask.counting != self.counting:
             return True
         return ask.servers != self.board.number or ask.nodes != self.roll.number
 
@@ -98,9 +127,11 @@
         """The news for who asks, and its lease, which begins now."""
         epoch = self.epoch(now)
         known = ask.epoch == epoch
+        shares = self.shared_by(now) if self.counting or self._told_of else 0
         cue = pb.Cue(
             epoch=epoch, lease_ms=round(LEASE * 1000), script=state.version, gen=state.gen,
-            servers=self.board.number, nodes=self.roll.number, share_of=self.shared_by(now),
+            servers=self.board.number, nodes=self.roll.number, share_of=shares,
+            counting=self.counting,
         )  # fmt: skip
         if ask.script != state.version:
             cue.evacuated.extend(state.evacuated)
--- a/playhouse/wings/reach.py
+++ b/playhouse/wings/reach.py
@@ -10,7 +10,7 @@
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.links import Wings
 
-AVOID = 2.0  # s that a door that did not answer is gone around
+AVOID = (1.0, 8.0)  # s that a door that did not answer is gone around: at first, and at most
 PAUSE = (0.03, 0.12)  # s between tries while nobody holds the duty
 TRIES = 24
 
@@ -21,7 +21,7 @@
         self._wings, self._cores, self._peers = wings, cores, peers
         self.hint = ""
         self._turn = 0
-        self._bad: dict[str, float] = {}
+        self._bad: dict[str, tuple[float, float]] = {}  # by door: until when, and for how long that was
 
     def _next(self) -> str:
         cores = [d for d in self._cores() if d != self._wings.own]
@@ -30,11 +30,19 @@
         self._turn += 1
         return cores[self._turn % len(cores)]
 
+    def _is_bad(self, door: str, now: float) -> bool:
+        return self._bad.get(door, (0.0, 0.0))[0] > now
+
+    def _avoid(self, door: str, now: float) -> None:
+        span = min(AVOID[1], 2 * self._bad[door][1]) if door in self._bad else AVOID[0]
+        self._bad[door] = (now + span * random.uniform(0.8, 1.2), span)
+
     def _way(self, door: str, now: float) -> str:
         """Whom to call, so that the call gets to that door."""
-        if self._bad.get(door, 0.0) <= now:
+        if not self._is_bad(door, now):
             return door
-        others = [d for d in self._peers() if d not in (door, self._wings.own) and self._bad.get(d, 0) <= now]
+        own = (door, self._wings.own)
+        others = [d for d in self._peers() if d not in own and not self._is_bad(d, now)]
         return random.choice(others) if others else door
 
     async def call(self, envelope: pb.Envelope, within: float, patience: float) -> pb.Envelope:
@@ -56,11 +64,12 @@
             except SystemFailure as error:
                 failure = error
                 if error.code in (Code.UNREACHABLE, Code.SILENT):
-                    self._bad[way] = wings.now() + AVOID
+                    self._avoid(way, wings.now())
                     if way != door or not self._peers():
                         self.hint = ""
                 await asyncio.sleep(random.uniform(*PAUSE) / 2)
                 continue
+            self._bad.pop(way, None)
             if answer.fault == Code.NOT_HOLDER:
                 self.hint = answer.pass_to if answer.pass_to != door else ""
                 if not self.hint:
