Keep in the log which ingresses may hold leases, so that a new holder need not wait for strangers

Ingresses are enrolled in the log before their first lease; a new holder counts as soon as all of them were heard.

--- a/playhouse/company/roll.py
+++ b/playhouse/company/roll.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from playhouse.wings import cues_pb2 as pb
@@ -38,13 +39,15 @@
     def __init__(self) -> None:
         self.held: dict[str, Held] = {}  # by name
         self.number = 0
-        self.grace = float("-inf")  # until when an earlier holder's leases may run, of whoever they are
 
-    def begin(self, now: float, ever: bool) -> None:
-        """The duty begins. `ever`: somebody may have held it before."""
-        self.grace = now + LEASE if ever else float("-inf")
+    def begin(self, now: float, names: Iterable[str]) -> None:
+        """The duty begins. Each of these may hold a lease of an earlier holder's."""
+        for name in names:
+            if name not in self.held:
+                unheard = pb.Node(name=name, kind="edge")
+                self.held[name] = Held(unheard, now + LEASE, float("-inf"), float("-inf"), -1)
         for held in self.held.values():
-            held.lease_end, held.heard_at, held.script = now + LEASE, now, -1
+            held.lease_end, held.script, held.asked_at = now + LEASE, -1, float("-inf")
             held.counting = False
 
     def ask(self, now: float, node: pb.Node, script: int) -> bool:
@@ -70,6 +73,11 @@
         here = [h for h in self.held.values() if h.node.kind == "edge" and h.lease_end >= now]
         return sum(1 for h in here if not self.in_touch(now, h, edges))
 
+    def all_heard(self, now: float) -> bool:
+        """Whoever may hold a lease has asked since the duty began."""
+        here = [h for h in self.held.values() if h.node.kind == "edge" and h.lease_end >= now]
+        return all(h.asked_at > float("-inf") for h in here)
+
     def answered(self, now: float, name: str) -> None:
         if held := self.held.get(name):
             held.lease_end, held.heard_at, held.waiting = now + LEASE, now, False
@@ -83,8 +91,6 @@
 
     def all_at(self, now: float, script: int) -> bool:
         """Nobody can serve by an older version any longer."""
-        if now < self.grace:
-            return False
         return all(
             h.script >= script for h in self.held.values() if h.lease_end >= now and h.node.kind == "edge"
         )
--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -36,6 +37,7 @@
 PASS_ON = 2.5  # s for the holder to answer what is passed on to it
 ASK_WAIT = 1.0  # s that the holder may keep an ask for news
 REPORT = 0.6  # beats between reports of those that said nothing new
+STRIKE = 10.0  # s between looks for ingresses that hold no lease any longer
 TURNS = 64  # changes that wait for the one before
 
 
@@ -71,6 +73,8 @@
         self._web = [Doors(self._take), Doors(self._foyer)]
         self._tasks: list[asyncio.Task[Any]] = []
         self._known_members: tuple[Member, ...] = ()
+        self._joining: set[str] = set()
+        self._striking: set[str] = set()  # no lease is granted to these until it is known what became of that
 
     def _begin(self, own: str) -> tuple[str, Any]:
         """An empty disk is given a name. Only at the first start of all is it that of a founder: any other
@@ -106,7 +110,9 @@
         for doors, name in zip(self._web, ("ctl", "dir"), strict=True):
             if name in listen:
                 await doors.listen(listen[name])
-        self._tasks = [self._loop.create_task(work()) for work in (self._ticks, self._asks, self._reports)]
+        self._tasks = [
+            self._loop.create_task(work()) for work in (self._ticks, self._asks, self._reports, self._strike)
+        ]
 
     async def stop(self) -> None:
         for doors in self._web:
@@ -165,14 +171,9 @@
                 e.opens and e.view < self.machine.view for e in self.machine.log
             )
             self.duty = Duty(
-                self.machine.view,
-                now,
-                ever,
-                self.board,
-                self.roll,
-                self.settings.bounds,
+                self.machine.view, now, ever, self.board, self.roll, self.state.edges, self.settings.bounds,
                 self.settings.heartbeat,
-            )
+            )  # fmt: skip
             self.duty.follow(self.state)
             note(Event.DUTY_BEGINS, "view %d", self.machine.view)
             self._publish()
@@ -233,6 +234,9 @@
 
     async def _ask(self, ask: pb.Ask) -> pb.Cue:
         duty, until = self._held(), self.now() + min(5.0, ask.wait_ms / 1000)
+        if ask.node.kind == "edge":
+            await self._enrol(ask.node.name)
+            duty = self._held()
         if duty.asked(self.now(), ask):
             self._publish()
         while not duty.has_news(self.now(), ask, self.state) and self.now() < until:
@@ -245,6 +249,32 @@
             duty = self._held()
         return self._held().cue(self.now(), ask, self.state)
 
+    async def _enrol(self, name: str) -> None:
+        """Who is to hold a lease is known to whoever may have the duty next. Raises SystemFailure."""
+        if name in self.state.edges and name not in self._striking:
+            return
+        self._joining.add(name)
+        await asyncio.sleep(0)  # those who come at the same time are taken in together
+        while name not in self.state.edges or name in self._striking:
+            if name in self._joining and name not in self._striking:
+                names, self._joining = tuple(sorted(self._joining)), set()
+                await self._decide(Command(Verb.ENROL, names=names))
+            else:
+                await asyncio.sleep(0.01)
+            self._held()
+
+    async def _strike(self) -> None:
+        """Those long gone are enrolled no longer."""
+        while True:
+            await asyncio.sleep(STRIKE * random.uniform(0.8, 1.2))
+            if self.duty:
+                gone = tuple(n for n in self.state.edges if n not in self.duty.roll.held)
+                self._striking = set(gone)
+                with contextlib.suppress(SystemFailure):
+                    if gone:
+                        await self._decide(Command(Verb.ENROL, gone=gone))
+                        self._striking = set()
+
     # News of the holder, for one that does not hold the duty.
 
     def _node(self) -> pb.Node:
--- a/playhouse/script/state.py
+++ b/playhouse/script/state.py
@@ -22,6 +22,7 @@
     UPDATE = "update"
     EVACUATE = "evacuate"
     TAKE_BACK = "take back"
+    ENROL = "enrol"
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,15 +31,27 @@
     digest: str = ""  # of the call as it came
     order: dict[str, Any] = field(default_factory=dict)
     zone: str = ""
+    names: tuple[str, ...] = ()  # of ingresses that may hold leases from here on ...
+    gone: tuple[str, ...] = ()  # ... and that hold none any longer
 
     def out(self) -> bytes:
-        raw = {"verb": self.verb.value, "digest": self.digest, "order": self.order, "zone": self.zone}
+        raw = {
+            "verb": self.verb.value, "digest": self.digest, "order": self.order, "zone": self.zone,
+            "names": self.names, "gone": self.gone,
+        }  # fmt: skip
         return zlib.compress(json.dumps(raw, separators=(",", ":")).encode(), 6)
 
     @classmethod
     def read(cls, data: bytes) -> Command:
         raw = json.loads(zlib.decompress(data))
-        return cls(Verb(raw["verb"]), raw["digest"], raw["order"], raw["zone"])
+        return cls(
+            Verb(raw["verb"]),
+            raw["digest"],
+            raw["order"],
+            raw["zone"],
+            tuple(raw["names"]),
+            tuple(raw["gone"]),
+        )
 
 
 def updated(content: dict[str, Any], order: dict[str, Any]) -> dict[str, Any]:
@@ -61,6 +74,7 @@
     content: dict[str, Any] = field(default_factory=dict)
     evacuated: list[str] = field(default_factory=list)
     version: int = 0  # counts what was applied; rises at every change
+    edges: list[str] = field(default_factory=list)  # ingresses that may hold leases, whoever has the duty
     known: dict[str, int] = field(default_factory=dict)  # digests of accepted calls, with their gen
 
     def result(self, command: Command) -> dict[str, Any]:
@@ -70,7 +84,7 @@
         return {name: value for name, value in command.order.items() if name != "parent"}
 
     def apply(self, command: Command) -> bool:
-        """False if it is void: another change came first."""
+        """False if it is void: another change came first, or it is no news to the data plane."""
         match command.verb:
             case Verb.REPLACE | Verb.UPDATE:
                 if command.order["parent"] != self.gen or command.order["gen"] <= self.gen:
@@ -80,6 +94,9 @@
                 self.known[command.digest] = self.gen
                 while len(self.known) > KNOWN:
                     del self.known[next(iter(self.known))]
+            case Verb.ENROL:
+                self.edges = sorted({*self.edges, *command.names} - set(command.gone))
+                return False
             case Verb.EVACUATE:
                 if command.zone not in self.evacuated:
                     self.evacuated = sorted([*self.evacuated, command.zone])
@@ -91,7 +108,7 @@
     def out(self) -> bytes:
         raw = {
             "gen": self.gen, "content": self.content, "evacuated": self.evacuated, "version": self.version,
-            "known": self.known,
+            "known": self.known, "edges": self.edges,
         }  # fmt: skip
         return zlib.compress(json.dumps(raw, separators=(",", ":")).encode(), 6)
 
@@ -100,4 +117,4 @@
         if not data:
             return cls()
         raw = json.loads(zlib.decompress(data))
-        return cls(raw["gen"], raw["content"], raw["evacuated"], raw["version"], raw["known"])
+        return cls(raw["gen"], raw["content"], raw["evacuated"], raw["version"], raw["edges"], raw["known"])
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -257,7 +257,7 @@
             epoch, script, servers, nodes, gen = self._seen
             ask = pb.Ask(
                 node=self._node(), epoch=epoch, script=script, gen=gen, servers=servers, nodes=nodes,
-                wait_ms=round(hold(self._edges) * 1000), counting=self._counting, share_of=self._edges,
+                wait_ms=round(hold(self._edges) * 1000), counting=self._counting,
             )  # fmt: skip
             asked = self._loop.time()
             try:
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -7,6 +7,7 @@
 
 import json
 import zlib
+from collections.abc import Iterable
 from typing import Any
 
 from playhouse.boxoffice.till import Till
@@ -37,18 +38,19 @@
 
 class Duty:
     def __init__(
-        self, view: int, now: float, ever: bool, board: Board, roll: Roll, bounds: Bounds, beat: float
-    ) -> None:
-        """`ever`: somebody may have held the duty before. `board` and `roll` are as they were last heard."""
+        self, view: int, now: float, ever: bool, board: Board, roll: Roll, edges: Iterable[str],
+        bounds: Bounds, beat: float,
+    ) -> None:  # fmt: skip
+        """`ever`: somebody may have held the duty before; `edges`: who may hold leases of theirs. `board`
+        and `roll` are as they were last heard."""
         self.view, self.began, self._beat = view, now, beat
         self.board, self.roll, self.till = board, roll, Till(now, bounds, ever)
         self._from_nothing = ever and not board.servers
         self._ever, self._bounds, self.counting = ever, bounds, not ever
-        self._told_of = 0  # ingresses that others parted shares over before
         self._shared: dict[str, float] = {}  # ingresses of late, and until when they count
         for seen in board.servers.values():
             seen.heard_at = now
-        roll.begin(now, ever)
+        roll.begin(now, edges)
 
     def epoch(self, now: float) -> str:
         """Numbers of boards and rolls mean something within one. It changes once all servers had time to say
@@ -73,14 +75,12 @@
         return self._count(now) | self._expire(now)
 
     def _count(self, now: float) -> bool:
-        """Begins to count once all who may spend without the counter are known: those who were, by what any
-        of them was told, or whoever still has a lease."""
+        """Begins to count once all who may spend without it have been heard, or their leases are over."""
         edges = self.shared_by(now)
         if self.counting:
             self.till.silent(now, self.roll.silent(now, edges), edges)
             return False
-        here = sum(1 for h in self.roll.held.values() if h.node.kind == "edge" and h.asked_at > self.began)
-        if now >= self.roll.grace or (self._told_of and here >= self._told_of):
+        if self.roll.all_heard(now):
             quotas, self.till = self.till, Till(now, self._bounds)
             self.till.follow(quotas)
             self.counting = True
@@ -101,7 +101,7 @@
             if held.node.kind == "edge":
                 self._shared[held.node.name] = now + COUNTED
         self._shared = {name: until for name, until in self._shared.items() if until > now}
-        return max(1, len(self._shared), 0 if self.counting else self._told_of)
+        return max(1, len(self._shared))
 
     def lease(self, now: float, lease: pb.Lease) -> float | None:
         """What is left of a tenant's units; None: none are leased, as they are not counted yet or have no
@@ -114,7 +114,6 @@
         news = self.roll.ask(now, ask.node, ask.script)
         held = self.roll.held[ask.node.name]
         held.current, held.counting = ask.servers == self.board.number, ask.counting and self.counting
-        self._told_of = max(self._told_of, ask.share_of)
         news |= self._count(now)
         return news
 
@@ -127,10 +126,9 @@
         """The news for who asks, and its lease, which begins now."""
         epoch = self.epoch(now)
         known = ask.epoch == epoch
-        shares = self.shared_by(now) if self.counting or self._told_of else 0
         cue = pb.Cue(
             epoch=epoch, lease_ms=round(LEASE * 1000), script=state.version, gen=state.gen,
-            servers=self.board.number, nodes=self.roll.number, share_of=shares,
+            servers=self.board.number, nodes=self.roll.number, share_of=self.shared_by(now),
             counting=self.counting,
         )  # fmt: skip
         if ask.script != state.version:
--- a/tests/test_playhouse_control.py
+++ b/tests/test_playhouse_control.py
@@ -246,7 +246,7 @@
 
 def test_a_version_is_everywhere_once_all_have_it_or_their_leases_are_over() -> None:
     roll = Roll()
-    roll.begin(0.0, ever=False)
+    roll.begin(0.0, [])
     assert roll.ask(0.0, node("a"), 1) and roll.ask(0.0, node("b"), 1) and not roll.ask(0.5, node("a"), 1)
     roll.answered(1.0, "a")
     roll.answered(1.0, "b")
@@ -256,8 +256,10 @@
     roll.ask(2.0, node("b", life="2"), 0)  # its life before is over, and so is what that had told
     assert roll.held["b"].script == 0
     later = Roll()
-    later.begin(10.0, ever=True)  # another held the duty: whom it gave leases to is not known
-    assert not later.all_at(10.0 + LEASE - 0.01, 0) and later.all_at(10.01 + LEASE, 0)
+    later.begin(10.0, ["a", "b"])  # another held the duty, and may have given them leases to the last
+    later.ask(10.1, node("a"), 2)
+    assert not later.all_heard(10.2) and not later.all_at(10.0 + LEASE, 2)
+    assert later.all_heard(10.01 + LEASE) and later.all_at(10.01 + LEASE, 2)
 
 
 def test_clients_are_sent_to_ready_ingresses_of_their_region_else_to_all() -> None:
