--- a/playhouse/company/roll.py
+++ b/playhouse/company/roll.py
@@ -48,6 +48,8 @@
                 self.held[name] = Held(unheard, now + LEASE, float("-inf"), float("-inf"), -1)
         for held in self.held.values():
             held.lease_end, held.script, held.asked_at = now + LEASE, -1, float("-inf")
+            if held.node.http:  # the last holder knew it: clients are sent there until it is missed here
+                held.heard_at = now
             held.counting = False
 
     def ask(self, now: float, node: pb.Node, script: int) -> bool:
--- a/playhouse/wings/links.py
+++ b/playhouse/wings/links.py
@@ -179,7 +179,6 @@
             waiting.future.set_exception(SystemFailure(Code.FULL, frames.door))
 
     def _send(self, door: str, envelope: pb.Envelope) -> None:
-        envelope.sender = self.own
         if made := self._made.get(door):
             self._write(made, envelope)
             return
