Ask with a name where the rest is known, and send beats to the nearest core machine

Core machines asked in a loop (they were told news of the counter that they do not use); asks repeat only a name; beats go to a core machine of the server's own zone or region (beatUrl); ends of the holder's connection count as out of touch at once.

--- a/playhouse/company/roll.py
+++ b/playhouse/company/roll.py
@@ -12,11 +12,11 @@
 from playhouse.wings import cues_pb2 as pb
 
 LEASE = 4.5  # s: shorter than `ack`, as an acknowledgement waits for those silent to have stopped
-MISSED = 1.2  # s without a word after which clients are no longer sent there
+MISSED = 0.8  # s without a word after which clients are no longer sent there
 HOLD = 0.25  # s that an ask may be kept while there is no news, or ...
 HOLD_EACH = 0.015  # ... so many for each ingress, if that is more
 HEARD = 0.25  # s beyond that after which an ingress may be out of touch, as far as its holder can tell ...
-LOST = 0.6  # ... and after which it is, as it sees it itself
+LOST = 0.4  # ... and after which it is, as it sees it itself
 
 
 def hold(edges: int) -> float:
--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -234,8 +234,8 @@
 
     async def _ask(self, ask: pb.Ask) -> pb.Cue:
         duty, until = self._held(), self.now() + min(5.0, ask.wait_ms / 1000)
-        if ask.node.kind == "edge":
-            await self._enrol(ask.node.name)
+        if not ask.HasField("node") or ask.node.kind == "edge":
+            await self._enrol(ask.name or ask.node.name)
             duty = self._held()
         if duty.asked(self.now(), ask):
             self._publish()
@@ -343,8 +343,28 @@
             return wrong(found.status, found.why)
         if found.call == "ready":
             return told(200, {"ready": True})
-        if found.call == "beat" and self.duty is None and self._plain_beat(found.args["id"], body):
-            return told(200, {})
+        if found.call != "beat":
+            return await self._pass(method, target, body)
+        if self.duty is None and self._plain_beat(found.args["id"], body):
+            return told(200, self._nearer(body))
+        status, answer = await self._pass(method, target, body)
+        return told(200, self._nearer(body)) if status == 200 else (status, answer)
+
+    def _nearer(self, body: bytes) -> dict[str, str]:
+        """Where a server's later beats are to go, if that is not here: they are the most of what crosses
+        zones."""
+        zone = json.loads(body)["details"]["zone"]
+        region = self.settings.zones.get(zone, "")
+        if zone == self.settings.zone:
+            return {}
+        cores = [h.node for h in self.roll.held.values() if h.node.kind == "core" and h.node.ctl]
+        near = [n for n in cores if n.zone == zone]
+        if not near and region != self.settings.region:
+            near = [n for n in cores if n.region == region]
+        return {"beatUrl": f"http://{near[0].ctl}"} if near else {}
+
+    async def _pass(self, method: str, target: str, body: bytes) -> Answer:
+        """Settled here if the duty is held here, else by its holder."""
         if self.duty and self.machine.holds(self.now()):
             try:
                 return await self._settle(method, target, body)
--- a/playhouse/foyer/lookup.py
+++ b/playhouse/foyer/lookup.py
@@ -8,7 +8,7 @@
 from playhouse.wings import cues_pb2 as pb
 
 MOST = 64
-TTL = 3.0  # s at the most: how long one that has left is still called
+TTL = 1.5  # s at the most: how long one that has left is still called
 
 
 def lookup(target: str, nodes: list[pb.Node], ttl_max: float) -> Answer:
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import os
 import random
 import zlib
 from dataclasses import dataclass, replace
@@ -78,7 +77,9 @@
         self.lease_end = self.heard_at = float("-inf")
         self._counting = False
         self._seen: tuple[str, int, int, int, int] = ("", 0, 0, 0, 0)
-        self._life = f"{os.getpid():x}{random.getrandbits(40):x}"
+        self._life = f"{random.getrandbits(40):x}"
+        self._told: tuple[str, pb.Node] = ("", pb.Node())  # what is known of it, and in which epoch
+        self.wings.lost = self._lost
         self._leaving = False
         self._zones = {zone: number for number, zone in enumerate(sorted(settings.zones))}
         self._regions = {r: number for number, r in enumerate(sorted(set(settings.zones.values())))}
@@ -220,6 +221,11 @@
     def ready(self) -> bool:
         return bool(self.bill.gen) and self.may_serve() and not self._leaving and bool(self.rows.rows)
 
+    def _lost(self, door: str) -> None:
+        """The holder's connection has ended: there as well, or the holder has."""
+        if door == self.reach.hint:
+            self.heard_at = float("-inf")
+
     def _peers(self) -> list[str]:
         return [n.door for n in self.nodes if n.kind == "edge" and n.door != self.wings.own]
 
@@ -255,14 +261,20 @@
     async def _asks(self) -> None:
         while True:
             epoch, script, servers, nodes, gen = self._seen
+            node = self._node()
             ask = pb.Ask(
-                node=self._node(), epoch=epoch, script=script, gen=gen, servers=servers, nodes=nodes,
+                epoch=epoch, script=script, gen=gen, servers=servers, nodes=nodes,
                 wait_ms=round(hold(self._edges) * 1000), counting=self._counting,
             )  # fmt: skip
+            if (epoch, node) == self._told:
+                ask.name, ask.life = node.name, node.life
+            else:
+                ask.node.CopyFrom(node)
             asked = self._loop.time()
             try:
                 answer = await self.reach.call(pb.Envelope(ask=ask), ASK_WITHIN, hold(self._edges) + 0.35)
             except SystemFailure as failure:
+                self._told = ("", node)
                 if not self.may_serve():
                     note(Event.NO_HOLDER, "%s", failure)
                 await asyncio.sleep(random.uniform(0.05, 0.15))
@@ -270,6 +282,7 @@
             if answer.WhichOneof("body") == "cue":
                 try:
                     self._apply(answer.cue, asked)
+                    self._told = (answer.cue.epoch, node)
                 except Exception as error:
                     note(Event.FAILED, "cue: %r", error)
                     raise
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -13,6 +13,7 @@
 from playhouse.boxoffice.till import Till
 from playhouse.callboard.board import Board, Seen
 from playhouse.company.roll import LEASE, Roll
+from playhouse.errors import Code, SystemFailure
 from playhouse.script.state import State
 from playhouse.settings import Bounds, seconds
 from playhouse.wings import cues_pb2 as pb
@@ -110,7 +111,12 @@
         return self.till.lease(now, lease.tenant, lease.amount, lease.told) if self.counting else None
 
     def asked(self, now: float, ask: pb.Ask) -> bool:
-        """True if it is news to others."""
+        """True if it is news to others. Raises SystemFailure where who asks is not known."""
+        if not ask.HasField("node"):
+            known = self.roll.held.get(ask.name)
+            if known is None or known.node.life != ask.life or not known.node.door:
+                raise SystemFailure(Code.STALE)
+            ask.node.CopyFrom(known.node)
         news = self.roll.ask(now, ask.node, ask.script)
         held = self.roll.held[ask.node.name]
         held.current, held.counting = ask.servers == self.board.number, ask.counting and self.counting
@@ -118,7 +124,9 @@
         return news
 
     def has_news(self, now: float, ask: pb.Ask, state: State) -> bool:
-        if ask.epoch != self.epoch(now) or ask.script != state.version or ask.counting != self.counting:
+        if ask.epoch != self.epoch(now) or ask.script != state.version:
+            return True
+        if ask.node.kind == "edge" and ask.counting != self.counting:
             return True
         return ask.servers != self.board.number or ask.nodes != self.roll.number
 
--- a/playhouse/wings/links.py
+++ b/playhouse/wings/links.py
@@ -118,7 +118,8 @@
         self._all: set[Frames] = set()
         self._queued: dict[str, list[pb.Envelope]] = {}  # until a dial is up
         self._calls: dict[int, _Waiting] = {}
-        self._next = random.getrandbits(32)
+        self._next = 0
+        self.lost: Callable[[str], None] = lambda door: None  # told when a connection to a door has ended
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self.counts: dict[str, int] = {}
@@ -146,6 +147,7 @@
         self._all.discard(frames)
         if frames.door and self._made.get(frames.door) is frames:
             del self._made[frames.door]
+            self.lost(frames.door)
         for waiting in list(self._calls.values()):
             if waiting.frames is frames and not waiting.future.done():
                 waiting.future.set_exception(SystemFailure(Code.SILENT, "the connection broke"))
--- a/playhouse/wings/reach.py
+++ b/playhouse/wings/reach.py
@@ -63,6 +63,8 @@
                 answer = await wings.call(way, made, min(patience, end - now))
             except SystemFailure as error:
                 failure = error
+                if error.code in (Code.REFUSED, Code.STALE):
+                    raise  # the holder has said so
                 if error.code in (Code.UNREACHABLE, Code.SILENT):
                     self._avoid(way, wings.now())
                     if way != door or not self._peers():
