--- /dev/null
+++ b/playhouse/usher/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' client: one command line for the calls of the control ingresses."""
--- /dev/null
+++ b/playhouse/usher/__main__.py
@@ -0,0 +1,216 @@
+"""`python -m playhouse.usher`: what an operator asks and orders, at any control ingress.
+
+Exit codes: 0 done, 1 refused, 2 wrong usage or unreadable input, 3 no ingress answered clearly.
+"""
+
+from __future__ import annotations
+
+import http.client
+import json
+import random
+import sys
+import time
+from pathlib import Path
+from typing import Any, ClassVar
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from playhouse.script.check import content_errors, order_errors
+from playhouse.settings import door
+
+WITHIN = 20.0  # s for a clear answer, over all tries
+ONE = 3.0  # s for one try
+DONE, REFUSED, USAGE, UNCLEAR = 0, 1, 2, 3
+AT = option("at", "a", "address of a control ingress; may be given several times", flag=False, multiple=True)
+JSON = option("json", None, "for programs: the answer as it came", flag=True)
+
+
+class Unclear(Exception):
+    pass
+
+
+def ask(doors: list[tuple[str, int]], method: str, call: str, body: bytes = b"") -> tuple[int, Any]:
+    """The first clear answer: the same call goes to the next ingress after a failure or a 5xx."""
+    until, said, pause = time.monotonic() + WITHIN, "no address", 0.1
+    while doors and time.monotonic() < until:
+        for host, port in random.sample(doors, len(doors)):
+            connection = http.client.HTTPConnection(host, port, timeout=ONE)
+            try:
+                connection.request(method, f"/-/{call}", body, {"Content-Type": "application/json"})
+                answer = connection.getresponse()
+                text = answer.read()
+                if answer.status < 500 and answer.status not in (408, 429):
+                    return answer.status, json.loads(text)
+                said = f"{host}:{port} answers {answer.status}"
+            except (OSError, ValueError, http.client.HTTPException) as error:
+                said = f"{host}:{port}: {error}"
+            finally:
+                connection.close()
+        time.sleep(pause * random.uniform(0.5, 1.5))
+        pause = min(2.0, pause * 2)
+    raise Unclear(said)
+
+
+class Call(Command):
+    """What all of them share."""
+
+    def doors(self) -> list[tuple[str, int]]:
+        return [door(text) for text in self.option("at")]
+
+    def run_call(self, method: str, call: str, body: bytes = b"") -> tuple[int, Any]:
+        try:
+            doors = self.doors()
+        except ValueError as error:
+            self.line_error(f"--at: {error}")
+            return USAGE, None
+        if not doors:
+            self.line_error("--at ADDRESS is missing: where a control ingress listens, as 10.1.0.11:8200")
+            return USAGE, None
+        try:
+            status, told = ask(doors, method, call, body)
+        except Unclear as error:
+            self.line_error(f"no clear answer: {error}; what was ordered may yet come into force")
+            return UNCLEAR, None
+        if status >= 300:
+            for line in told.get("errors", [told]) if isinstance(told, dict) else [told]:
+                self.line_error(f"{status}: {line}")
+            return REFUSED, None
+        return DONE, told
+
+    def load(self, name: str) -> Any:
+        """Raises ValueError."""
+        try:
+            return json.loads(Path(name).read_text())
+        except OSError as error:
+            raise ValueError(str(error)) from None
+
+
+class Status(Call):
+    name = "status"
+    description = "Who holds the duty, the core, ingresses, servers, the version in force."
+    options: ClassVar[list[Option]] = [AT, JSON]
+
+    def handle(self) -> int:
+        code, told = self.run_call("GET", "Fleet.Show")
+        if told is None or self.option("json"):
+            if told is not None:
+                self.line(json.dumps(told))
+            return code
+        evacuated = ", ".join(told["evacuated"]) or "none"
+        self.line(
+            f"gen {told['gen']} (version {told['version']}), view {told['view']} held at {told['holder']}"
+        )
+        self.line(f"core: {', '.join(member[0] for member in told['members'])}; evacuated zones: {evacuated}")
+        rows = [
+            [
+                n["name"],
+                n["kind"],
+                n["zone"],
+                "yes" if n["ready"] else "no",
+                str(n["version"]),
+                f"{n['lease_left']} s",
+            ]
+            for n in told["nodes"]
+        ]
+        self.render_table(["ingress", "kind", "zone", "ready", "version", "lease left"], rows)
+        rows = [[s["id"], s["service"], s["zone"], s["state"], f"{s['silent']} s"] for s in told["servers"]]
+        self.render_table(["server", "service", "zone", "state", "last heard"], rows)
+        return code
+
+
+class Read(Call):
+    name = "config read"
+    description = "The configuration in force, as JSON."
+    options: ClassVar[list[Option]] = [AT]
+
+    def handle(self) -> int:
+        code, told = self.run_call("GET", "Config.Read")
+        if told is not None:
+            self.line(json.dumps(told, indent=2))
+        return code
+
+
+class Check(Call):
+    name = "config check"
+    description = "Whether a file holds a sound configuration; every error at once. Asks nobody."
+    arguments: ClassVar[list[Argument]] = [argument("file")]
+
+    def handle(self) -> int:
+        try:
+            made = self.load(self.argument("file"))
+        except ValueError as error:
+            self.line_error(f"{self.argument('file')}: {error}")
+            return USAGE
+        errors = order_errors(made, True, -1)
+        errors += content_errors(made) if isinstance(made, dict) else []
+        for line in errors:
+            self.line_error(line)
+        self.line(f"{len(errors)} errors" if errors else "sound")
+        return REFUSED if errors else DONE
+
+
+class Apply(Call):
+    name = "config apply"
+    description = "Puts a file's configuration, or its changes, on top of the version in force."
+    arguments: ClassVar[list[Argument]] = [argument("file")]
+    options: ClassVar[list[Option]] = [AT, option("yes", "y", "do not ask", flag=True)]
+
+    def handle(self) -> int:
+        try:
+            made = self.load(self.argument("file"))
+        except ValueError as error:
+            self.line_error(f"{self.argument('file')}: {error}")
+            return USAGE
+        if not isinstance(made, dict):
+            self.line_error(f"{self.argument('file')}: is no JSON object")
+            return USAGE
+        call = "Config.Update" if "upsert" in made or "remove" in made else "Config.Replace"
+        self.line(f"{call}: gen {made.get('gen')} on top of {made.get('parent')}")
+        if not self.option("yes") and not self.confirm("Put it in force?", False):
+            return REFUSED
+        code, told = self.run_call("POST", call, json.dumps(made).encode())
+        if told is not None:
+            self.line(f"in force: gen {told['gen']}")
+        return code
+
+
+class Move(Call):
+    arguments: ClassVar[list[Argument]] = [argument("zone")]
+    options: ClassVar[list[Option]] = [AT, option("yes", "y", "do not ask", flag=True)]
+    order, prompt = "", ""
+
+    def handle(self) -> int:
+        zone = self.argument("zone")
+        if not self.option("yes") and not self.confirm(self.prompt.format(zone), False):
+            return REFUSED
+        code, told = self.run_call("POST", f"{self.order}/{zone}")
+        if told is not None:
+            self.line("done")
+        return code
+
+
+class Evacuate(Move):
+    name = "evacuate"
+    description = "Nothing more is sent to a zone's servers."
+    order, prompt = "Drain.Begin", "Send nothing more to the servers in {}?"
+
+
+class TakeBack(Move):
+    name = "take-back"
+    description = "Ends an evacuation."
+    order, prompt = "Drain.Finish", "Send to the servers in {} again?"
+
+
+def main() -> int:
+    application = Application("usher", "1")
+    for command in (Status, Read, Check, Apply, Evacuate, TakeBack):
+        application.add(command())
+    return application.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
