--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -149,6 +149,8 @@
         over = len(request.attempts) >= limits.max_attempts or self.now >= request.cut
         seen = sum(1 for a in request.attempts if a.arrived)
         over = over or 0 < cls.tries <= seen
+        if limits.patient and not first:  # another try that can hardly end in time is work for nothing
+            over = over or request.cut - self.now < self.fleet.usual[event.cls] / 2
         if first and account.plan.ceiling_rate:  # kept by fixed parts, whatever the counter says
             over = over or (account.ceiling if leased else account.sure) < event.units
         backend = None if over else self.fleet.pick(
--- a/playhouse/promptbook/machine.py
+++ b/playhouse/promptbook/machine.py
@@ -204,8 +204,9 @@
         self._due = 0.0
         self._look_up_members()
         self._wait(now)
+        self._soon_until = float("-inf")
         if kept.voted == me.disk:  # it may have held this view: the promises of that life were to itself
-            self._due = now
+            self._due, self._soon_until = now, now + 3 * self.times.quiet
 
     # What is known.
 
@@ -313,6 +314,8 @@
 
     def _canvass(self, now: float, step: Step, trial: bool) -> None:
         self._wait(now)
+        if trial and now < self._soon_until:  # others may be about to start
+            self._due = now + self.times.soon
         self._voices = {self.me.disk}
         self.holder = None
         if trial:
