--- a/playhouse/company/roll.py
+++ b/playhouse/company/roll.py
@@ -31,6 +31,7 @@
     asked_at: float  # when its newest ask came
     script: int  # the version it has told that it serves by
     counting: bool = False  # it spends leased units only
+    here: bool = False  # clients are sent there, if it is ready
     current: bool = False  # it had heard all that was told of servers when it last asked
     waiting: bool = False  # its next ask is here, to be answered when there is news
 
@@ -38,7 +39,13 @@
 class Roll:
     def __init__(self) -> None:
         self.held: dict[str, Held] = {}  # by name
-        self.number = 0
+        self.number = 0  # rises with every change of who is here
+        self._changed: dict[str, int] = {}  # by name, of those no longer known as well
+
+    def _change(self, name: str) -> None:
+        self.number += 1
+        self._changed.pop(name, None)
+        self._changed[name] = self.number
 
     def begin(self, now: float, names: Iterable[str]) -> None:
         """The duty begins. Each of these may hold a lease of an earlier holder's."""
@@ -48,7 +55,7 @@
                 self.held[name] = Held(unheard, now + LEASE, float("-inf"), float("-inf"), -1)
         for held in self.held.values():
             held.lease_end, held.script, held.asked_at = now + LEASE, -1, float("-inf")
-            if held.node.http:  # the last holder knew it: clients are sent there until it is missed here
+            if held.here:  # as the last holder knew it: clients are sent there until it is missed here
                 held.heard_at = now
             held.counting = False
 
@@ -56,17 +63,29 @@
         """True if it is news to others."""
         known = self.held.get(node.name)
         if known is None:
-            self.held[node.name] = Held(node, now + LEASE, now, now, script, waiting=True)
-            self.number += 1
+            self.held[node.name] = Held(node, now + LEASE, now, now, script, here=True, waiting=True)
+            self._change(node.name)
             return True
-        news = known.node != node or now > known.lease_end
-        news = news or (not known.waiting and now - known.heard_at > MISSED)
+        news = known.node != node or not known.here
         new_life = known.node.life != node.life  # a machine runs one life of a role: the one before is over
         known.script = script if new_life else max(known.script, script)
-        known.node, known.heard_at, known.asked_at, known.waiting = node, now, now, True
-        self.number += news
+        known.node, known.heard_at, known.asked_at, known.waiting, known.here = node, now, now, True, True
+        if news:
+            self._change(node.name)
         return news
 
+    def watch(self, now: float) -> bool:
+        """Those not heard for a while are not here; those whose lease is long over are forgotten. True if
+        it is news."""
+        before = self.number
+        for name, held in list(self.held.items()):
+            if held.here and not held.waiting and now - held.heard_at >= MISSED:
+                held.here = False
+                self._change(name)
+            if not held.here and held.lease_end < now and now - held.heard_at > LEASE:
+                del self.held[name]
+        return self.number != before
+
     def in_touch(self, now: float, held: Held, edges: int) -> bool:
         return held.counting and now - held.asked_at <= hold(edges) + HEARD
 
@@ -84,23 +103,29 @@
         if held := self.held.get(name):
             held.lease_end, held.heard_at, held.waiting = now + LEASE, now, False
 
-    def expire(self, now: float) -> bool:
-        gone = [n for n, h in self.held.items() if h.lease_end < now and now - h.heard_at > LEASE]
-        for name in gone:
-            del self.held[name]
-        self.number += bool(gone)
-        return bool(gone)
-
     def all_at(self, now: float, script: int) -> bool:
         """Nobody can serve by an older version any longer."""
         return all(
             h.script >= script for h in self.held.values() if h.lease_end >= now and h.node.kind == "edge"
         )
 
-    def here(self, now: float) -> list[pb.Node]:
-        return [h.node for h in self.held.values() if h.waiting or now - h.heard_at < MISSED]
+    def here(self) -> list[pb.Node]:
+        return [h.node for h in self.held.values() if h.here]
+
+    def since(self, number: int) -> tuple[list[pb.Node], list[str]]:
+        """Who is here, and who no longer, of those that changed since."""
+        names = [n for n, at in self._changed.items() if at > number]
+        here = [h.node for n in names if (h := self.held.get(n)) and h.here]
+        return here, [n for n in names if n not in self.held or not self.held[n].here]
 
-    def take(self, nodes: list[pb.Node], now: float, number: int) -> None:
+    def take(
+        self, nodes: Iterable[pb.Node], gone: Iterable[str], whole: bool, now: float, number: int
+    ) -> None:
         """What the holder's roll says, for one that may hold the duty next."""
-        self.held = {n.name: Held(n, now + LEASE, now, now, -1) for n in nodes}
+        if whole:
+            self.held = {}
+        for name in gone:
+            self.held.pop(name, None)
+        for node in nodes:
+            self.held[node.name] = Held(node, now + LEASE, now, now, -1, here=True)
         self.number = number
--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -305,8 +305,7 @@
                 seen = [server_in(s, now) for s in cue.server]
                 if seen or cue.servers_whole:
                     self.board.take(seen, cue.servers, cue.servers_whole)
-                if cue.has_nodes:
-                    self.roll.take(list(cue.node), now, cue.nodes)
+                self.roll.take(cue.node, cue.node_gone, cue.nodes_whole, now, cue.nodes)
                 for known in self.board.servers.values():
                     known.heard_at = now
                 self._seen = (cue.epoch, cue.script, cue.servers, cue.nodes, cue.gen)
@@ -330,12 +329,7 @@
             return wrong(found.status, found.why)
         if found.call == "ready":
             return told(200, {"ready": True})
-        return lookup(
-            target, self.roll.here(self.now()) if self.duty else self._copied(), self.settings.bounds.ttl_max
-        )
-
-    def _copied(self) -> list[pb.Node]:
-        return [held.node for held in self.roll.held.values()]
+        return lookup(target, self.roll.here(), self.settings.bounds.ttl_max)
 
     async def _take(self, method: str, target: str, body: bytes) -> Answer:
         found = match(CONTROL, method, target)
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -72,7 +72,7 @@
         self.reach = Reach(self.wings, lambda: self._cores, self._peers)
         self.bill = Playbill({})
         self.servers: dict[str, Known] = {}
-        self.nodes: list[pb.Node] = []
+        self.nodes: dict[str, pb.Node] = {}  # those here, by name
         self.evacuated: frozenset[str] = frozenset()
         self.lease_end = self.heard_at = float("-inf")
         self._counting = False
@@ -227,7 +227,7 @@
             self.heard_at = float("-inf")
 
     def _peers(self) -> list[str]:
-        return [n.door for n in self.nodes if n.kind == "edge" and n.door != self.wings.own]
+        return [n.door for n in self.nodes.values() if n.kind == "edge" and n.door != self.wings.own]
 
     def _know_cores(self, doors: Any) -> None:
         for door in doors:
@@ -301,12 +301,15 @@
             self.servers = {}
         for server in cue.server:
             self._know_server(server, now)
-        if cue.has_nodes:
-            self.nodes = list(cue.node)
-            self._know_cores(n.door for n in self.nodes if n.kind == "core")
+        if cue.nodes_whole:
+            self.nodes = {}
+        for name in cue.node_gone:
+            self.nodes.pop(name, None)
+        self.nodes.update((n.name, n) for n in cue.node)
+        self._know_cores(n.door for n in cue.node if n.kind == "core")
         self._counting = cue.counting
         self._edges = cue.share_of if cue.counting else max(self._edges, cue.share_of)
-        if cue.has_nodes or cue.has_content:
+        if cue.node or cue.node_gone or cue.nodes_whole or cue.has_content:
             self._set_place()
         if cue.server or cue.servers_whole or cue.has_script:
             self._list_servers()
@@ -334,7 +337,7 @@
         place.region = self._regions.get(self.settings.region, -1)
         place.edges = max(1, self._edges)
         place.edges_in = {}
-        for node in self.nodes:
+        for node in self.nodes.values():
             if node.kind == "edge" and not node.leaving:
                 zone = self._zones.get(node.zone, -1)
                 place.edges_in[zone] = place.edges_in.get(zone, 0) + 1
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -90,8 +90,8 @@
 
     def _expire(self, now: float) -> bool:
         if not self.settled(now):
-            return self.roll.expire(now)
-        return self.board.expire(now, self._beat) | self.roll.expire(now)
+            return self.roll.watch(now)
+        return self.board.expire(now, self._beat) | self.roll.watch(now)
 
     def warmups(self, state: State) -> dict[str, float]:
         return {b["name"]: seconds(b.get("warmup", "0s")) for b in state.content.get("backends", ())}
@@ -150,8 +150,10 @@
             cue.servers_whole = not known and self.settled(now)
             cue.server.extend(server_out(s, now) for s in seen if known or s.state != "gone" or s.ended)
         if not known or ask.nodes != self.roll.number:
-            cue.has_nodes = True
-            cue.node.extend(self.roll.here(now))
+            cue.nodes_whole = not known
+            here, gone = self.roll.since(ask.nodes) if known else (self.roll.here(), [])
+            cue.node.extend(here)
+            cue.node_gone.extend(gone)
         self.roll.answered(now, ask.node.name)
         return cue
 
