--- a/ironledge/lab/faults/launch.py
+++ b/ironledge/lab/faults/launch.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import errno
+import importlib
 import mmap
 import os
 import runpy
@@ -25,6 +26,7 @@
 import uvloop
 
 from ironledge.lab.faults.plants import PLANTS
+from ironledge.lab.live.ports import HOST
 
 CONTROL = struct.Struct("<qdqdqq")  # see Control
 FULL, FAILING = 1, 2
@@ -41,7 +43,7 @@
     synced: str  # file that tells which bytes of which file a power cut would leave
     routes: dict[str, int]
     datagrams: dict[str, int] = {}
-    plant: str = ""
+    plant: str = ""  # of the list service, or MODULE:FUNCTION
     skewed: bool = False  # a clock of this process may run fast or slow: then on a loop in Python
 
 
@@ -196,7 +198,8 @@
         async def create_connection(
             self, factory: Any, host: Any = None, port: Any = None, **more: Any
         ) -> Any:
-            port = told.routes.get(f"{host}:{port}", port)
+            if way := told.routes.get(f"{host}:{port}"):
+                host, port = HOST, way
             return await super().create_connection(factory, host, port, **more)
 
         async def create_datagram_endpoint(self, factory: Any, *args: Any, **more: Any) -> Any:
@@ -219,7 +222,10 @@
         Clocks(control).install()
     disk = Disk(control, Path(told.synced))
     disk.install()
-    if told.plant:
+    if ":" in told.plant:  # another program's: MODULE:FUNCTION
+        module, _, name = told.plant.partition(":")
+        getattr(importlib.import_module(module), name)()
+    elif told.plant:
         PLANTS[told.plant](disk)
 
     def run(main: Coroutine[Any, Any, Any]) -> Any:
--- a/playhouse/rehearsal/world.py
+++ b/playhouse/rehearsal/world.py
@@ -67,6 +67,7 @@
     ledger: Ledger = field(default_factory=Ledger)
     heard: list[Heard] = field(default_factory=list)
     gen: int = 0
+    broken: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.base, block = free_base(), random.randrange(1, 250)
@@ -122,12 +123,15 @@
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(self.settings(machine)))
         machine.starts += 1
-        env = {"PATH": os.environ.get("PATH", ""), "CAIRNDALE_CONFIG": str(path)}
+        env = self.environment(path)
         with open(self.folder / f"{name}.log", "ab") as log:
             machine.process = Popen(
                 [sys.executable, "-m", "playhouse"], cwd=ROOT, env=env, stdin=DEVNULL, stdout=log, stderr=log
             )
 
+    def environment(self, path: Path) -> dict[str, str]:
+        return {"PATH": os.environ.get("PATH", ""), "CAIRNDALE_CONFIG": str(path)}
+
     def tell(self, name: str, number: int) -> None:
         if process := self.machines[name].process:
             process.send_signal(number)
@@ -135,12 +139,12 @@
     async def kill(self, name: str, number: int = signal.SIGKILL, within: float = 10.0) -> None:
         """Its end is waited for."""
         machine = self.machines[name]
-        if machine.process:
-            machine.process.send_signal(number)
+        if process := machine.process:
+            process.send_signal(number)
             async with asyncio.timeout(within):
-                while machine.process.poll() is None:
+                while process.poll() is None:
                     await asyncio.sleep(0.01)
-            machine.process = None
+            machine.process = None if machine.process is process else machine.process
 
     async def wipe(self, name: str) -> None:
         await self.kill(name)
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -78,7 +78,7 @@
         self._counting = False
         self._seen: tuple[str, int, int, int, int] = ("", 0, 0, 0, 0)
         self._life = f"{random.getrandbits(40):x}"
-        self._told: tuple[str, pb.Node] = ("", pb.Node())  # what is known of it, and in which epoch
+        self._told: tuple[str, pb.Node] | None = None  # what the holder knows of it, and in which epoch
         self.wings.lost = self._lost
         self._leaving = False
         self._zones = {zone: number for number, zone in enumerate(sorted(settings.zones))}
@@ -274,7 +274,7 @@
             try:
                 answer = await self.reach.call(pb.Envelope(ask=ask), ASK_WITHIN, hold(self._edges) + 0.35)
             except SystemFailure as failure:
-                self._told = ("", node)
+                self._told = None
                 if not self.may_serve():
                     note(Event.NO_HOLDER, "%s", failure)
                 await asyncio.sleep(random.uniform(0.05, 0.15))
--- a/tests/features/steps/system.py
+++ b/tests/features/steps/system.py
@@ -195,6 +195,27 @@
     assert world.verdict() == []
 
 
+@step(when, "the whole core is killed, and the data-plane ingresses start again")
+async def _(context: Any, world: World) -> None:
+    for name in world.machines:
+        await world.kill(name)
+    for name, machine in world.machines.items():
+        if not machine.core:
+            world.start(name)
+
+
+@step(when, "the core comes back once they have asked in vain")
+async def _(context: Any, world: World) -> None:
+    async def asked() -> bool:
+        logs = [(world.folder / f"{n}.log").read_text() for n, m in world.machines.items() if not m.core]
+        return all("no_holder" in log for log in logs)
+
+    await until(asked)
+    for name, machine in world.machines.items():
+        if machine.core:
+            world.start(name)
+
+
 @step(then, "these requests are answered so, and none of them runs:")
 async def _(context: Any, world: World) -> None:
     for row in context.table:
--- a/tests/features/system.feature
+++ b/tests/features/system.feature
@@ -24,6 +24,14 @@
     Then it is a member of the core again
     And nothing was broken
 
+  Scenario: Ingresses that start while there is no core
+    Given the first configuration is in force
+    When the whole core is killed, and the data-plane ingresses start again
+    And the core comes back once they have asked in vain
+    Then both data-plane ingresses say that they are ready
+    When clients send 10 requests that may be repeated and 10 that may not
+    Then every one is served, and ran once
+
   Scenario: What is asked wrongly
     Given the first configuration is in force
     Then these requests are answered so, and none of them runs:
