--- a/playhouse/promptbook/store.py
+++ b/playhouse/promptbook/store.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import struct
+import zlib
 from collections.abc import Iterable
 from pathlib import Path
 
 import lmdb
+from google.protobuf.message import DecodeError
 
 from playhouse.promptbook import codec
 from playhouse.promptbook.machine import Keep, KeepSnapshot, Kept, Promise, Write
@@ -20,12 +22,15 @@
 
 
 class Store:
-    def __init__(self, folder: Path) -> None:
-        folder.mkdir(parents=True, exist_ok=True)
+    def __init__(self, folder: Path, look: bool = False) -> None:
+        """`look`: nothing is changed, and nothing made where there is nothing. Raises StoreError."""
+        if not look:
+            folder.mkdir(parents=True, exist_ok=True)
         try:
-            self._env = lmdb.open(str(folder / "promptbook"), map_size=ROOM, max_dbs=2, lock=False)
-            self._meta = self._env.open_db(b"meta")
-            self._entries = self._env.open_db(b"entries")
+            path = str(folder / "promptbook")
+            self._env = lmdb.open(path, map_size=ROOM, max_dbs=2, lock=False, readonly=look, create=not look)
+            self._meta = self._env.open_db(b"meta", create=not look)
+            self._entries = self._env.open_db(b"entries", create=not look)
         except lmdb.Error as error:
             raise StoreError(str(error)) from error
 
@@ -45,6 +50,13 @@
             change.put(b"snapshot", codec.snapshot_out(kept.snapshot), db=self._meta)
 
     def load(self) -> Kept:
+        """Raises StoreError."""
+        try:
+            return self._load()
+        except (lmdb.Error, DecodeError, struct.error, UnicodeDecodeError, zlib.error) as error:
+            raise StoreError(f"cannot be read: {error!r}") from error
+
+    def _load(self) -> Kept:
         with self._env.begin() as look:
             promise = look.get(b"promise", db=self._meta)
             snapshot = look.get(b"snapshot", db=self._meta)
--- a/playhouse/usher/__main__.py
+++ b/playhouse/usher/__main__.py
@@ -206,9 +206,50 @@
     order, prompt = "Drain.Finish", "Send to the servers in {} again?"
 
 
+class Look(Command):
+    name = "state"
+    description = "What a core machine's disk holds, and what is wrong with it. Changes nothing."
+    arguments: ClassVar[list[Argument]] = [argument("folder", "the machine's stateDir")]
+    options: ClassVar[list[Option]] = [option("config", None, "only the configuration in force", flag=True)]
+
+    def handle(self) -> int:
+        from playhouse.promptbook.store import Store, StoreError
+        from playhouse.script.state import Command as Change
+        from playhouse.script.state import State
+
+        folder = Path(self.argument("folder"))
+        if not (folder / "promptbook").is_dir():
+            self.line_error(f"{folder}: holds no promptbook")
+            return USAGE
+        try:
+            store = Store(folder, look=True)
+            disk, kept = store.disk(), store.load()
+            store.close()
+        except StoreError as error:
+            self.line_error(f"{folder}: {error}")
+            return REFUSED
+        state = State.read(kept.snapshot.state)
+        for entry in kept.entries:
+            if entry.data:
+                state.apply(Change.read(entry.data))
+        if self.option("config"):
+            self.line(json.dumps(state.content, indent=2))
+            return DONE
+        members = kept.snapshot.members
+        for entry in kept.entries:
+            members = entry.members or members
+        self.line(f"disk {disk}; view {kept.view}, promised to {kept.voted or 'nobody'}")
+        self.line("members: " + ", ".join(f"{m.door} ({m.disk})" for m in members))
+        last = kept.entries[-1].index if kept.entries else kept.snapshot.index
+        self.line(f"snapshot at {kept.snapshot.index}, {len(kept.entries)} entries after it, to {last}")
+        self.line(f"with all of them: gen {state.gen}, version {state.version}, evacuated {state.evacuated}")
+        self.line("an entry at the end may not be decided yet: a majority of the members has to hold it")
+        return DONE
+
+
 def main() -> int:
     application = Application("usher", "1")
-    for command in (Status, Read, Check, Apply, Evacuate, TakeBack):
+    for command in (Status, Read, Check, Apply, Evacuate, TakeBack, Look):
         application.add(command())
     return application.run()
 
--- a/tests/test_playhouse_promptbook.py
+++ b/tests/test_playhouse_promptbook.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import heapq
+import json
 import random
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
+from cleo.testers.command_tester import CommandTester
 
 from playhouse.promptbook import codec
 from playhouse.promptbook.machine import (
@@ -33,6 +35,8 @@
     founder,
 )
 from playhouse.promptbook.store import Store, StoreError
+from playhouse.script.state import Command, State, Verb
+from playhouse.usher.__main__ import Look
 
 SEEDS = ["a:1", "b:1", "c:1"]
 DOORS = [*SEEDS, "d:1", "e:1"]
@@ -345,3 +349,37 @@
     with pytest.raises(StoreError):
         again.load()
     again.close()
+
+
+def test_a_damaged_disk_is_told_from_an_empty_one(tmp_path: Path) -> None:
+    store = Store(tmp_path)
+    store.begin("x", founded([Member("a:1", "x")]))
+    store.write([Keep(1, (Entry(1, 1, b"d"),))])
+    with store._env.begin(write=True) as change:
+        change.put((1).to_bytes(8, "big"), b"\xff\xff not an entry", db=store._entries)
+    assert store.disk() == "x"
+    with pytest.raises(StoreError, match="cannot be read"):
+        store.load()
+    store.close()
+    data = tmp_path / "promptbook/data.mdb"
+    data.write_bytes(b"\0" * 100 + data.read_bytes()[100:])
+    with pytest.raises(StoreError):
+        Store(tmp_path)
+
+
+def test_an_operator_reads_the_state_without_changing_it(tmp_path: Path) -> None:
+    content = {"gen": 5, "routes": [], "backends": [], "tenants": []}
+    store = Store(tmp_path)
+    state = State()
+    assert state.apply(Command(Verb.REPLACE, "d", content | {"parent": 0}))
+    store.begin("x", Kept(2, "x", Snapshot(3, 1, (Member("a:1", "x"),), state.out())))
+    store.write([Keep(4, (Entry(4, 2, Command(Verb.EVACUATE, zone="z").out()),))])
+    store.close()
+    before = (tmp_path / "promptbook/data.mdb").read_bytes()
+    shown = CommandTester(Look())
+    assert shown.execute(str(tmp_path)) == 0
+    told = shown.io.fetch_output()
+    assert "disk x; view 2" in told and "gen 5, version 2, evacuated ['z']" in told
+    assert shown.execute(f"{tmp_path} --config") == 0 and json.loads(shown.io.fetch_output()) == content
+    assert (tmp_path / "promptbook/data.mdb").read_bytes() == before
+    assert shown.execute(str(tmp_path / "nowhere")) == 2 and not (tmp_path / "nowhere").exists()
