--- a/playhouse/promptbook/machine.py
+++ b/playhouse/promptbook/machine.py
@@ -338,7 +338,9 @@
         current = (line.last_view, line.last_index) >= (self.view_at(self.last), self.last)
         if line.trial:
             granted = line.view > self.view and current and not follows
-            step.sends.append((line.sender.door, Ballot(line.view, self.me, True, granted)))
+            # A no tells the view here: whoever lags behind it has to ask above it to be heard at all.
+            view = line.view if granted else self.view
+            step.sends.append((line.sender.door, Ballot(view, self.me, True, granted)))
             return
         if follows:
             return  # a majority promised the holder this span: that is what its lease rests on
@@ -353,7 +355,8 @@
         step.sends.append((line.sender.door, Ballot(self.view, self.me, False, granted)))
 
     def _ballot(self, now: float, step: Step, line: Ballot) -> None:
-        if line.view > self.view and not line.trial:
+        behind = not line.trial or (not line.granted and self.role is Role.TRIAL)
+        if line.view > self.view and behind:
             self._follow(now, step, line.view, None)
             return
         wanted = self.view + 1 if self.role is Role.TRIAL else self.view
--- a/tests/test_playhouse_promptbook.py
+++ b/tests/test_playhouse_promptbook.py
@@ -248,6 +248,25 @@
     play(World(seed), 6)
 
 
+def test_a_longer_log_in_an_older_view_is_not_kept_out_for_good() -> None:
+    """Storm 5013: one that was ahead in views and behind in its log, and the other way round; neither could win."""
+    members = tuple(founder(door) for door in SEEDS)
+    entries = [Entry(1, 1, opens=True), Entry(2, 1, b"said")]
+    disks = {
+        "a:1": Kept(2, "", Snapshot(0, 0, members), entries),
+        "b:1": Kept(7, founder("b:1").disk, Snapshot(0, 0, members), entries[:1]),
+    }
+    machines = {d: Machine(founder(d), k, 0.0, random.Random(d)) for d, k in disks.items()}
+    now, lines = 0.0, list[tuple[str, Line]]()
+    for _ in range(200):
+        now += 0.05
+        steps = [machines[door].received(now, line) for door, line in lines if door in machines]
+        steps += [machine.tick(now) for machine in machines.values()]
+        lines = [sent for step in steps for sent in step.sends]
+    assert [d for d, m in machines.items() if m.holds(now)] == ["a:1"]
+    assert machines["b:1"].log[1].data == b"said"
+
+
 class AckEarly(Machine):
     def _held(self, index: int, among: tuple[Member, ...]) -> bool:
         return True
