--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -22,13 +22,14 @@
 from playhouse.company.roll import LOST, hold
 from playhouse.errors import Code, SystemFailure
 from playhouse.events import Event, note
+from playhouse.foyer.lookup import lookup
 from playhouse.script.playbill import Playbill
 from playhouse.settings import Settings, seconds, shown
 from playhouse.stage.choice import Rows
 from playhouse.stage.dialect import judge
 from playhouse.stage.reading import Reading
 from playhouse.stagedoor.doors import Answer, Doors, told, wrong
-from playhouse.stagedoor.tree import READY, Wrong, match
+from playhouse.stagedoor.tree import FOYER, READY, Wrong, match
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.links import Wings
 from playhouse.wings.reach import Reach
@@ -92,7 +93,7 @@
         self._edges = 0  # ingresses that shares are parted over; 0: never told, so none may be spent
         self._tasks: list[asyncio.Task[Any]] = []
         self._leases: set[asyncio.Task[None]] = set()
-        self._readyz = Doors(self._ready_door)
+        self._readyz, self._dir = Doors(self._ready_door), Doors(self._foyer)
         self._stage()
 
     def _stage(self) -> None:
@@ -147,6 +148,8 @@
     async def start(self) -> None:
         await self.wings.listen()
         await self._readyz.listen(self.settings.listen["readyz"])
+        if "dir" in self.settings.listen:
+            await self._dir.listen(self.settings.listen["dir"])
         await self.listener.listen(*self.settings.listen["http"])
         self._tasks = [self._loop.create_task(self._asks())]
 
@@ -175,6 +178,7 @@
         for task in [*self._tasks, *self._leases]:
             task.cancel()
         self._readyz.stop()
+        self._dir.stop()
         self.wings.stop()
         self.backends.stop()
 
@@ -250,6 +254,15 @@
             return wrong(found.status, found.why)
         return told(200 if self.ready() else 503, {"ready": self.ready(), "gen": self.bill.gen})
 
+    async def _foyer(self, method: str, target: str, body: bytes) -> Answer:
+        """Goes on without a core, by what was last told."""
+        found = match(FOYER, method, target)
+        if isinstance(found, Wrong):
+            return wrong(found.status, found.why)
+        if found.call == "ready":
+            return await self._ready_door(method, target, body)
+        return lookup(target, list(self.nodes.values()), self.settings.bounds.ttl_max)
+
     def _hear(self, envelope: pb.Envelope) -> None:
         """Nothing is told here unasked."""
 
