--- a/playhouse/wings/links.py
+++ b/playhouse/wings/links.py
@@ -123,6 +123,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self.counts: dict[str, int] = {}
+        self.frames = Frames  # what connections are made as
 
     def now(self) -> float:
         return self._loop.time()
@@ -156,7 +157,9 @@
         host, _, port = door.rpartition(":")
         try:
             async with asyncio.timeout(DIAL):
-                _, made = await self._loop.create_connection(lambda: Frames(self, door), host, int(port))
+                _, made = await self._loop.create_connection(lambda: self.frames(self, door), host, int(port))
+            if made.transport is None:  # it came up and ended before this went on
+                raise ConnectionResetError
         except (OSError, TimeoutError):
             pause = self._pause.get(door, (0.0, PAUSE[0]))[1]
             self._pause[door] = (self.now() + pause * (0.5 + random.random()), min(PAUSE[1], pause * 2))
