--- a/playhouse/rehearsal/world.py
+++ b/playhouse/rehearsal/world.py
@@ -92,12 +92,12 @@
         return [self.door(m, 1) for m in self.machines.values() if m.core]
 
     def settings(self, machine: Machine) -> dict[str, Any]:
-        listen = {"ctl": 1, "dir": 2} if machine.core else {"http": 3, "readyz": 4}
+        listen = {"ctl": 1} if machine.core else {"dir": 2, "http": 3, "readyz": 4}
         state = self.folder / machine.name
         return {
             "self": {
                 "hostname": machine.name, "role": "core" if machine.core else "stage",
-                "serves": ["ctl", "dir"] if machine.core else ["edge"], "ip": machine.ip,
+                "serves": ["ctl"] if machine.core else ["edge", "dir"], "ip": machine.ip,
                 "zone": machine.zone,
                 "region": ZONES[machine.zone], "quorum": machine.core, "bootstrap": machine.starts == 0,
                 "stateDir": str(state) if machine.core else None, "limits": {"memMb": 300, "nofile": 1024},
@@ -245,7 +245,7 @@
 
     async def look_up(self, region: str) -> list[str]:
         for machine in self.machines.values():
-            if machine.core and machine.process:
+            if not machine.core and machine.process:
                 try:
                     async with asyncio.timeout(1.0):
                         door = self.door(machine, 2)
--- a/tests/features/steps/system.py
+++ b/tests/features/steps/system.py
@@ -195,12 +195,24 @@
     assert world.verdict() == []
 
 
-@step(when, "the whole core is killed, and the data-plane ingresses start again")
+@step(when, "the whole core is killed")
+async def _(context: Any, world: World) -> None:
+    for name, machine in world.machines.items():
+        if machine.core:
+            await world.kill(name)
+
+
+@step(then, "clients are still told where to go, and are served there")
+async def _(context: Any, world: World) -> None:
+    assert sorted(await world.look_up("south")) == sorted(world.edge(n) for n in ("edge-1", "edge-2"))
+    assert (await world.request("GET", "/tiles/1")).status == 200
+
+
+@step(when, "the data-plane ingresses start again")
 async def _(context: Any, world: World) -> None:
-    for name in world.machines:
-        await world.kill(name)
     for name, machine in world.machines.items():
         if not machine.core:
+            await world.kill(name)
             world.start(name)
 
 
--- a/tests/features/system.feature
+++ b/tests/features/system.feature
@@ -26,7 +26,9 @@
 
   Scenario: Ingresses that start while there is no core
     Given the first configuration is in force
-    When the whole core is killed, and the data-plane ingresses start again
+    When the whole core is killed
+    Then clients are still told where to go, and are served there
+    When the data-plane ingresses start again
     And the core comes back once they have asked in vain
     Then both data-plane ingresses say that they are ready
     When clients send 10 requests that may be repeated and 10 that may not
