Give a dial up after 0.3 s, as its opening packet may have gone to a dark machine

The last holder had dialled the others while they had no power yet; such a dial hangs until its time is over, 1 s.

--- a/playhouse/wings/links.py
+++ b/playhouse/wings/links.py
@@ -24,7 +24,7 @@
 MOST = 32 * 1024 * 1024  # bytes of a frame
 QUEUED = 8 * 1024 * 1024  # bytes that wait to be written to one door
 UNACKED_MS = 1500  # ms without an acknowledgement after which a connection is given up
-DIAL = 1.0  # s for a connection to come up
+DIAL = 0.3  # s for a connection to come up: what goes to a machine that is dark is not sent again for seconds
 PAUSE = (0.05, 0.4)  # s between dials of a door that fail: the first, the longest
 CALLERS = 1024  # calls of others that are worked on at once
 
