--- a/ironledge/account.py
+++ b/ironledge/account.py
@@ -123,8 +123,6 @@
         return 0
 
 
-# ---------------------------------------------------------------- the fleet
-
 class Admission(Generic[Asking]):
     """Both stages, for every customer. What comes of a request is its life's (`brain.py`), which fills in
     `send`, `end` and `used`."""
