--- /dev/null
+++ b/playhouse/rehearsal/plants.py
@@ -0,0 +1,66 @@
+"""Known defects for a storm's processes, to see that its judge finds them:
+`storm SEED COUNT playhouse.rehearsal.plants:NAME`."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+def early_ack() -> None:
+    """A configuration is acknowledged before every ingress serves by it."""
+    from playhouse.core import Core
+
+    async def at_once(self: Core, version: int) -> None:
+        return
+
+    Core._everywhere = at_once  # type: ignore[method-assign]
+
+
+def broken_promise() -> None:
+    """What was sent and got no answer is called refused."""
+    from ironledge import interface as it
+    from ironledge.brain import Gateway
+
+    end = Gateway.end
+
+    def refused(self: Gateway, request: Any, answer: it.Action) -> None:
+        end(self, request, it.Refuse(answer.request, 0, False) if isinstance(answer, it.Fail) else answer)
+
+    Gateway.end = refused  # type: ignore[method-assign]
+
+
+def sent_twice() -> None:
+    """A connection that broke under a request is taken for one that never carried it."""
+    from ironledge.interface import Outcome
+    from ironledge.net.backends import Exchange
+    from ironledge.net.engine import Answer
+
+    def lost(self: Exchange) -> None:
+        self.end(Answer(Outcome.CONNECT_FAILED))
+
+    Exchange.lost = lost  # type: ignore[method-assign]
+
+
+def going_back() -> None:
+    """News of an older version is taken as well."""
+    from playhouse.stage.house import House
+
+    apply = House._apply
+
+    def older(self: House, cue: Any, asked: float) -> None:
+        epoch, _, servers, nodes, gen = self._seen
+        self._seen = (epoch, 0, servers, nodes, gen)
+        apply(self, cue, asked)
+
+    House._apply = older  # type: ignore[method-assign]
+
+
+def unkept_lease() -> None:
+    """An ingress serves on when its lease is over, and a change does not wait for those it did not hear."""
+    from playhouse.company.roll import Roll
+    from playhouse.stage.house import House
+
+    House.may_serve = lambda self: True  # type: ignore[method-assign]
+    Roll.all_at = lambda self, now, script: all(  # type: ignore[method-assign]
+        held.script >= script for held in self.held.values() if held.here and held.node.kind == "edge"
+    )
--- a/playhouse/rehearsal/storm.py
+++ b/playhouse/rehearsal/storm.py
@@ -59,6 +59,7 @@
 class Storm(World):
     seed: int = 0
     plant: str = ""
+    spoilt: str = ""  # a service of which one server breaks off all its answers
     did: list[str] = field(default_factory=list)
     probes: list[Probe] = field(default_factory=list)
     acks: list[Told] = field(default_factory=list)
@@ -153,8 +154,13 @@
             "all cores",
             "all",
             "wipe",
+            "server",
+            "spoil",
         )
         kind, span = rng.choice(kinds), rng.uniform(0.2, 3.0)
+        if kind in ("server", "spoil"):
+            await self.server_trouble(kind, span)
+            return
         victims: list[str] = []
         pairs: list[tuple[str, str]] = []
         if kind == "kill":
@@ -201,6 +207,20 @@
                     self.start(name)
         mine[1] = asyncio.get_running_loop().time()
 
+    async def server_trouble(self, kind: str, span: float) -> None:
+        """One crashes under its requests and another starts, or breaks off its answers for a while."""
+        one = self.rng.choice([s for s in self.up if s.state == "ready" and not s.how])
+        self.did.append(f"{kind} {one.service} for {span:.1f} s")
+        if kind == "server":
+            one.crash()
+            one.state = "gone"
+            await asyncio.sleep(span / 2)
+            await self.add_server(one.service, one.zone)
+        else:
+            one.how = self.rng.choice(["cut", "mute", "full"])
+            await asyncio.sleep(span)
+            one.how = ""
+
     # Load.
 
     async def clients(self, until: float) -> None:
@@ -267,6 +287,8 @@
         self.gen += 1
         await self.ready(self.edges)
         until = loop.time() + LENGTH
+        if self.spoilt:
+            next(s for s in self.up if s.service == self.spoilt).how = "cut"
         work: list[Callable[[], Any]] = [lambda: self.clients(until)] * 6
         work += [lambda e=e: self.prober(e, until + 1) for e, m in self.machines.items() if not m.core]  # type: ignore[misc]
         work += [lambda: self.operator(until), self.drainer]
@@ -315,9 +337,9 @@
         return wrong
 
 
-async def one(seed: int, plant: str = "") -> Storm:
+async def one(seed: int, plant: str = "", spoilt: str = "") -> Storm:
     with tempfile.TemporaryDirectory() as folder:
-        storm = Storm(Path(folder), seed=seed, plant=plant)
+        storm = Storm(Path(folder), seed=seed, plant=plant, spoilt=spoilt)
         try:
             storm.broken = await storm.play()
         finally:
