--- a/playhouse/callboard/board.py
+++ b/playhouse/callboard/board.py
@@ -100,7 +100,7 @@
         same = all(
             getattr(known, n) == getattr(told, n) for n in ("service", "addr", "zone", "capacity", "state")
         )
-        colder = told.cold_until > known.cold_until + 0.3
+        colder = told.cold_until > max(known.cold_until, told.heard_at) + 0.3
         known.cold_until = told.cold_until
         if same and not colder:
             return False
--- a/tests/test_playhouse_control.py
+++ b/tests/test_playhouse_control.py
@@ -206,6 +206,8 @@
 
 def test_beats_late_again_and_of_one_that_ended() -> None:
     board = Board()
+    cold = beat(4)
+    cold["status"]["warmupLeft"] = "1s"
     said = [
         board.beat(read_beat("i", beat(n, s), 0.0)) for n, s in ((1, "ready"), (3, "draining"), (2, "ready"))
     ]
@@ -218,6 +220,8 @@
     assert [s.id for s in board.since(number)] == ["j"]
     assert not board.expire(6.0, 1.5) and board.expire(6.6, 1.5) and board.servers["j"].state == "gone"
     assert board.beat(read_beat("j", beat(2), 7.0)) and board.servers["j"].state == "ready"
+    assert not board.beat(read_beat("j", beat(3), 8.5)) and board.beat(read_beat("j", cold, 8.6))
+    assert board.servers["j"].cold_until == 9.6
     assert board.chill("z", 7.0, {"s1": 3.0}) and board.servers["j"].cold_until == 10.0
 
 
