--- a/playhouse/callboard/board.py
+++ b/playhouse/callboard/board.py
@@ -31,6 +31,13 @@
     ended: bool = False  # it said so itself: no word of it counts any longer
     changed: int = 0  # the board's number at its last change
 
+    def plain(self, told: Seen) -> bool:
+        """A later word that says nothing which the data plane would have to hear."""
+        same = all(
+            getattr(self, n) == getattr(told, n) for n in ("service", "addr", "zone", "capacity", "state")
+        )
+        return same and told.cold_until <= max(self.cold_until, told.heard_at) + 0.3
+
 
 class BeatError(ValueError):
     def __init__(self, errors: list[str]) -> None:
@@ -97,12 +104,9 @@
             known.state == "draining" and told.state == "ready"
         )  # a late word: nobody comes back from that
         told.state = known.state if worse else told.state
-        same = all(
-            getattr(known, n) == getattr(told, n) for n in ("service", "addr", "zone", "capacity", "state")
-        )
-        colder = told.cold_until > max(known.cold_until, told.heard_at) + 0.3
+        plain = known.plain(told)
         known.cold_until = told.cold_until
-        if same and not colder:
+        if plain:
             return False
         for name in ("service", "addr", "zone", "gen", "capacity", "state"):
             setattr(known, name, getattr(told, name))
--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -66,7 +66,7 @@
         self._news = asyncio.Event()
         self._turn = asyncio.Lock()
         self._turns = 0
-        self._seen: tuple[str, int, int, int, int] = ("", 0, 0, 0, 0)  # epoch, script, servers, nodes, gen
+        self._seen: tuple[str, int, int] = ("", 0, 0)  # epoch, servers, nodes
         self._beats: dict[str, int] = {}
         self._life = f"{os.getpid():x}{random.getrandbits(40):x}"
         self.reach = Reach(self.wings, self._cores, self._peers)
@@ -290,7 +290,7 @@
             if self.duty:
                 await asyncio.sleep(0.2)
                 continue
-            epoch, _, servers, nodes, _ = self._seen
+            epoch, servers, nodes = self._seen
             ask = pb.Ask(
                 node=self._node(), epoch=epoch, script=self.state.version, gen=self.state.gen,
                 servers=servers, nodes=nodes, wait_ms=round(ASK_WAIT * 1000),
@@ -308,7 +308,7 @@
                 self.roll.take(cue.node, cue.node_gone, cue.nodes_whole, now, cue.nodes)
                 for known in self.board.servers.values():
                     known.heard_at = now
-                self._seen = (cue.epoch, cue.script, cue.servers, cue.nodes, cue.gen)
+                self._seen = (cue.epoch, cue.servers, cue.nodes)
                 if cue.script != self.state.version:  # its own log is behind: not asked for again at once
                     await asyncio.sleep(0.05)
 
@@ -380,10 +380,7 @@
             seen = read_beat(id, json.loads(body), self.now())
         except (ValueError, BeatError):
             return False
-        same = all(
-            getattr(known, n) == getattr(seen, n) for n in ("service", "addr", "zone", "capacity", "state")
-        )
-        if not same or seen.cold_until > max(self.now(), known.cold_until) + 0.3:
+        if not known.plain(seen):
             return False
         self._beats[id] = max(seen.seq, self._beats.get(id, 0))
         return True
--- a/playhouse/promptbook/machine.py
+++ b/playhouse/promptbook/machine.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -553,9 +553,6 @@
     return Kept(snapshot=Snapshot(0, 0, tuple(sorted(members))))
 
 
-Founder = Callable[[str], Member]
-
-
 def founder(door: str) -> Member:
     """Who stands at a door at the first start of all: known to the others before they have spoken."""
     return Member(door, f"first-{door}")
--- a/playhouse/rehearsal/storm.py
+++ b/playhouse/rehearsal/storm.py
@@ -65,7 +65,6 @@
     acks: list[Told] = field(default_factory=list)
     drained: list[tuple[str, float]] = field(default_factory=list)
     spans: list[list[float]] = field(default_factory=list)  # of troubles: begin and end
-    sent: set[int] = field(default_factory=set)  # versions that may be in force
 
     def __post_init__(self) -> None:
         super().__post_init__()
@@ -250,7 +249,6 @@
                 "gen": gen, "parent": self.gen, "upsert": {"tenants": [self.marked(gen)]},
                 "remove": {"tenants": [f"v{self.gen}"]},
             }  # fmt: skip
-            self.sent.add(gen)
             try:
                 status, _ = await self.order("POST", "Config.Update", order, within=8.0)
             except TimeoutError:
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -6,7 +6,7 @@
 import json
 import random
 import zlib
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
 from ironledge import interface as it
@@ -413,8 +413,3 @@
             answered(Outcome.RESET, 0.0)  # asked anew while there is time, or spent without the counter
             return
         answered(Outcome.OK, 0.0, answer.leased.left)
-
-
-def changed(before: Settings, now: Settings) -> Settings:
-    """What a running process takes of a new file: where it is and what it serves holds for a life."""
-    return replace(before, seeds=now.seeds, bounds=now.bounds)
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -47,7 +47,7 @@
         self.view, self.began, self._beat = view, now, beat
         self.board, self.roll, self.till = board, roll, Till(now, bounds, ever)
         self._from_nothing = ever and not board.servers
-        self._ever, self._bounds, self.counting = ever, bounds, not ever
+        self._bounds, self.counting = bounds, not ever
         self._shared: dict[str, float] = {}  # ingresses of late, and until when they count
         for seen in board.servers.values():
             seen.heard_at = now
