Name an ingress ready once it knows a server of each service, not of any

Ready was judged in two places as well, with two rules.

Change: ready means a configuration and a server of each service that its routes name; where one has none, the holder's word that every server had time to say that it is there (settled, now at the first start of all too). One rule serves readyz and the holder's roll.

--- a/playhouse/script/playbill.py
+++ b/playhouse/script/playbill.py
@@ -57,6 +57,7 @@
         self.keys: dict[bytes, Tenant] = {}
         self.tenants: dict[str, Tenant] = {}
         self.services: dict[str, Service] = {}
+        self.named: set[str] = set()  # services that routes name
         self.classes: dict[str, it.RequestClass] = {}
         self.limits: dict[str, Any] = content.get("limits", {})
         for raw in content.get("backends", ()):
@@ -79,6 +80,7 @@
                 tuple(float(p["weight"]) for p in split), bool(raw.get("public")),
                 frozenset(raw.get("homeRegions") or ()), int(raw.get("prio", 0)),
             )  # fmt: skip
+            self.named.update(route.services)
             self.hosts.setdefault(raw["host"].lower().encode(), {})[raw["pathPrefix"].encode()] = route
 
     def _cls(self, raw: dict[str, Any]) -> it.RequestClass:
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -80,6 +80,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.lease_end = self.heard_at = float("-inf")
         self._counting = False
+        self._settled = False  # in this life it has been told of all servers that there were
         self._seen: tuple[str, int, int, int, int] = ("", 0, 0, 0, 0)
         self._life = f"{random.getrandbits(40):x}"
         self._told: tuple[str, pb.Node] | None = None  # what the holder knows of it, and in which epoch
@@ -232,7 +233,15 @@
         return known.server.zone not in self.evacuated
 
     def ready(self) -> bool:
-        return bool(self.bill.gen) and self.may_serve() and not self._leaving and bool(self.rows.rows)
+        return self._prepared() and self.may_serve() and not self._leaving
+
+    def _prepared(self) -> bool:
+        """It has a configuration, and a server of each service that this names: clients sent here before
+        would be refused. A service without any is waited for no longer than servers take to say that they are
+        there."""
+        if not self.bill.gen or not self.rows.rows:
+            return False
+        return self._settled or all(self.service(name) in self.rows.rows for name in self.bill.named)
 
     def _lost(self, door: str) -> None:
         """The holder's connection has ended: there as well, or the holder has."""
@@ -274,10 +283,10 @@
 
     def _node(self) -> pb.Node:
         settings = self.settings
-        ready = bool(self.bill.gen) and bool(self.servers)
         return pb.Node(
             name=settings.name, life=self._life, door=self.wings.own, http=shown(settings.listen["http"]),
-            zone=settings.zone, region=settings.region, kind="edge", ready=ready, leaving=self._leaving,
+            zone=settings.zone, region=settings.region, kind="edge", ready=self._prepared(),
+            leaving=self._leaving,
         )  # fmt: skip
 
     async def _asks(self) -> None:
@@ -330,7 +339,7 @@
             self.nodes.pop(name, None)
         self.nodes.update((n.name, n) for n in cue.node)
         self._know_cores(n.door for n in cue.node if n.kind == "core")
-        self._counting = cue.counting
+        self._counting, self._settled = cue.counting, self._settled or cue.settled
         self._edges = cue.share_of if cue.counting else max(self._edges, cue.share_of)
         if cue.node or cue.node_gone or cue.nodes_whole or cue.has_content:
             self._set_place()
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -46,7 +46,7 @@
         and `roll` are as they were last heard."""
         self.view, self.began, self._beat = view, now, beat
         self.board, self.roll, self.till = board, roll, Till(now, bounds, ever)
-        self._from_nothing = ever and not board.servers
+        self._from_nothing = not board.servers
         self._bounds, self.counting = bounds, not ever
         self._shared: dict[str, float] = {}  # ingresses of late, and until when they count
         for seen in board.servers.values():
@@ -139,7 +139,7 @@
         cue = pb.Cue(
             epoch=epoch, lease_ms=round(LEASE * 1000), script=state.version, gen=state.gen,
             servers=self.board.number, nodes=self.roll.number, share_of=self.shared_by(now),
-            counting=self.counting,
+            counting=self.counting, settled=self.settled(now),
         )  # fmt: skip
         if ask.script != state.version:
             cue.evacuated.extend(state.evacuated)
--- /dev/null
+++ b/tests/test_playhouse_house.py
@@ -0,0 +1,42 @@
+"""The data-plane ingress as the core's news finds it: what it says of itself, and when."""
+
+from __future__ import annotations
+
+import json
+import zlib
+from typing import Any
+
+from playhouse.settings import checked
+from playhouse.stage.house import House
+from playhouse.wings import cues_pb2 as pb
+from tests.test_playhouse_control import SETTINGS, content, route
+
+
+def cue(epoch: str, servers: dict[str, str], **fields: Any) -> pb.Cue:
+    """News of servers by name and service, on top of what was told before."""
+    told = [
+        pb.Server(id=id, service=service, addr="10.1.0.9:80", zone="z", capacity=2, state="ready")
+        for id, service in servers.items()
+    ]
+    return pb.Cue(epoch=epoch, lease_ms=4500, script=1, server=told, share_of=1, **fields)
+
+
+async def test_an_ingress_is_ready_once_it_knows_a_server_of_each_service_or_all_had_time() -> None:
+    """One that knew servers of one service only was named to clients, and refused what went to another."""
+    made = content(
+        routes=[route(), route("r2", backend="s2"), route("r3", split=[{"backend": "s1", "weight": 1}])],
+        backends=[{"name": "s1"}, {"name": "s2"}, {"name": "unused"}],
+    )
+    script = zlib.compress(json.dumps(made).encode())
+    for last, settled in (({"j": "s2"}, False), ({}, True)):
+        house = House(checked(SETTINGS))
+        now = house._loop.time()
+        house._apply(cue("1~", {}, has_content=True, content=script), now)
+        assert not house.ready() and not house._node().ready
+        house._apply(cue("1~", {"i": "s1"}), now)
+        assert not house.ready() and not house._node().ready
+        house._apply(cue("1" if settled else "1~", last, settled=settled), now)
+        assert house.ready() and house._node().ready
+        house._apply(cue("2~", {}), now)  # a later holder, who has not heard of all yet
+        assert house.ready()
+        house.backends.stop()
--- a/tests/test_playhouse_pages.py
+++ b/tests/test_playhouse_pages.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import re
+import subprocess
+import sys
 import tomllib
 from pathlib import Path
 
@@ -49,3 +51,12 @@
             assert not set(found) & set(outer), (path, found)
     for path in (ROOT / "ironledge").rglob("*.py"):
         assert "playhouse" not in path.read_text(), path
+
+
+def test_generated_messages_are_those_of_the_file(tmp_path: Path) -> None:
+    made = ["--python_out", "--pyi_out"]
+    wings = ROOT / "playhouse/wings"
+    command = [sys.executable, "-m", "grpc_tools.protoc", f"-I{wings}", *(f"{m}={tmp_path}" for m in made)]
+    subprocess.run([*command, str(wings / "cues.proto")], check=True)
+    for name in ("cues_pb2.py", "cues_pb2.pyi"):
+        assert (tmp_path / name).read_text() == (wings / name).read_text()
