Refuse heartbeats with figures that fit into no message

Found by a test's server that was cold for 32 years: `warmupLeft` of so many seconds went into a field of 32 bits, and from then on every ingress's question for news failed at the holder. One server's beat could so stop all news. A capacity or seq beyond its field did the same.

Change: capacity and seq are held against bounds as the beat is read (400 with the path); a server is taken at its word that it is cold for an hour at the most. Tests: both fail without the change.

--- a/playhouse/callboard/board.py
+++ b/playhouse/callboard/board.py
@@ -13,6 +13,8 @@
 
 STATES = ("ready", "draining", "gone")
 MISSED = 3  # beats in a row after which a server is taken for gone
+MOST = 1_000_000  # of slots that a server may name
+COLD = 3600.0  # s, at the most, for which a server is taken at its word that it is cold
 REMEMBER = 30.0  # s that those gone are remembered, so that late news of them raises nobody
 
 
@@ -49,9 +51,10 @@
     """A heartbeat's body. Raises BeatError with all that is wrong."""
     errors: list[str] = []
 
-    def part(of: Any, at: str, name: str, kind: type, least: Any = None) -> Any:
+    def part(of: Any, at: str, name: str, kind: type, least: int = 0, most: int = MOST) -> Any:
         value = of.get(name) if isinstance(of, dict) else None
-        sound = isinstance(value, kind) and not isinstance(value, bool) and (least is None or value >= least)
+        sound = isinstance(value, kind) and not isinstance(value, bool)
+        sound = sound and (not isinstance(value, int) or least <= value <= most)
         if not sound or (kind is str and not value):
             errors.append(f"{at}{name}: {value!r} is not what stands there")
             return kind()
@@ -66,7 +69,7 @@
         errors.append(f"status.state: {state!r} is none of {', '.join(STATES[:2])}")
     left = status.get("warmupLeft", "0s") if isinstance(status, dict) else "0s"
     try:
-        cold = now + seconds(left)
+        cold = now + min(COLD, seconds(left))
     except ValueError as error:
         errors.append(f"status.warmupLeft: {error}")
         cold = now
@@ -74,7 +77,7 @@
         id, part(details, "details.", "backend", str), addr, part(details, "details.", "zone", str),
         str(details.get("gen", "")) if isinstance(details, dict) else "",
         part(details, "details.", "capacity", int, 1), state, cold,
-        part(status, "status.", "seq", int, 0), now,
+        part(status, "status.", "seq", int, 0, 1 << 62), now,
     )  # fmt: skip
     if errors:
         raise BeatError(errors)
--- a/tests/test_playhouse_control.py
+++ b/tests/test_playhouse_control.py
@@ -20,6 +20,7 @@
 from playhouse.script.state import Command, State, Verb
 from playhouse.settings import Bounds, SettingsError, checked
 from playhouse.stagedoor.tree import CONTROL, Found, Wrong, match
+from playhouse.understudy.duty import server_out
 from playhouse.wings import cues_pb2 as pb
 
 
@@ -226,7 +227,15 @@
 
 
 @pytest.mark.parametrize(
-    "raw", [None, [], {}, {"addr": "x"}, beat(1) | {"status": {"state": "well", "seq": "1"}}]
+    "raw",
+    [
+        None,
+        [],
+        {},
+        {"addr": "x"},
+        beat(1) | {"status": {"state": "well", "seq": "1"}},
+        beat(1 << 70, capacity=1 << 40),  # would not fit into any message
+    ],
 )
 def test_a_beat_without_its_fields_is_refused_whole(raw: Any) -> None:
     with pytest.raises(BeatError) as caught:
@@ -234,6 +243,12 @@
     assert len(caught.value.errors) >= 2
 
 
+def test_a_server_that_says_it_is_cold_for_ages_is_not_taken_at_its_word() -> None:
+    raw = beat(1)
+    raw["status"]["warmupLeft"] = "999999999s"
+    assert 0 < server_out(read_beat("i", raw, 5.0), 5.0).cold_ms <= 3_600_000
+
+
 # Ingresses.
 
 
