Let storms judge quotas, budgets of further tries and cold servers

Change: servers of a storm start cold, one tenant asks for far more than its quota, all servers of a service may break off at once, and the judge counts what ran or arrived in every window.

--- a/playhouse/rehearsal/plants.py
+++ b/playhouse/rehearsal/plants.py
@@ -64,3 +64,30 @@
     Roll.all_at = lambda self, now, script: all(  # type: ignore[method-assign]
         held.script >= script for held in self.held.values() if held.here and held.node.kind == "edge"
     )
+
+
+def free_starts() -> None:
+    """Requests to cold servers are not dealt."""
+    from playhouse.stage.choice import Rows
+
+    Rows.owes = lambda self: ()  # type: ignore[method-assign]
+
+
+def free_tries() -> None:
+    """Further tries cost nothing."""
+    from playhouse.stage.choice import Budget, Rows
+
+    pick = Rows.pick
+
+    def free(self: Rows, *args: Any, **named: Any) -> Any:
+        self.budgets = {service: Budget(2.0) for service in self.rows}
+        return pick(self, *args, **named)
+
+    Rows.pick = free  # type: ignore[method-assign]
+
+
+def generous_counter() -> None:
+    """All that is asked for is leased."""
+    from playhouse.boxoffice.till import Till
+
+    Till.lease = lambda self, now, tenant, amount, told: 0.0  # type: ignore[method-assign]
--- a/playhouse/rehearsal/standins.py
+++ b/playhouse/rehearsal/standins.py
@@ -30,11 +30,23 @@
     at: float
 
 
+@dataclass(slots=True)
+class Arrived:
+    """A request at a server, whether it ran or was turned away."""
+
+    request: str
+    service: str
+    server: str
+    cold: bool
+    at: float
+
+
 @dataclass(slots=True)
 class Ledger:
-    """What all servers of a rehearsal ran, in order."""
+    """What all servers of a rehearsal ran, in order, and what came to them."""
 
     ran: list[Ran] = field(default_factory=list)
+    arrived: list[Arrived] = field(default_factory=list)
     turned_away: int = 0
 
     def times(self) -> Counter[str]:
@@ -47,13 +59,15 @@
 
     def __init__(
         self, service: str, zone: str, at: tuple[str, int], ledger: Ledger, control: list[str],
-        work: float = 0.005, beat: float = 0.3,
+        work: float = 0.005, beat: float = 0.3, warmup: float = 0.0,
     ) -> None:  # fmt: skip
+        """`warmup`: s from its start for which it is cold."""
         self.id = f"i-{random.getrandbits(40):010x}"
         self.service, self.zone, self.at, self.ledger = service, zone, at, ledger
         self.control, self.work, self.beat, self.how = control, work, beat, ""
         self.state, self.seq, self.acked = "ready", 0, 0
         self.chunked = False
+        self.warm_at = asyncio.get_running_loop().time() + warmup
         self.open: set[Connection] = set()
         self._server: asyncio.Server | None = None
         self._beats: asyncio.Task[None] | None = None
@@ -85,10 +99,11 @@
 
     async def say(self, call: str) -> bool:
         self.seq += 1
+        left = max(0.0, self.warm_at - asyncio.get_running_loop().time())
         body = {
             "addr": f"{self.at[0]}:{self.at[1]}",
             "details": {"backend": self.service, "gen": "v1", "zone": self.zone, "capacity": 4},
-            "status": {"state": self.state, "seq": self.seq, "warmupLeft": "0ms"},
+            "status": {"state": self.state, "seq": self.seq, "warmupLeft": f"{left * 1000:.0f}ms"},
         }
         for door in random.sample(self.control, len(self.control)):
             with contextlib.suppress(OSError, TimeoutError, ValueError):
@@ -119,7 +134,10 @@
         server, headers = self.server, message.headers
         id = headers.get(b"x-request-id", b"")
         echo = b"X-Request-Id: %b\r\n" % id
-        target = headers.get(b"x-target-instance", b"").decode()
+        target, now = headers.get(b"x-target-instance", b"").decode(), asyncio.get_running_loop().time()
+        if target in ("", server.id):
+            cold = now < server.warm_at
+            server.ledger.arrived.append(Arrived(id.decode(), server.service, server.id, cold, now))
         if target not in ("", server.id):
             server.ledger.turned_away += 1
             self.transport.write(plain(421, b"", echo))
@@ -131,7 +149,7 @@
             line = Ran(
                 id.decode(), server.id, headers.get(b"x-tenant", b"").decode(),
                 headers.get(b"authorization", b"").decode(), message.method.decode(),
-                message.target.decode("latin-1"), loop.time(),
+                message.target.decode("latin-1"), now,
             )  # fmt: skip
             server.ledger.ran.append(line)
             loop.call_later(server.work, self._answer, id, message.body)
--- a/playhouse/rehearsal/storm.py
+++ b/playhouse/rehearsal/storm.py
@@ -4,7 +4,8 @@
 (`ironledge/lab/faults/launch.py`), whose routes lead each of their connections among themselves through a
 relay; clients, operators and servers reach them straight. Judged from what servers ran and what clients and
 operators were told: nothing twice, no promise broken, nothing acknowledged lost, no older version after an
-acknowledgement, no version that goes back, nothing at a server that drains.
+acknowledgement, no version that goes back, nothing at a server that drains, and no more in any window than a
+tenant's quota, the budget of further tries and a cold server bear.
 """
 
 from __future__ import annotations
@@ -28,12 +29,15 @@
 from ironledge.lab.faults.links import CLEAR, Conditions
 from ironledge.lab.live.worker import Piped
 from playhouse.rehearsal.standins import Server
-from playhouse.rehearsal.world import ROOT, Machine, World
+from playhouse.rehearsal.world import OTHER_KEY, ROOT, Machine, World
 
 LENGTH = 7.0  # s of load and troubles
 HEALED = 30.0  # s for all to be well again
 MARK = "key-of-the-version"  # its tenant's name tells servers which version a request was taken by
 DRAINED = 1.5  # s after its acknowledgement by which nothing more comes to a server that drains, while ...
+WARMUP, WARM_PER_S = 2.0, 3.0  # s for which a server is cold, and what it handles a second meanwhile
+RATE, BURST = 30, 10  # of the tenant that asks for more
+SLO = {"retrySlack": 12, "quotaSlack": 5}  # beside the world's
 SETTLED = 4.0  # ... nothing was done to a machine from so many s before: soft state is told anew after that
 
 
@@ -68,6 +72,7 @@
 
     def __post_init__(self) -> None:
         super().__post_init__()
+        self.warmup = WARMUP
         self.rng = random.Random(self.seed)
         self.relay: Piped | None = None
         self.opened: dict[str, int] = {}
@@ -78,6 +83,11 @@
             self.opened = said["opened"]
             self.relayed.set_result(None)
 
+    def settings(self, machine: Machine) -> dict[str, Any]:
+        made = super().settings(machine)
+        made["sla"]["slo"] |= SLO
+        return made
+
     def own(self, machine: Machine) -> str:
         return f"{machine.ip}:{self.base + (0 if machine.core else 1)}"
 
@@ -155,9 +165,10 @@
             "wipe",
             "server",
             "spoil",
+            "spoil all",
         )
         kind, span = rng.choice(kinds), rng.uniform(0.2, 3.0)
-        if kind in ("server", "spoil"):
+        if kind in ("server", "spoil", "spoil all"):
             await self.server_trouble(kind, span)
             return
         victims: list[str] = []
@@ -207,7 +218,8 @@
         mine[1] = asyncio.get_running_loop().time()
 
     async def server_trouble(self, kind: str, span: float) -> None:
-        """One crashes under its requests and another starts, or breaks off its answers for a while."""
+        """One crashes under its requests and another starts, or it, or all of its service, break off their
+        answers for a while."""
         one = self.rng.choice([s for s in self.up if s.state == "ready" and not s.how])
         self.did.append(f"{kind} {one.service} for {span:.1f} s")
         if kind == "server":
@@ -216,9 +228,13 @@
             await asyncio.sleep(span / 2)
             await self.add_server(one.service, one.zone)
         else:
-            one.how = self.rng.choice(["cut", "mute", "full"])
+            some = [s for s in self.up if kind == "spoil all" and s.service == one.service] or [one]
+            how = self.rng.choice(["cut", "mute", "full"]) if kind == "spoil" else "cut"
+            for server in some:
+                server.how = how
             await asyncio.sleep(span)
-            one.how = ""
+            for server in some:
+                server.how = ""
 
     # Load.
 
@@ -229,6 +245,13 @@
             await self.request("GET" if path == "/tiles/1" else "POST", path)
             await asyncio.sleep(random.uniform(0, 0.1))
 
+    async def greedy(self, until: float) -> None:
+        """Asks for far more than its quota."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            await self.request("GET", "/tiles/2", OTHER_KEY)
+            await asyncio.sleep(random.uniform(0, 0.03))
+
     async def prober(self, edge: str, until: float) -> None:
         loop, machine = asyncio.get_running_loop(), self.machines[edge]
         while loop.time() < until:
@@ -272,9 +295,12 @@
         """What was broken."""
         loop = asyncio.get_running_loop()
         await self.begin()
-        first = self.marked(1)
-        tenants = self.content()["tenants"]
-        status, told = await self.configure(tenants=[*tenants, first])
+        first, content = self.marked(1), self.content()
+        content["tenants"][1] |= {"ratePerS": RATE, "burst": BURST}
+        cold = {"warmup": f"{WARMUP}s", "warmupPerS": WARM_PER_S}
+        status, told = await self.configure(
+            tenants=[*content["tenants"], first], backends=[b | cold for b in content["backends"]]
+        )
         if status != 200:
             return [f"the first configuration: {status} {told}"]
         # The mark names the version that it came with.
@@ -287,7 +313,7 @@
         until = loop.time() + LENGTH
         if self.spoilt:
             next(s for s in self.up if s.service == self.spoilt).how = "cut"
-        work: list[Callable[[], Any]] = [lambda: self.clients(until)] * 6
+        work: list[Callable[[], Any]] = [lambda: self.clients(until)] * 6 + [lambda: self.greedy(until)] * 3
         work += [lambda e=e: self.prober(e, until + 1) for e, m in self.machines.items() if not m.core]  # type: ignore[misc]
         work += [lambda: self.operator(until), self.drainer]
         going = [asyncio.ensure_future(w()) for w in work]
@@ -306,7 +332,39 @@
             for task in going:
                 task.cancel()
             return ["not well again in time"]
-        return self.verdict() + self._versions(read)
+        return self.verdict() + self._versions(read) + self._bounds()
+
+    def _bounds(self) -> list[str]:
+        """No window with more in it than its bound."""
+        wrong, slo = [], self.settings(next(iter(self.machines.values())))["sla"]["slo"]
+        greedy = [line.at for line in self.ledger.ran if line.tenant == "south"]
+        bound = (RATE * 5.0 + BURST) * (1 + slo["quotaOverrun"]) + slo["quotaSlack"]
+        if (most := most_within(greedy, 5.0)) > bound:
+            wrong.append(f"quota: {most} ran in 5 s, where {bound:.0f} are allowed")
+        bound = WARM_PER_S * slo["warmupOverrun"] + slo["warmupSlack"]
+        for id in {line.server for line in self.ledger.arrived}:
+            starts = [line.at for line in self.ledger.arrived if line.server == id and line.cold]
+            if (most := most_within(starts, 1.0)) > bound:
+                wrong.append(f"cold: {most} came to {id} in 1 s, where {bound:.0f} are allowed")
+        for service in self.services:
+            asked = [h.sent for h in self.heard if h.path.startswith(f"/{service}/")]
+            seen: set[str] = set()
+            again = []
+            for line in self.ledger.arrived:
+                if line.service == service:
+                    if line.request in seen:
+                        again.append(line.at)
+                    seen.add(line.request)
+            for at in again:
+                most = sum(1 for other in again if at - 10.0 < other <= at)
+                bound = slo["retryRatio"] * max(
+                    sum(1 for sent in asked if start <= sent < start + 10.0)
+                    for start in (at - 10.0, at - 15.0, at - 20.0)
+                ) + slo["retrySlack"]  # fmt: skip
+                if most > bound:
+                    wrong.append(f"further tries: {most} at {service} in 10 s, where {bound:.1f} are allowed")
+                    break
+        return wrong
 
     def _versions(self, read: dict[str, Any]) -> list[str]:
         wrong = []
@@ -335,6 +393,15 @@
         return wrong
 
 
+def most_within(times: list[float], window: float) -> int:
+    most, first, times = 0, 0, sorted(times)
+    for count, at in enumerate(times, 1):
+        while times[first] <= at - window:
+            first += 1
+        most = max(most, count - first)
+    return most
+
+
 async def one(seed: int, plant: str = "", spoilt: str = "") -> Storm:
     with tempfile.TemporaryDirectory() as folder:
         storm = Storm(Path(folder), seed=seed, plant=plant, spoilt=spoilt)
--- a/playhouse/rehearsal/world.py
+++ b/playhouse/rehearsal/world.py
@@ -55,6 +55,8 @@
     method: str
     status: int
     body: bytes = b""
+    path: str = ""
+    sent: float = 0.0
 
 
 @dataclass
@@ -68,6 +70,7 @@
     heard: list[Heard] = field(default_factory=list)
     gen: int = 0
     broken: list[str] = field(default_factory=list)
+    warmup: float = 0.0  # s for which servers are cold
 
     def __post_init__(self) -> None:
         self.base, block = free_base(), random.randrange(1, 250)
@@ -159,7 +162,8 @@
 
     async def add_server(self, service: str, zone: str) -> Server:
         self._server_port += 1
-        server = Server(service, zone, (self._server_ip, self._server_port), self.ledger, self.control)
+        at = (self._server_ip, self._server_port)
+        server = Server(service, zone, at, self.ledger, self.control, warmup=self.warmup)
         await server.start()
         self.up.append(server)
         return server
@@ -264,7 +268,8 @@
     ) -> Heard:
         """One try, at any ingress that clients are told of or at the one named."""
         doors = [at] if at else await self.look_up(random.choice(["north", "south"]))
-        made = Heard(f"{random.getrandbits(64):016x}", method, 0)
+        sent = asyncio.get_running_loop().time()
+        made = Heard(f"{random.getrandbits(64):016x}", method, 0, path=path, sent=sent)
         fields = {"Host": "a.example", "X-Request-Id": made.request, "X-Deadline-Ms": "3000"}
         fields |= {"Authorization": f"Token {key}"} if key else {}
         fields |= {name.replace("_", "-"): value for name, value in headers.items()}
--- a/tests/test_playhouse_storm.py
+++ b/tests/test_playhouse_storm.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from playhouse.rehearsal.storm import one
 
 
@@ -11,6 +13,9 @@
     assert len(storm.acks) >= 1 and sum(heard.status == 200 for heard in storm.heard) > 100
 
 
-async def test_a_planted_defect_is_seen() -> None:
-    storm = await one(1001, "playhouse.rehearsal.plants:broken_promise", spoilt="books")
-    assert any("promised not to run, and ran" in line for line in storm.broken), storm.broken
+@pytest.mark.parametrize(
+    ("plant", "said"), [("broken_promise", "promised not to run, and ran"), ("free_starts", "cold: ")]
+)
+async def test_planted_defects_are_seen(plant: str, said: str) -> None:
+    storm = await one(1001, f"playhouse.rehearsal.plants:{plant}", spoilt="books")
+    assert any(said in line for line in storm.broken), storm.broken
