--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -155,15 +155,17 @@
                 if self.duty:
                     self.duty.follow(self.state)
                 self._publish()
-        if step.delivered and len(self.machine.log) > 0:
-            size = sum(len(e.data) for e in self.machine.log) if len(self.machine.log) < ENTRIES else BYTES
-            if size >= BYTES and self.machine.commit > self.machine.base.index:
-                self._do(self.machine.compact(self.state.out()))
+        if step.delivered and self.machine.commit > self.machine.base.index and self._is_long():
+            self._do(self.machine.compact(self.state.out()))
         if self.machine.members != self._known_members:
             self._known_members = self.machine.members
             note(Event.MEMBERS, "%s", " ".join(m.door for m in self._known_members))
         self._look_at_duty()
 
+    def _is_long(self) -> bool:
+        log = self.machine.log
+        return self.machine.wants_snapshot() or len(log) >= ENTRIES or sum(len(e.data) for e in log) >= BYTES
+
     def _look_at_duty(self) -> None:
         now, holds = self.now(), self.machine.holds(self.now())
         if holds and (self.duty is None or self.duty.view != self.machine.view):
--- a/playhouse/promptbook/machine.py
+++ b/playhouse/promptbook/machine.py
@@ -158,6 +158,8 @@
     soon: float = 0.1  # s that they spread over where the last holder's life is known to be over
     again: float = 0.4  # s after which an append that was not answered is sent again
     join: float = 0.3
+    open: float = 5.0  # s within which a holder's first entry is to be decided
+    unheard: float = 2.0  # s without a holder after which a member asks whether it is one
     drift: float = 0.05  # of a span that two clocks may differ by
 
     @property
@@ -236,6 +238,11 @@
         )
         return acked[(len(acked) - 1) // 2] + self.times.lease if acked else float("-inf")
 
+    def wants_snapshot(self) -> bool:
+        """Who the members are is decided, and only the log says so: after a start nobody would know that it
+        is, and those before them would be asked as well, of whom one disk is gone."""
+        return self.base.index < self._members_at <= self.commit
+
     def is_member(self) -> bool:
         return self.me in self._members
 
@@ -258,19 +265,25 @@
         if self.role is Role.HOLDER:
             if now >= self.lease_end(now) + self.times.quiet and now - self.changed_at > 2 * self.times.quiet:
                 self._follow(now, step, self.view, None)  # nobody follows: others may be better off
+            elif not self._opened and now - self.changed_at > self.times.open:
+                self._follow(now, step, self.view, None)  # followed, and nothing is ever decided: as well
+                self._due += 2 * self.times.quiet
             elif now >= self._beat_at:
                 self._beat(now, step)
         elif not self.is_member():
-            if (
-                now >= self._join_at
-            ):  # though it is heard: that may be meant for the disk that was here before
-                self._join_at = now + self.times.join * (1 + self.rng.random())
-                for door in self._others():
-                    step.sends.append((door, Join(self.view, self.me)))
-        elif now >= self._due:
-            self._canvass(now, step, trial=True)
+            self._ask_in(now, step)  # though it is heard: that may be meant for the disk that was here before
+        else:
+            if now - self.heard_at > self.times.unheard:
+                self._ask_in(now, step)  # that it is a member may never have been decided
+            if now >= self._due:
+                self._canvass(now, step, trial=True)
         return step
 
+    def _ask_in(self, now: float, step: Step) -> None:
+        if now >= self._join_at:
+            self._join_at = now + self.times.join * (1 + self.rng.random())
+            step.sends += [(door, Join(self.view, self.me)) for door in self._others()]
+
     def propose(self, now: float, data: bytes) -> tuple[int, Step]:
         """Appends; the index, or 0 if this one does not hold the view. Delivery tells what became of it."""
         step = Step()
@@ -478,7 +491,8 @@
             for disk, peer in list(self.peers.items()):
                 if peer.member.door == line.sender.door and peer.member not in self._members:
                     del self.peers[disk]
-            self.peers[line.sender.disk] = Progress(line.sender, self.last + 1)
+            # From the snapshot on, if it is the founders' alone: who came before it, only that tells.
+            self.peers[line.sender.disk] = Progress(line.sender, 0)
             self._send(now, step, self.peers[line.sender.disk])
 
     def _take_in(self, now: float, step: Step) -> None:
@@ -540,7 +554,7 @@
         if not self._heard(now, step, line):
             return
         made = line.snapshot
-        if made.index > self.commit:
+        if made.index > self.commit or not self.base.members:
             self.base, self.log, self.commit = made, [], made.index
             self._look_up_members()
             step.writes.append(KeepSnapshot(made, alone=True))
--- a/playhouse/rehearsal/storm.py
+++ b/playhouse/rehearsal/storm.py
@@ -412,7 +412,7 @@
             if storm.broken:  # the logs of all processes, to look at
                 kept = ROOT / "lab-out" / f"storm-{seed}"
                 shutil.rmtree(kept, ignore_errors=True)
-                shutil.copytree(folder, kept, ignore=shutil.ignore_patterns("*.mdb"))
+                shutil.copytree(folder, kept)
         return storm
 
 
--- a/tests/test_playhouse_promptbook.py
+++ b/tests/test_playhouse_promptbook.py
@@ -70,7 +70,8 @@
 
     machine: type[Machine] = Machine
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, doors: list[str] = DOORS) -> None:
+        self.doors = doors
         self.rng, self.now, self.count = random.Random(seed), 0.0, 0
         self.queue: list[tuple[float, int, Any]] = []
         self.disks: dict[str, Disk] = {}
@@ -81,7 +82,7 @@
         self.cut: set[frozenset[str]] = set()
         self.frozen: dict[str, list[Any]] = {}
         self.words = 0
-        for door in DOORS:
+        for door in self.doors:
             first = door in SEEDS
             kept = founded(founder(d) for d in SEEDS) if first else founded(())
             self.disks[door] = Disk(founder(door).disk if first else f"new-{door}", kept)
@@ -122,7 +123,7 @@
             assert known == (entry.view, entry.data), "two orders"
             if machine.role.value == "holder" and entry.view == machine.view and entry.data:
                 self.acked.add(entry.data)
-        if step.delivered and len(machine.log) > 12:
+        if step.delivered and (len(machine.log) > 12 or machine.wants_snapshot()):
             self.do(door, machine.compact(b"%d" % self.delivered[door]))
         holders = [d for d, m in self.machines.items() if m.holds(self.now)]
         assert len(holders) <= 1, "two hold the duty"
@@ -171,13 +172,13 @@
         self.cut.clear()
         for door in list(self.frozen):
             self.thaw(door)
-        for door in DOORS:
+        for door in self.doors:
             if door not in self.machines:
                 self.start(door)
 
     def whole(self) -> bool:
         """All are members with the disks that they have now."""
-        members = {Member(d, self.disks[d].disk) for d in DOORS}
+        members = {Member(d, self.disks[d].disk) for d in self.doors}
         return any(
             m.holds(self.now) and set(m.members) == members and m.commit == m.last
             for m in self.machines.values()
@@ -190,13 +191,13 @@
     kind = rng.choice(
         ("kill", "kill all", "holder", "wipe", "cut", "alone", "freeze", "wipe after ack", "none")
     )
-    holder = next((d for d, m in world.machines.items() if m.role.value == "holder"), rng.choice(DOORS))
-    one = rng.choice(DOORS)
+    holder = next((d for d, m in world.machines.items() if m.role.value == "holder"), rng.choice(world.doors))
+    one = rng.choice(world.doors)
     if kind == "kill":
-        for door in rng.sample(DOORS, rng.randint(1, 3)):
+        for door in rng.sample(world.doors, rng.randint(1, 3)):
             world.kill(door)
     elif kind == "kill all":
-        for door in DOORS:
+        for door in world.doors:
             world.kill(door)
     elif kind == "holder":
         world.say()
@@ -207,14 +208,14 @@
             world.run(0.05)
         world.wipe(holder if rng.random() < 0.5 else one)
         if rng.random() < 0.5:
-            for door in DOORS:  # and all others lose power
+            for door in world.doors:  # and all others lose power
                 world.kill(door)
     elif kind == "cut":
-        side = set(rng.sample(DOORS, 2))
-        world.cut = {frozenset((a, b)) for a in side for b in set(DOORS) - side}
+        side = set(rng.sample(world.doors, len(world.doors) // 2))
+        world.cut = {frozenset((a, b)) for a in side for b in set(world.doors) - side}
     elif kind == "alone":  # and what it is told then is on its disk only
         world.say()
-        world.cut = {frozenset((holder, b)) for b in DOORS if b != holder}
+        world.cut = {frozenset((holder, b)) for b in world.doors if b != holder}
         world.say()
     elif kind == "freeze":
         world.frozen[holder] = []
@@ -246,6 +247,65 @@
 @pytest.mark.parametrize("seed", range(60))
 def test_one_order_and_nothing_acknowledged_lost(seed: int) -> None:
     play(World(seed), 6)
+    play(World(seed, SEEDS), 6)
+
+
+def test_a_new_disk_that_was_given_the_log_from_its_beginning_can_hold_the_duty() -> None:
+    """Storm 9104: after a start it did not know the members before itself, so that no majority of them ever
+    had what it said. Nor are those needed once the change is decided: their wiped disk and `a` are gone."""
+    world = World(1, SEEDS)
+    world.run(2.0)
+    world.wipe("b:1")
+    world.start("b:1")
+    world.run(3.0)
+    assert world.whole()
+    for door in SEEDS:
+        world.kill(door)
+    for door in SEEDS[1:]:
+        world.start(door)
+    world.run(2.0)
+    assert any(m.holds(world.now) for m in world.machines.values())
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_who_takes_itself_for_a_member_and_is_none_is_taken_in(seed: int) -> None:
+    """The holder that had made it one ended before anybody else knew."""
+    world = World(seed)
+    world.kill("e:1")
+    first = ""
+    while not first:
+        world.run(0.005)
+        first = next((d for d, m in world.machines.items() if m.holds(world.now)), "")
+    holder = world.machines[first]
+    while holder._members_at <= holder.commit:
+        world.run(0.002)
+    world.cut = {frozenset((first, d)) for d in SEEDS if d != first}
+    world.run(0.25)
+    assert world.machines["d:1"].is_member() and holder._members_at > holder.commit
+    world.kill(first)
+    world.cut.clear()
+    world.run(3.0)
+    world.heal()
+    world.run(10.0)
+    assert world.whole()
+
+
+def test_a_holder_that_never_gets_anything_decided_makes_room() -> None:
+    """Of three disks one was exchanged, and does not know who came before it."""
+    before = tuple(founder(door) for door in SEEDS)
+    members = (before[0], Member("b:1", "new"), before[2])
+    entries = [Entry(1, 1, opens=True), Entry(2, 1, members=members)]
+    disks = {d: Kept(1, "new", Snapshot(0, 0, before), list(entries)) for d in SEEDS}
+    disks["b:1"].snapshot = Snapshot()
+    machines = {m.door: Machine(m, disks[m.door], 0.0, random.Random(m.door)) for m in members}
+    now, lines, held = 0.0, list[tuple[str, Line]](), set[str]()
+    for _ in range(300):
+        now += 0.05
+        steps = [machines[door].received(now, line) for door, line in lines]
+        steps += [machine.tick(now) for machine in machines.values()]
+        lines = [sent for step in steps for sent in step.sends]
+        held |= {d for d, m in machines.items() if m.holds(now)}
+    assert held and "b:1" not in held
 
 
 def test_a_longer_log_in_an_older_view_is_not_kept_out_for_good() -> None:
