Count a zone's evacuations: it is used again once each order was taken back

Change: orders are counted in the state. A call is the same order as the one before it while that is not answered and for `ack` after, unless its caller is known to have had the answer: connections of control calls end with our end first, and the caller's end in order after that, or its next call, is the receipt, which goes to the holder.

Tests: the state, the matching of calls, two operators in the feature; all fail without the change.

--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -70,7 +70,7 @@
         self._beats: dict[str, int] = {}
         self._life = f"{os.getpid():x}{random.getrandbits(40):x}"
         self.reach = Reach(self.wings, self._cores, self._peers)
-        self._web = [Doors(self._take), Doors(self._foyer)]
+        self._web = [Doors(self._take, self._was_read), Doors(self._foyer)]
         self._tasks: list[asyncio.Task[Any]] = []
         self._known_members: tuple[Member, ...] = ()
         self._joining: set[str] = set()
@@ -204,6 +204,8 @@
                 except ValueError:
                     return
                 self._do(self.machine.received(self.now(), line))
+            case "receipt" if self.duty:
+                self.duty.moves.read(envelope.receipt.zone, envelope.receipt.order)
             case "beats" if self.duty:
                 now = self.now()
                 for id, seq in zip(envelope.beats.id, envelope.beats.seq, strict=False):
@@ -428,7 +430,7 @@
                 return await self._in_turn(lambda: self._configure(verb, body))
             case "evacuate" | "take back":
                 verb = Verb.EVACUATE if found.call == "evacuate" else Verb.TAKE_BACK
-                return await self._in_turn(lambda: self._move(verb, found.args["zone"]))
+                return await self._ordered(verb, found.args["zone"])
         return wrong(404, "no such call")
 
     async def _in_turn(self, change: Any) -> Answer:
@@ -470,17 +472,38 @@
         note(Event.CONFIG_TAKEN, "gen %d, version %d", self.state.gen, self.state.version)
         return told(200, {"gen": order["gen"]}), self.state.version
 
-    async def _move(self, verb: Verb, zone: str) -> tuple[Answer, int]:
-        self._held()
-        if zone not in self.settings.zones:
-            return wrong(404, f"no zone {zone!r}"), 0
-        if (zone in self.state.evacuated) != (verb is Verb.EVACUATE):
-            if verb is Verb.TAKE_BACK:
-                duty = self._held()
+    async def _move(self, verb: Verb, zone: str, order: str) -> tuple[Answer, int]:
+        duty, orders = self._held(), self.state.evacuated.get(zone, 0)
+        begins = verb is Verb.EVACUATE
+        if order and self.state.moves.get(zone) != order and (orders or begins):
+            if not begins and orders == 1:
                 duty.board.chill(zone, self.now(), duty.warmups(self.state))
-            await self._decide(Command(verb, zone=zone))
-            note(Event.ZONE_EVACUATED if verb is Verb.EVACUATE else Event.ZONE_TAKEN_BACK, "%s", zone)
-        return told(200, {"zone": zone}), self.state.version
+            await self._decide(Command(verb, order, zone=zone))
+            orders = self.state.evacuated.get(zone, 0)
+            note(Event.ZONE_EVACUATED if begins else Event.ZONE_TAKEN_BACK, "%s, orders: %d", zone, orders)
+        return told(200, {"zone": zone, "order": order, "orders": orders}), self.state.version
+
+    async def _ordered(self, verb: Verb, zone: str) -> Answer:
+        if zone not in self.settings.zones:
+            return wrong(404, f"no zone {zone!r}")
+        duty = self._held()
+        stands = (zone in self.state.evacuated) == (verb is Verb.EVACUATE)
+        order = duty.moves.came(self.now(), zone, verb.value, stands)
+        try:
+            return await self._in_turn(lambda: self._move(verb, zone, order))
+        finally:
+            duty.moves.over(zone, order)
+
+    def _was_read(self, method: str, target: str, answer: Answer) -> None:
+        """Who gave an order for a zone has its answer: the same call is another order from now on."""
+        found = match(CONTROL, method, target)
+        if isinstance(found, Wrong) or found.call not in ("evacuate", "take back") or answer[0] != 200:
+            return
+        receipt = pb.Receipt(zone=found.args["zone"], order=json.loads(answer[1])["order"])
+        if self.duty:
+            self.duty.moves.read(receipt.zone, receipt.order)
+        elif self.reach.hint:
+            self.wings.tell(self.reach.hint, pb.Envelope(receipt=receipt))
 
     async def _decide(self, command: Command) -> bool:
         """True once a majority has it on disk and it is in force; False if it is void. Raises SystemFailure
--- a/playhouse/script/state.py
+++ b/playhouse/script/state.py
@@ -28,7 +28,7 @@
 @dataclass(frozen=True, slots=True)
 class Command:
     verb: Verb
-    digest: str = ""  # of the call as it came
+    digest: str = ""  # of the call as it came, or the order that it belongs to
     order: dict[str, Any] = field(default_factory=dict)
     zone: str = ""
     names: tuple[str, ...] = ()  # of ingresses that may hold leases from here on ...
@@ -72,7 +72,8 @@
 class State:
     gen: int = 0
     content: dict[str, Any] = field(default_factory=dict)
-    evacuated: list[str] = field(default_factory=list)
+    evacuated: dict[str, int] = field(default_factory=dict)  # zones, and by how many orders
+    moves: dict[str, str] = field(default_factory=dict)  # the newest order for each zone
     version: int = 0  # counts what was applied; rises at every change
     edges: list[str] = field(default_factory=list)  # ingresses that may hold leases, whoever has the duty
     known: dict[str, int] = field(default_factory=dict)  # digests of accepted calls, with their gen
@@ -97,18 +98,23 @@
             case Verb.ENROL:
                 self.edges = sorted({*self.edges, *command.names} - set(command.gone))
                 return False
-            case Verb.EVACUATE:
-                if command.zone not in self.evacuated:
-                    self.evacuated = sorted([*self.evacuated, command.zone])
-            case Verb.TAKE_BACK:
-                self.evacuated = [zone for zone in self.evacuated if zone != command.zone]
+            case Verb.EVACUATE | Verb.TAKE_BACK:
+                before = self.evacuated.get(command.zone, 0)
+                orders = before + (1 if command.verb is Verb.EVACUATE else -1)
+                if self.moves.get(command.zone) == command.digest or orders < 0:
+                    return False
+                self.moves[command.zone] = command.digest
+                self.evacuated = {z: n for z, n in self.evacuated.items() if z != command.zone}
+                self.evacuated |= {command.zone: orders} if orders else {}
+                if before and orders:  # it stays as it is
+                    return True
         self.version += 1
         return True
 
     def out(self) -> bytes:
         raw = {
             "gen": self.gen, "content": self.content, "evacuated": self.evacuated, "version": self.version,
-            "known": self.known, "edges": self.edges,
+            "known": self.known, "edges": self.edges, "moves": self.moves,
         }  # fmt: skip
         return zlib.compress(json.dumps(raw, separators=(",", ":")).encode(), 6)
 
@@ -117,4 +123,7 @@
         if not data:
             return cls()
         raw = json.loads(zlib.decompress(data))
-        return cls(raw["gen"], raw["content"], raw["evacuated"], raw["version"], raw["edges"], raw["known"])
+        return cls(
+            raw["gen"], raw["content"], raw["evacuated"], raw["moves"], raw["version"], raw["edges"],
+            raw["known"],
+        )  # fmt: skip
--- a/playhouse/stagedoor/doors.py
+++ b/playhouse/stagedoor/doors.py
@@ -20,6 +20,8 @@
 
 Answer = tuple[int, bytes]
 Take = Callable[[str, str, bytes], Awaitable[Answer]]  # method, target, body
+Read = Callable[[str, str, Answer], None]  # method, target, answer
+LINGER = 1.5  # s that a caller may take to end a connection after its last answer
 
 
 def told(status: int, value: Any) -> Answer:
@@ -31,8 +33,9 @@
 
 
 class Doors:
-    def __init__(self, take: Take) -> None:
-        self.take = take
+    def __init__(self, take: Take, read: Read | None = None) -> None:
+        """`read` is told of each answer that its caller has had for sure."""
+        self.take, self.read = take, read
         self.open: set[Visitor] = set()
         self.closing = False
         self._server: asyncio.Server | None = None
@@ -76,6 +79,7 @@
     def __init__(self, doors: Doors) -> None:
         super().__init__(httptools.HttpRequestParser)
         self._doors, self._busy = doors, False
+        self._said: tuple[str, str, Answer] | None = None  # the last answer, until it is known to be read
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -106,25 +110,40 @@
         if self._busy:  # no pipelining here
             self.transport.abort()
             return
+        self._was_read()
         self._busy = True
         task = asyncio.get_running_loop().create_task(self._take(message))
         self._doors.tasks.add(task)
         task.add_done_callback(self._doors.tasks.discard)
 
     async def _take(self, message: Message) -> None:
+        method, target = message.method.decode("latin-1"), message.target.decode("latin-1")
         try:
             async with asyncio.timeout(TOLD):
-                method, target = message.method.decode("latin-1"), message.target.decode("latin-1")
                 status, body = await self._doors.take(method, target, message.body)
         except TimeoutError:
             status, body = wrong(503, "no answer in time")
         self._busy = False
         if not self.transport.is_closing():
+            self._said = (method, target, (status, body))
             self._say(status, body, message.keep_alive and not self._doors.closing)
 
+    def eof_received(self) -> None:
+        """In order, and after the answer: whoever sends that has had it."""
+        self._was_read()
+
+    def _was_read(self) -> None:
+        said, self._said = self._said, None
+        if said and self._doors.read:
+            self._doors.read(*said)
+
     def _say(self, status: int, body: bytes, keep: bool) -> None:
         self.transport.write(plain(status, body, b"Content-Type: application/json\r\n", close=not keep))
         if keep:
             self._wait()
+        elif self._doors.read and self._timer:
+            self.transport.write_eof()
+            self._timer.cancel()
+            self._timer = asyncio.get_running_loop().call_later(LINGER, self.transport.close)
         else:
             self.transport.close()
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -17,6 +17,7 @@
 from playhouse.errors import Code, SystemFailure
 from playhouse.script.state import State
 from playhouse.settings import Bounds, seconds
+from playhouse.understudy.moves import Moves
 from playhouse.wings import cues_pb2 as pb
 
 SETTLE = 2.5  # beats after a start from nothing, until which servers that are not known may yet be there
@@ -48,6 +49,7 @@
         and `roll` are as they were last heard."""
         self.view, self.began, self._beat = view, now, beat
         self.board, self.roll, self.till = board, roll, Till(now, bounds, ever)
+        self.moves = Moves(now, bounds.ack, ever)
         self.purse, self._warm_per_s = Purse(now, ever), dict[str, float]()
         self._from_nothing = not board.servers
         self._bounds, self.counting = bounds, not ever
--- a/playhouse/usher/__main__.py
+++ b/playhouse/usher/__main__.py
@@ -106,7 +106,7 @@
             if told is not None:
                 self.line(json.dumps(told))
             return code
-        evacuated = ", ".join(told["evacuated"]) or "none"
+        evacuated = ", ".join(f"{zone} ({orders})" for zone, orders in told["evacuated"].items()) or "none"
         self.line(
             f"gen {told['gen']} (version {told['version']}), view {told['view']} held at {told['holder']}"
         )
@@ -187,6 +187,8 @@
         code, told = self.run_call("POST", f"{self.order}/{zone}")
         if told is not None:
             self.line("done")
+            if told["orders"]:
+                self.line(f"orders that evacuate {zone}, each of which is to be taken back: {told['orders']}")
         return code
 
 
@@ -238,7 +240,8 @@
         self.line("members: " + ", ".join(f"{m.door} ({m.disk})" for m in members))
         last = kept.entries[-1].index if kept.entries else kept.snapshot.index
         self.line(f"snapshot at {kept.snapshot.index}, {len(kept.entries)} entries after it, to {last}")
-        self.line(f"with all of them: gen {state.gen}, version {state.version}, evacuated {state.evacuated}")
+        evacuated = list(state.evacuated)
+        self.line(f"with all of them: gen {state.gen}, version {state.version}, evacuated {evacuated}")
         self.line("an entry at the end may not be decided yet: a majority of the members has to hold it")
         return DONE
 
--- a/tests/features/steps/system.py
+++ b/tests/features/steps/system.py
@@ -261,6 +261,18 @@
     assert (await world.order("GET", "Config.Read"))[1] == before
 
 
+@step(then, "a zone that two operators evacuate is used again once both have taken it back")
+async def _(context: Any, world: World) -> None:
+    calls = ["Begin", "Begin", "Finish", "Finish"]
+    left = []
+    for number, call in enumerate(calls):
+        door = world.control[number % len(world.control)]
+        status, body = await ask(door, "POST", f"/-/Drain.{call}/north-a", b"")
+        left.append((status, json.loads(body)["orders"]))
+        await asyncio.sleep(0.05)  # that the answer was read is on its way to the holder
+    assert left == [(200, 1), (200, 2), (200, 1), (200, 0)], left
+
+
 @step(then, "of two changes on the same version one wins, and the one that won is acknowledged again")
 async def _(context: Any, world: World) -> None:
     orders = [
--- a/tests/features/system.feature
+++ b/tests/features/system.feature
@@ -58,6 +58,7 @@
       | POST   | Drain.Begin/nowhere |                  | 404    | no zone               |
       | GET    | Config.Undo         |                  | 404    | no such call          |
       | GET    | Config.Replace      |                  | 405    | only POST             |
+    And a zone that two operators evacuate is used again once both have taken it back
     And of two changes on the same version one wins, and the one that won is acknowledged again
 
   Scenario: Servers that are in trouble
--- a/tests/test_playhouse_control.py
+++ b/tests/test_playhouse_control.py
@@ -21,6 +21,7 @@
 from playhouse.settings import Bounds, SettingsError, checked
 from playhouse.stagedoor.tree import CONTROL, Found, Wrong, match
 from playhouse.understudy.duty import server_out
+from playhouse.understudy.moves import Moves
 from playhouse.wings import cues_pb2 as pb
 
 
@@ -143,13 +144,43 @@
         state = State.read(state.out())
 
 
-def test_a_zone_is_evacuated_once_and_taken_back() -> None:
+def test_a_zone_is_evacuated_until_each_order_is_taken_back() -> None:
     state = State()
-    for verb, zones in ((Verb.EVACUATE, ["z"]), (Verb.EVACUATE, ["z"]), (Verb.TAKE_BACK, [])):
-        assert state.apply(Command(verb, zone="z")) and state.evacuated == zones
-
-
-# Routes and keys.
+    orders = (
+        (Verb.EVACUATE, "a", 1, True),
+        (Verb.EVACUATE, "a", 1, False),  # the same order, decided again
+        (Verb.EVACUATE, "b", 2, True),
+        (Verb.TAKE_BACK, "c", 1, True),
+        (Verb.TAKE_BACK, "c", 1, False),
+        (Verb.TAKE_BACK, "d", 0, True),
+        (Verb.TAKE_BACK, "e", 0, False),
+    )
+    seen = []
+    for verb, order, left, applied in orders:
+        assert state.apply(Command(verb, order, zone="z")) == applied
+        assert state.evacuated.get("z", 0) == left and State.read(state.out()) == state
+        seen.append(state.version)
+    assert seen == [1, 1, 1, 1, 1, 2, 2]  # ingresses hear of the first and of the last
+
+
+def test_calls_for_a_zone_are_one_order_until_the_answer_was_read() -> None:
+    moves = Moves(100.0, 6.0, ever=False)
+    first = moves.came(100.0, "z", "evacuate", False)
+    assert moves.came(101.0, "z", "evacuate", False) == first  # the first is not answered yet
+    moves.over("z", first)
+    moves.over("z", first)
+    assert moves.came(105.0, "z", "evacuate", True) == first  # the answer may have been lost
+    moves.over("z", first)
+    moves.read("z", first)
+    second = moves.came(105.1, "z", "evacuate", True)
+    assert second not in ("", first)
+    moves.over("z", second)
+    assert moves.came(112.0, "z", "evacuate", True) not in ("", second)  # sent again for so long only
+    back = moves.came(113.0, "z", "take back", False)
+    assert back and moves.came(113.1, "y", "take back", True)
+    later = Moves(200.0, 6.0, ever=True)  # another has the duty: who held it before may have heard this one
+    assert later.came(201.0, "z", "evacuate", True) == "" and later.came(201.0, "z", "take back", False)
+    assert later.came(207.0, "y", "evacuate", True)
 
 
 def test_the_longest_prefix_of_the_host_wins_as_in_a_plain_search() -> None:
