--- a/playhouse/boxoffice/purse.py
+++ b/playhouse/boxoffice/purse.py
@@ -6,8 +6,8 @@
 
     most + rate * (window + LIFE) <= size
 
-A later holder of the duty, who does not know what was dealt before, begins with empty stores: over both
-holders the same sum holds.
+A later leader of the duty, who does not know what was dealt before, begins with empty stores: over both
+leaders the same sum holds.
 """
 
 from __future__ import annotations
@@ -55,7 +55,7 @@
 
 
 class Purse:
-    """Times are seconds on the holder's clock."""
+    """Times are seconds on the leader's clock."""
 
     def __init__(self, now: float, ever: bool) -> None:
         """`ever`: another may have dealt units of the same wholes before."""
--- a/playhouse/boxoffice/till.py
+++ b/playhouse/boxoffice/till.py
@@ -8,7 +8,7 @@
 
 An ingress that is out of touch spends at the quota's rate over the number of all ingresses, and has saved
 up `SHARE_SPAN` of that at the most: this is left out of the bound, and stores refill the slower the more
-ingresses may be out of touch. A new holder of the duty begins to count, with empty stores, once all who may
+ingresses may be out of touch. A new leader of the duty begins to count, with empty stores, once all who may
 spend so have been heard of.
 """
 
--- a/playhouse/callboard/board.py
+++ b/playhouse/callboard/board.py
@@ -1,6 +1,6 @@
 """Which servers there are: soft state, told by the servers themselves and told anew after any loss.
 
-Times are seconds on the holder's clock.
+Times are seconds on the leader's clock.
 """
 
 from __future__ import annotations
@@ -155,7 +155,7 @@
         return [seen for seen in self.servers.values() if seen.changed > number]
 
     def take(self, told: Iterable[Seen], number: int, whole: bool) -> None:
-        """What the holder's board says, for one that may hold the duty next."""
+        """What the leader's board says, for one that may hold the duty next."""
         if whole:
             self.servers = {}
         for seen in told:
--- a/playhouse/company/__init__.py
+++ b/playhouse/company/__init__.py
@@ -1,1 +1,1 @@
-"""Which ingresses there are, by the leases that they hold."""
+"""Membership of the ingresses, by the leases that they hold."""
--- a/playhouse/company/roll.py
+++ b/playhouse/company/roll.py
@@ -1,6 +1,6 @@
-"""Which ingresses there are: each holds a lease at the duty's holder and is a member while it renews it.
+"""Which ingresses there are: each holds a lease at the duty's leader and is a member while it renews it.
 
-Times are seconds on the holder's clock. A lease runs for its holder from when it asked, here from the
+Times are seconds on the leader's clock. A lease runs for its leader from when it asked, here from the
 answer on: so it has ended there before it ends here.
 """
 
@@ -15,7 +15,7 @@
 MISSED = 0.8  # s without a word after which clients are no longer sent there
 HOLD = 0.25  # s that an ask may be kept while there is no news, or ...
 HOLD_EACH = 0.015  # ... so many for each ingress, if that is more
-HEARD = 0.25  # s beyond that after which an ingress may be out of touch, as far as its holder can tell ...
+HEARD = 0.25  # s beyond that after which an ingress may be out of touch, as far as its leader can tell ...
 LOST = 0.4  # ... and after which it is, as it sees it itself
 
 
@@ -24,7 +24,7 @@
 
 
 @dataclass(slots=True)
-class Held:
+class NodeLease:
     node: pb.Node
     lease_end: float
     heard_at: float
@@ -40,7 +40,7 @@
 
 class Roll:
     def __init__(self) -> None:
-        self.held: dict[str, Held] = {}  # by name
+        self.leases: dict[str, NodeLease] = {}  # by name
         self.number = 0  # rises with every change of who is here
         self._changed: dict[str, int] = {}  # by name, of those no longer known as well
 
@@ -50,23 +50,23 @@
         self._changed[name] = self.number
 
     def begin(self, now: float, names: Iterable[str]) -> None:
-        """The duty begins. Each of these may hold a lease of an earlier holder's."""
+        """The duty begins. Each of these may hold a lease of an earlier leader's."""
         for name in names:
-            if name not in self.held:
+            if name not in self.leases:
                 unheard = pb.Node(name=name, kind="edge")
-                self.held[name] = Held(unheard, now + LEASE, float("-inf"), float("-inf"), -1)
-        for held in self.held.values():
+                self.leases[name] = NodeLease(unheard, now + LEASE, float("-inf"), float("-inf"), -1)
+        for held in self.leases.values():
             held.lease_end, held.script, held.asked_at = now + LEASE, -1, float("-inf")
-            if held.here:  # as the last holder knew it: clients are sent there until it is missed here
+            if held.here:  # as the last leader knew it: clients are sent there until it is missed here
                 held.heard_at = now
             held.counting = False
             held.idle_from = held.idle_until = float("inf")
 
     def ask(self, now: float, node: pb.Node, script: int) -> bool:
         """True if it is news to others."""
-        known = self.held.get(node.name)
+        known = self.leases.get(node.name)
         if known is None:
-            self.held[node.name] = Held(node, now + LEASE, now, now, script, here=True, waiting=True)
+            self.leases[node.name] = NodeLease(node, now + LEASE, now, now, script, here=True, waiting=True)
             self._change(node.name)
             return True
         news = known.node != node or not known.here
@@ -81,25 +81,25 @@
         """Those not heard for a while are not here; those whose lease is long over are forgotten. True if
         it is news."""
         before = self.number
-        for name, held in list(self.held.items()):
+        for name, held in list(self.leases.items()):
             if held.here and not held.waiting and now - held.heard_at >= MISSED:
                 held.here = False
                 self._change(name)
             if not held.here and held.lease_end < now and now - held.heard_at > LEASE:
-                del self.held[name]
+                del self.leases[name]
         return self.number != before
 
-    def in_touch(self, now: float, held: Held, edges: int) -> bool:
+    def in_touch(self, now: float, held: NodeLease, edges: int) -> bool:
         return held.counting and now - held.asked_at <= hold(edges) + HEARD
 
     def silent(self, now: float, edges: int) -> int:
         """Ingresses that may serve, and may be out of touch with the counter."""
-        here = [h for h in self.held.values() if h.node.kind == "edge" and h.lease_end >= now]
+        here = [h for h in self.leases.values() if h.node.kind == "edge" and h.lease_end >= now]
         return sum(1 for h in here if not self.in_touch(now, h, edges))
 
     def idle(self, now: float) -> float:
         """s in which nobody at all has spent a unit, of all who held leases when the duty began."""
-        edges = [h for h in self.held.values() if h.node.kind == "edge"]
+        edges = [h for h in self.leases.values() if h.node.kind == "edge"]
         if any(h.asked_at == float("-inf") for h in edges):
             return 0.0  # nobody knows what it did
         begun = max((h.idle_from for h in edges), default=now)
@@ -107,36 +107,36 @@
 
     def all_heard(self, now: float) -> bool:
         """Whoever may hold a lease has asked since the duty began."""
-        here = [h for h in self.held.values() if h.node.kind == "edge" and h.lease_end >= now]
+        here = [h for h in self.leases.values() if h.node.kind == "edge" and h.lease_end >= now]
         return all(h.asked_at > float("-inf") for h in here)
 
     def answered(self, now: float, name: str) -> None:
-        if held := self.held.get(name):
+        if held := self.leases.get(name):
             held.lease_end, held.heard_at, held.waiting = now + LEASE, now, False
 
     def all_at(self, now: float, script: int) -> bool:
         """Nobody can serve by an older version any longer."""
         return all(
-            h.script >= script for h in self.held.values() if h.lease_end >= now and h.node.kind == "edge"
+            h.script >= script for h in self.leases.values() if h.lease_end >= now and h.node.kind == "edge"
         )
 
     def here(self) -> list[pb.Node]:
-        return [h.node for h in self.held.values() if h.here]
+        return [h.node for h in self.leases.values() if h.here]
 
     def since(self, number: int) -> tuple[list[pb.Node], list[str]]:
         """Who is here, and who no longer, of those that changed since."""
         names = [n for n, at in self._changed.items() if at > number]
-        here = [h.node for n in names if (h := self.held.get(n)) and h.here]
-        return here, [n for n in names if n not in self.held or not self.held[n].here]
+        here = [h.node for n in names if (h := self.leases.get(n)) and h.here]
+        return here, [n for n in names if n not in self.leases or not self.leases[n].here]
 
     def take(
         self, nodes: Iterable[pb.Node], gone: Iterable[str], whole: bool, now: float, number: int
     ) -> None:
-        """What the holder's roll says, for one that may hold the duty next."""
+        """What the leader's roll says, for one that may hold the duty next."""
         if whole:
-            self.held = {}
+            self.leases = {}
         for name in gone:
-            self.held.pop(name, None)
+            self.leases.pop(name, None)
         for node in nodes:
-            self.held[node.name] = Held(node, now + LEASE, now, now, -1, here=True)
+            self.leases[node.name] = NodeLease(node, now + LEASE, now, now, -1, here=True)
         self.number = number
--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -9,22 +9,26 @@
 import os
 import random
 from dataclasses import dataclass
-from hashlib import blake2b
 from typing import Any
 
-from playhouse.callboard.board import BeatError, Board, read_beat
+from playhouse.callboard.board import Board
+from playhouse.callboard.collector import Collector
 from playhouse.company.roll import Roll
 from playhouse.errors import Code, SystemFailure
 from playhouse.events import Event, note
 from playhouse.foyer.lookup import lookup
 from playhouse.promptbook import codec
-from playhouse.promptbook.machine import Machine, Member, Step, founded, founder
+from playhouse.promptbook.machine import Machine, founded, founder
+from playhouse.promptbook.messages import (
+    Member,
+    Step,
+)
 from playhouse.promptbook.store import Store
-from playhouse.script.check import content_looks, order_errors
 from playhouse.script.state import Command, State, Verb
 from playhouse.settings import Settings, shown
 from playhouse.stagedoor.doors import Answer, Doors, told, wrong
 from playhouse.stagedoor.tree import CONTROL, FOYER, Wrong, match
+from playhouse.understudy.desk import Desk
 from playhouse.understudy.duty import Duty, server_in
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.links import Wings
@@ -34,16 +38,15 @@
 DECIDE = 3.0  # s for a majority to have a change on disk
 ENTRIES = 128  # in the log, after which a snapshot takes their place ...
 BYTES = 4 * 1024 * 1024  # ... or so many bytes of them
-PASS_ON = 2.5  # s for the holder to answer what is passed on to it
-ASK_WAIT = 1.0  # s that the holder may keep an ask for news
+PASS_ON = 2.5  # s for the leader to answer what is passed on to it
+ASK_WAIT = 1.0  # s that the leader may keep an ask for news
 REPORT = 0.6  # beats between reports of those that said nothing new
 STRIKE = 10.0  # s between looks for ingresses that hold no lease any longer
-TURNS = 64  # changes that wait for the one before
 
 
 @dataclass(slots=True)
 class Pending:
-    view: int
+    term: int
     future: asyncio.Future[bool]
 
 
@@ -64,14 +67,13 @@
         self.duty: Duty | None = None
         self._pending: dict[int, Pending] = {}
         self._news = asyncio.Event()
-        self._turn = asyncio.Lock()
-        self._turns = 0
         self._seen: tuple[str, int, int] = ("", 0, 0)  # epoch, servers, nodes
-        self._beats: dict[str, int] = {}
+        self._collector = Collector(settings, self.board, self.roll)
         self._life = f"{os.getpid():x}{random.getrandbits(40):x}"
         self.reach = Reach(self.wings, self._cores, self._peers)
         self._web = [Doors(self._take, self._was_read), Doors(self._foyer)]
         self._tasks: list[asyncio.Task[Any]] = []
+        self.desk = Desk(self)
         self._known_members: tuple[Member, ...] = ()
         self._joining: set[str] = set()
         self._striking: set[str] = set()  # no lease is granted to these until it is known what became of that
@@ -96,7 +98,7 @@
         return list(dict.fromkeys([*(m.door for m in self.machine.members), *self._doors]))
 
     def _peers(self) -> list[str]:
-        return [held.node.door for held in self.roll.held.values() if held.node.kind == "edge"]
+        return [held.node.door for held in self.roll.leases.values() if held.node.kind == "edge"]
 
     def resettle(self, settings: Settings) -> None:
         """The settings file has changed: other seeds."""
@@ -131,7 +133,7 @@
             try:
                 self._do(self.machine.tick(self.now()))
                 if self.duty and self.duty.tick(self.now()):
-                    self._publish()
+                    self.publish()
             except Exception as error:
                 note(Event.FAILED, "tick: %r", error)
                 raise
@@ -140,8 +142,8 @@
         """Carries a step out, in order: on disk, to the others, then here."""
         if step.writes:
             self._store.write(step.writes)
-        for door, line in step.sends:
-            self.wings.tell(door, pb.Envelope(line=codec.line_out(line)))
+        for door, message in step.sends:
+            self.wings.tell(door, pb.Envelope(log_message=codec.message_out(message)))
         if step.restored:
             self.state = State.read(step.restored.state)
         for entry in step.delivered:
@@ -150,12 +152,12 @@
                 applied = self.state.apply(Command.read(entry.data))
             pending = self._pending.pop(entry.index, None)
             if pending and not pending.future.done():
-                pending.future.set_result(applied and pending.view == entry.view)
+                pending.future.set_result(applied and pending.term == entry.term)
             if applied:
                 if self.duty:
                     self.duty.follow(self.state)
-                self._publish()
-        if step.delivered and self.machine.commit > self.machine.base.index and self._is_long():
+                self.publish()
+        if step.delivered and self.machine.commit_index > self.machine.base.index and self._is_long():
             self._do(self.machine.compact(self.state.out()))
         if self.machine.members != self._known_members:
             self._known_members = self.machine.members
@@ -167,43 +169,54 @@
         return self.machine.wants_snapshot() or len(log) >= ENTRIES or sum(len(e.data) for e in log) >= BYTES
 
     def _look_at_duty(self) -> None:
-        now, holds = self.now(), self.machine.holds(self.now())
-        if holds and (self.duty is None or self.duty.view != self.machine.view):
+        now, leads = self.now(), self.machine.leads(self.now())
+        if leads and (self.duty is None or self.duty.term != self.machine.term):
             ever = self.machine.base.index > 0 or any(
-                e.opens and e.view < self.machine.view for e in self.machine.log
+                e.opens and e.term < self.machine.term for e in self.machine.log
             )
             self.duty = Duty(
-                self.machine.view, now, ever, self.board, self.roll, self.state.edges, self.settings.bounds,
+                self.machine.term, now, ever, self.board, self.roll, self.state.edges, self.settings.bounds,
                 self.settings.heartbeat,
             )  # fmt: skip
             self.duty.follow(self.state)
-            note(Event.DUTY_BEGINS, "view %d", self.machine.view)
-            self._publish()
-        elif self.duty and not holds:
-            note(Event.DUTY_ENDS, "view %d", self.duty.view)
+            note(Event.DUTY_BEGINS, "term %d", self.machine.term)
+            self.publish()
+        elif self.duty and not leads:
+            note(Event.DUTY_ENDS, "term %d", self.duty.term)
             self.duty = None
-            self._publish()
+            self.publish()
 
-    def _publish(self) -> None:
+    def publish(self) -> None:
         news, self._news = self._news, asyncio.Event()
         news.set()
 
-    def _held(self) -> Duty:
+    async def news(self, within: float) -> None:
+        """Until something has changed, or so many seconds."""
+        news = self._news
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.001, within)):
+                await news.wait()
+
+    def core_shown(self) -> dict[str, Any]:
+        members = [[m.door, m.disk] for m in self.machine.members]
+        return {"leader": self.me.door, "members": members}
+
+    def held(self) -> Duty:
         """The duty, if it is held now, whatever was held when this call began."""
-        if self.duty is None or not self.machine.holds(self.now()):
-            raise SystemFailure(Code.NOT_HOLDER)
+        if self.duty is None or not self.machine.leads(self.now()):
+            raise SystemFailure(Code.NOT_LEADER)
         return self.duty
 
     # What other processes say.
 
     def _hear(self, envelope: pb.Envelope) -> None:
         match envelope.WhichOneof("body"):
-            case "line":
+            case "log_message":
                 try:
-                    line = codec.line_in(envelope.line)
+                    message = codec.message_in(envelope.log_message)
                 except ValueError:
                     return
-                self._do(self.machine.received(self.now(), line))
+                self._do(self.machine.received(self.now(), message))
             case "receipt" if self.duty:
                 self.duty.moves.read(envelope.receipt.zone, envelope.receipt.order)
             case "beats" if self.duty:
@@ -219,41 +232,36 @@
                 case "ask":
                     return pb.Envelope(cue=await self._ask(envelope.ask))
                 case "lease":
-                    left = self._held().lease(self.now(), envelope.lease)
+                    left = self.held().lease(self.now(), envelope.lease)
                     if left is None:
                         raise SystemFailure(Code.REFUSED)
                     return pb.Envelope(leased=pb.Leased(left=left))
                 case "deal":
-                    return pb.Envelope(dealt=self._held().deal(self.now(), envelope.deal))
+                    return pb.Envelope(dealt=self.held().deal(self.now(), envelope.deal))
                 case "order":
-                    self._held()
+                    self.held()
                     order = envelope.order
-                    status, body = await self._settle(order.method, order.path, order.body)
+                    status, body = await self.desk.settle(order.method, order.path, order.body)
                     return pb.Envelope(outcome=pb.Outcome(status=status, body=body))
         except SystemFailure as failure:
-            if failure.code is not Code.NOT_HOLDER:
+            if failure.code is not Code.NOT_LEADER:
                 raise
-            holder = self.machine.holder
-            hint = holder.door if holder and holder != self.me else ""
-            return pb.Envelope(fault=Code.NOT_HOLDER, pass_to=hint)
+            leader = self.machine.leader
+            hint = leader.door if leader and leader != self.me else ""
+            return pb.Envelope(fault=Code.NOT_LEADER, pass_to=hint)
         raise SystemFailure(Code.REFUSED, "not known here")
 
     async def _ask(self, ask: pb.Ask) -> pb.Cue:
-        duty, until = self._held(), self.now() + min(5.0, ask.wait_ms / 1000)
+        duty, until = self.held(), self.now() + min(5.0, ask.wait_ms / 1000)
         if not ask.HasField("node") or ask.node.kind == "edge":
             await self._enrol(ask.name or ask.node.name)
-            duty = self._held()
+            duty = self.held()
         if duty.asked(self.now(), ask):
-            self._publish()
+            self.publish()
         while not duty.has_news(self.now(), ask, self.state) and self.now() < until:
-            news = self._news
-            try:
-                async with asyncio.timeout(max(0.001, until - self.now())):
-                    await news.wait()
-            except TimeoutError:
-                break
-            duty = self._held()
-        return self._held().cue(self.now(), ask, self.state)
+            await self.news(until - self.now())
+            duty = self.held()
+        return self.held().cue(self.now(), ask, self.state)
 
     async def _enrol(self, name: str) -> None:
         """Who is to hold a lease is known to whoever may have the duty next. Raises SystemFailure."""
@@ -264,24 +272,24 @@
         while name not in self.state.edges or name in self._striking:
             if name in self._joining and name not in self._striking:
                 names, self._joining = tuple(sorted(self._joining)), set()
-                await self._decide(Command(Verb.ENROL, names=names))
+                await self.decide(Command(Verb.ENROL, names=names))
             else:
                 await asyncio.sleep(0.01)
-            self._held()
+            self.held()
 
     async def _strike(self) -> None:
         """Those long gone are enrolled no longer."""
         while True:
             await asyncio.sleep(STRIKE * random.uniform(0.8, 1.2))
             if self.duty:
-                gone = tuple(n for n in self.state.edges if n not in self.duty.roll.held)
+                gone = tuple(n for n in self.state.edges if n not in self.duty.roll.leases)
                 self._striking = set(gone)
                 with contextlib.suppress(SystemFailure):
                     if gone:
-                        await self._decide(Command(Verb.ENROL, gone=gone))
+                        await self.decide(Command(Verb.ENROL, gone=gone))
                         self._striking = set()
 
-    # News of the holder, for one that does not hold the duty.
+    # News of the leader, for one that does not hold the duty.
 
     def _node(self) -> pb.Node:
         listen = self.settings.listen
@@ -322,10 +330,8 @@
         """Beats that said nothing new are told of together."""
         while True:
             await asyncio.sleep(REPORT * self.settings.heartbeat * random.uniform(0.8, 1.2))
-            beats, self._beats = self._beats, {}
-            if beats and self.reach.hint and not self.duty:
-                told_of = pb.Beats(id=list(beats), seq=list(beats.values()))
-                self.wings.tell(self.reach.hint, pb.Envelope(beats=told_of))
+            if (beats := self._collector.report()) and self.reach.hint and not self.duty:
+                self.wings.tell(self.reach.hint, pb.Envelope(beats=beats))
 
     # Calls of servers and operators.
 
@@ -345,29 +351,16 @@
             return told(200, {"ready": True})
         if found.call != "beat":
             return await self._pass(method, target, body)
-        if self.duty is None and self._plain_beat(found.args["id"], body):
-            return told(200, self._nearer(body))
+        if self.duty is None and self._collector.plain(found.args["id"], body, self.now()):
+            return told(200, self._collector.nearer(body))
         status, answer = await self._pass(method, target, body)
-        return told(200, self._nearer(body)) if status == 200 else (status, answer)
-
-    def _nearer(self, body: bytes) -> dict[str, str]:
-        """Where a server's later beats are to go, if that is not here: they are the most of what crosses
-        zones."""
-        zone = json.loads(body)["details"]["zone"]
-        region = self.settings.zones.get(zone, "")
-        if zone == self.settings.zone:
-            return {}
-        cores = [h.node for h in self.roll.held.values() if h.node.kind == "core" and h.node.ctl]
-        near = [n for n in cores if n.zone == zone]
-        if not near and region != self.settings.region:
-            near = [n for n in cores if n.region == region]
-        return {"beatUrl": f"http://{near[0].ctl}"} if near else {}
+        return told(200, self._collector.nearer(body)) if status == 200 else (status, answer)
 
     async def _pass(self, method: str, target: str, body: bytes) -> Answer:
-        """Settled here if the duty is held here, else by its holder."""
-        if self.duty and self.machine.holds(self.now()):
+        """Settled here if the duty is held here, else by its leader."""
+        if self.duty and self.machine.leads(self.now()):
             try:
-                return await self._settle(method, target, body)
+                return await self.desk.settle(method, target, body)
             except SystemFailure as failure:
                 return wrong(503, str(failure))
         order = pb.Order(method=method, path=target, body=body)
@@ -377,126 +370,6 @@
             return wrong(503, str(failure))
         return answer.outcome.status, answer.outcome.body
 
-    def _plain_beat(self, id: str, body: bytes) -> bool:
-        """A beat that says what is known already: the holder hears of it with others."""
-        known = self.board.servers.get(id)
-        if known is None or known.state != "ready":
-            return False
-        try:
-            seen = read_beat(id, json.loads(body), self.now())
-        except (ValueError, BeatError):
-            return False
-        if not known.plain(seen):
-            return False
-        self._beats[id] = max(seen.seq, self._beats.get(id, 0))
-        return True
-
-    async def _settle(self, method: str, target: str, body: bytes) -> Answer:
-        """Raises SystemFailure where the duty is not held, or no longer."""
-        found = match(CONTROL, method, target)
-        if isinstance(found, Wrong):
-            return wrong(found.status, found.why)
-        duty, now = self._held(), self.now()
-        match found.call:
-            case "beat":
-                try:
-                    seen = read_beat(found.args["id"], json.loads(body), now)
-                except BeatError as error:
-                    return wrong(400, *error.errors)
-                except ValueError as error:
-                    return wrong(400, f"not JSON: {error}")
-                if duty.board.beat(seen):
-                    note(Event.SERVER_NEWS, "%s %s %s", seen.id, seen.service, seen.state)
-                    self._publish()
-                return told(200, {})
-            case "end":
-                if duty.board.end(found.args["id"], now):
-                    note(Event.SERVER_NEWS, "%s gone", found.args["id"])
-                    self._publish()
-                return told(200, {})
-            case "read":
-                return told(200, self.state.content) if self.state.gen else wrong(404, "no configuration yet")
-            case "show":
-                return told(
-                    200,
-                    duty.show(now, self.state)
-                    | {
-                        "holder": self.me.door,
-                        "members": [[m.door, m.disk] for m in self.machine.members],
-                    },
-                )
-            case "replace" | "update":
-                verb = Verb.REPLACE if found.call == "replace" else Verb.UPDATE
-                return await self._in_turn(lambda: self._configure(verb, body))
-            case "evacuate" | "take back":
-                verb = Verb.EVACUATE if found.call == "evacuate" else Verb.TAKE_BACK
-                return await self._ordered(verb, found.args["zone"])
-        return wrong(404, "no such call")
-
-    async def _in_turn(self, change: Any) -> Answer:
-        """One change is decided after the other; then all wait together until it is everywhere."""
-        if self._turns >= TURNS:
-            return wrong(503, "too many changes wait")
-        self._turns += 1
-        try:
-            async with self._turn:
-                answer, version = await change()
-        finally:
-            self._turns -= 1
-        if version:
-            await self._everywhere(version)
-        done: Answer = answer
-        return done
-
-    async def _configure(self, verb: Verb, body: bytes) -> tuple[Answer, int]:
-        self._held()
-        digest = blake2b(verb.value.encode() + b" " + body, digest_size=16).hexdigest()
-        state = self.state
-        if digest in state.known:
-            return told(200, {"gen": state.known[digest]}), state.version
-        try:
-            order = json.loads(body)
-        except ValueError as error:
-            return wrong(400, f"not JSON: {error}"), 0
-        errors = order_errors(order, verb is Verb.REPLACE, state.gen)
-        if isinstance(order, dict) and isinstance(order.get("parent"), int) and order["parent"] != state.gen:
-            return wrong(412, f"parent: {order['parent']} is not {state.gen}, which is in force", *errors), 0
-        command = Command(verb, digest, order)
-        if not errors:
-            for some in content_looks(state.result(command)):
-                errors += some
-                await asyncio.sleep(0)
-            self._held()
-        if errors:
-            note(Event.CONFIG_REFUSED, "%s", "; ".join(errors[:5]))
-            return wrong(400, *errors), 0
-        if not await self._decide(command):
-            return wrong(412, "another change came first"), 0
-        note(Event.CONFIG_TAKEN, "gen %d, version %d", self.state.gen, self.state.version)
-        return told(200, {"gen": order["gen"]}), self.state.version
-
-    async def _move(self, verb: Verb, zone: str, order: str) -> tuple[Answer, int]:
-        duty, orders = self._held(), self.state.evacuated.get(zone, 0)
-        begins = verb is Verb.EVACUATE
-        if order and self.state.moves.get(zone) != order and (orders or begins):
-            if not begins and orders == 1:
-                duty.board.chill(zone, self.now(), duty.warmups(self.state))
-            await self._decide(Command(verb, order, zone=zone))
-            orders = self.state.evacuated.get(zone, 0)
-            note(Event.ZONE_EVACUATED if begins else Event.ZONE_TAKEN_BACK, "%s, orders: %d", zone, orders)
-        return told(200, {"zone": zone, "order": order, "orders": orders}), self.state.version
-
-    async def _ordered(self, verb: Verb, zone: str) -> Answer:
-        if zone not in self.settings.zones:
-            return wrong(404, f"no zone {zone!r}")
-        duty = self._held()
-        stands = (zone in self.state.evacuated) == (verb is Verb.EVACUATE)
-        order = duty.moves.came(self.now(), zone, verb.value, stands)
-        try:
-            return await self._in_turn(lambda: self._move(verb, zone, order))
-        finally:
-            duty.moves.over(zone, order)
-
     def _was_read(self, method: str, target: str, answer: Answer) -> None:
         """Who gave an order for a zone has its answer: the same call is another order from now on."""
         found = match(CONTROL, method, target)
@@ -508,14 +381,14 @@
         elif self.reach.hint:
             self.wings.tell(self.reach.hint, pb.Envelope(receipt=receipt))
 
-    async def _decide(self, command: Command) -> bool:
+    async def decide(self, command: Command) -> bool:
         """True once a majority has it on disk and it is in force; False if it is void. Raises SystemFailure
         where that is not known."""
         index, step = self.machine.propose(self.now(), command.out())
         if not index:
-            raise SystemFailure(Code.NOT_HOLDER)
+            raise SystemFailure(Code.NOT_LEADER)
         future: asyncio.Future[bool] = self._loop.create_future()
-        self._pending[index] = Pending(self.machine.view, future)
+        self._pending[index] = Pending(self.machine.term, future)
         self._do(step)
         try:
             async with asyncio.timeout(DECIDE):
@@ -524,16 +397,3 @@
             raise SystemFailure(Code.SILENT, "no majority has it yet") from None
         finally:
             self._pending.pop(index, None)
-
-    async def _everywhere(self, version: int) -> None:
-        """Until every ingress serves by it, or has stopped as its lease is over. Raises SystemFailure."""
-        until = self.now() + self.settings.bounds.ack
-        while not self._held().roll.all_at(self.now(), version):
-            if self.now() > until:
-                raise SystemFailure(Code.SILENT, "some ingresses have not got it yet")
-            news = self._news
-            try:
-                async with asyncio.timeout(0.03):
-                    await news.wait()
-            except TimeoutError:
-                continue
--- a/playhouse/errors.py
+++ b/playhouse/errors.py
@@ -12,10 +12,10 @@
 
     UNREACHABLE = 1  # no connection, or none in time: the call was not taken
     SILENT = 2  # it was sent, and no answer came in time
-    NOT_HOLDER = 3  # who was asked does not hold the duty
+    NOT_LEADER = 3  # who was asked does not hold the duty
     FULL = 4  # a bounded queue is
     REFUSED = 5
-    STALE = 6  # what was asked belongs to a life or view that is over
+    STALE = 6  # what was asked belongs to a life or term that is over
 
 
 class SystemFailure(Exception):
--- a/playhouse/promptbook/__init__.py
+++ b/playhouse/promptbook/__init__.py
@@ -1,1 +1,1 @@
-"""The core's log: one order over its views, safe on disk."""
+"""The core's replicated log (election, append entries, snapshots): one order over its terms, safe on disk."""
--- a/playhouse/promptbook/codec.py
+++ b/playhouse/promptbook/codec.py
@@ -1,20 +1,20 @@
-"""The promptbook's lines, entries and snapshots as protobuf, and back."""
+"""The promptbook's messages, entries and snapshots as protobuf, and back."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
-from playhouse.promptbook.machine import (
-    Append,
-    Appended,
-    Ballot,
-    Canvass,
+from playhouse.promptbook.messages import (
+    AppendEntries,
+    AppendReply,
     Entry,
-    Install,
+    InstallSnapshot,
     Join,
-    Line,
     Member,
+    Message,
+    RequestVote,
     Snapshot,
+    VoteReply,
 )
 from playhouse.wings import cues_pb2 as pb
 
@@ -30,7 +30,7 @@
 def _entry_pb(entry: Entry) -> pb.Entry:
     return pb.Entry(
         index=entry.index,
-        view=entry.view,
+        term=entry.term,
         data=entry.data,
         members=_members_out(entry.members),
         opens=entry.opens,
@@ -38,7 +38,7 @@
 
 
 def _entry_of(made: pb.Entry) -> Entry:
-    return Entry(made.index, made.view, made.data, _members_in(made.members), made.opens)
+    return Entry(made.index, made.term, made.data, _members_in(made.members), made.opens)
 
 
 def entry_out(entry: Entry) -> bytes:
@@ -50,69 +50,75 @@
     return _entry_of(pb.Entry.FromString(data))
 
 
-def _install(snapshot: Snapshot, sent: int = 0) -> pb.Install:
+def _install_snapshot(snapshot: Snapshot, sent: int = 0) -> pb.InstallSnapshot:
     members = _members_out(snapshot.members)
-    return pb.Install(
-        index=snapshot.index, at_view=snapshot.view, members=members, state=snapshot.state, sent=sent
+    return pb.InstallSnapshot(
+        index=snapshot.index, at_term=snapshot.term, members=members, state=snapshot.state, sent=sent
     )
 
 
-def _snapshot(made: pb.Install) -> Snapshot:
-    return Snapshot(made.index, made.at_view, _members_in(made.members), made.state)
+def _snapshot(made: pb.InstallSnapshot) -> Snapshot:
+    return Snapshot(made.index, made.at_term, _members_in(made.members), made.state)
 
 
 def snapshot_out(snapshot: Snapshot) -> bytes:
-    data: bytes = _install(snapshot).SerializeToString()
+    data: bytes = _install_snapshot(snapshot).SerializeToString()
     return data
 
 
 def snapshot_in(data: bytes) -> Snapshot:
-    return _snapshot(pb.Install.FromString(data))
+    return _snapshot(pb.InstallSnapshot.FromString(data))
 
 
-def line_out(line: Line) -> pb.Line:
-    made = pb.Line(view=line.view, sender=pb.Member(door=line.sender.door, disk=line.sender.disk))
-    match line:
-        case Canvass():
-            made.canvass.CopyFrom(
-                pb.Canvass(trial=line.trial, last_index=line.last_index, last_view=line.last_view)
+def message_out(message: Message) -> pb.LogMessage:
+    made = pb.LogMessage(
+        term=message.term, sender=pb.Member(door=message.sender.door, disk=message.sender.disk)
+    )
+    match message:
+        case RequestVote():
+            made.request_vote.CopyFrom(
+                pb.RequestVote(
+                    pre_vote=message.pre_vote, last_index=message.last_index, last_term=message.last_term
+                )
             )
-        case Ballot():
-            made.ballot.CopyFrom(pb.Ballot(trial=line.trial, granted=line.granted))
-        case Append():
-            entries = [_entry_pb(e) for e in line.entries]
-            made.append.CopyFrom(
-                pb.Append(
-                    prev_index=line.prev_index, prev_view=line.prev_view, entries=entries, commit=line.commit,
-                    sent=line.sent,
+        case VoteReply():
+            made.vote_reply.CopyFrom(pb.VoteReply(pre_vote=message.pre_vote, granted=message.granted))
+        case AppendEntries():
+            entries = [_entry_pb(e) for e in message.entries]
+            made.append_entries.CopyFrom(
+                pb.AppendEntries(
+                    prev_index=message.prev_index, prev_term=message.prev_term, entries=entries,
+                    commit_index=message.commit_index, sent=message.sent,
                 )
             )  # fmt: skip
-        case Appended():
-            made.appended.CopyFrom(pb.Appended(ok=line.ok, match=line.match, sent=line.sent))
-        case Install():
-            made.install.CopyFrom(_install(line.snapshot, line.sent))
+        case AppendReply():
+            made.append_reply.CopyFrom(pb.AppendReply(ok=message.ok, match=message.match, sent=message.sent))
+        case InstallSnapshot():
+            made.install_snapshot.CopyFrom(_install_snapshot(message.snapshot, message.sent))
         case Join():
             made.join.SetInParent()
     return made
 
 
-def line_in(made: pb.Line) -> Line:
+def message_in(made: pb.LogMessage) -> Message:
     """Raises ValueError for one that says nothing."""
-    view, sender = made.view, Member(made.sender.door, made.sender.disk)
+    term, sender = made.term, Member(made.sender.door, made.sender.disk)
     match made.WhichOneof("what"):
-        case "canvass":
-            c = made.canvass
-            return Canvass(view, sender, c.trial, c.last_index, c.last_view)
-        case "ballot":
-            return Ballot(view, sender, made.ballot.trial, made.ballot.granted)
-        case "append":
-            a = made.append
+        case "request_vote":
+            c = made.request_vote
+            return RequestVote(term, sender, c.pre_vote, c.last_index, c.last_term)
+        case "vote_reply":
+            return VoteReply(term, sender, made.vote_reply.pre_vote, made.vote_reply.granted)
+        case "append_entries":
+            a = made.append_entries
             entries = tuple(_entry_of(e) for e in a.entries)
-            return Append(view, sender, a.prev_index, a.prev_view, entries, a.commit, a.sent)
-        case "appended":
-            return Appended(view, sender, made.appended.ok, made.appended.match, made.appended.sent)
-        case "install":
-            return Install(view, sender, _snapshot(made.install), made.install.sent)
+            return AppendEntries(term, sender, a.prev_index, a.prev_term, entries, a.commit_index, a.sent)
+        case "append_reply":
+            return AppendReply(
+                term, sender, made.append_reply.ok, made.append_reply.match, made.append_reply.sent
+            )
+        case "install_snapshot":
+            return InstallSnapshot(term, sender, _snapshot(made.install_snapshot), made.install_snapshot.sent)
         case "join":
-            return Join(view, sender)
-    raise ValueError("a line that says nothing")
+            return Join(term, sender)
+    raise ValueError("a message that says nothing")
--- a/playhouse/promptbook/machine.py
+++ b/playhouse/promptbook/machine.py
@@ -1,8 +1,8 @@
 """The core's log as a pure machine: inputs in, what to write, send and deliver out.
 
-One holder a view appends; the others follow it. A change of view stops delivery, trims what only a minority
-of the old view holds, and goes on. An entry is delivered once a majority of the members has it on disk. A
-member is a door and a disk: one whose disk was wiped is another member, and its voice counts for nothing
+One leader a term appends; the others follow it. A change of term stops delivery, trims what only a minority
+of the old term holds, and goes on. An entry is delivered once a majority of the members has it on disk. A
+member is a door and a disk: one whose disk was wiped is another member, and its vote counts for nothing
 until the others have taken it in, which they do with a majority of their own.
 
 Times are seconds on a clock that never goes back; nothing here depends on the time of day. The caller
@@ -13,153 +13,45 @@
 
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
-
-@dataclass(frozen=True, slots=True, order=True)
-class Member:
-    door: str  # host:port
-    disk: str  # drawn anew for each disk
-
-
-@dataclass(frozen=True, slots=True)
-class Entry:
-    index: int
-    view: int
-    data: bytes = b""
-    members: tuple[Member, ...] = ()  # of the core from here on, if any are named
-    opens: bool = False  # the first of its view
-
-
-@dataclass(frozen=True, slots=True)
-class Snapshot:
-    index: int = 0
-    view: int = 0
-    members: tuple[Member, ...] = ()
-    state: bytes = b""
-
-
-@dataclass(slots=True)
-class Kept:
-    """What a disk holds."""
-
-    view: int = 0
-    voted: str = ""  # the disk that this one's voice went to in that view
-    snapshot: Snapshot = field(default_factory=Snapshot)
-    entries: list[Entry] = field(default_factory=list)  # those after the snapshot
-
-
-# What members say to one another.
-
-
-@dataclass(frozen=True, slots=True)
-class Canvass:
-    view: int
-    sender: Member
-    trial: bool  # asks who would give their voice; nobody is bound by the answer
-    last_index: int
-    last_view: int
-
-
-@dataclass(frozen=True, slots=True)
-class Ballot:
-    view: int
-    sender: Member
-    trial: bool
-    granted: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Append:
-    view: int
-    sender: Member
-    prev_index: int
-    prev_view: int
-    entries: tuple[Entry, ...]
-    commit: int
-    sent: int  # the holder's clock, us: comes back with the answer
-
-
-@dataclass(frozen=True, slots=True)
-class Appended:
-    view: int
-    sender: Member
-    ok: bool
-    match: int  # all up to here is on disk; if not ok: where to try again
-    sent: int
-
-
-@dataclass(frozen=True, slots=True)
-class Install:
-    view: int
-    sender: Member
-    snapshot: Snapshot
-    sent: int
-
-
-@dataclass(frozen=True, slots=True)
-class Join:
-    view: int
-    sender: Member
-
-
-Line = Canvass | Ballot | Append | Appended | Install | Join
-
-
-# What a disk is to keep.
-
-
-@dataclass(frozen=True, slots=True)
-class Promise:
-    view: int
-    voted: str
-
-
-@dataclass(frozen=True, slots=True)
-class Keep:
-    """Entries from `first` on are replaced by these."""
-
-    first: int
-    entries: tuple[Entry, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class KeepSnapshot:
-    """In place of all entries up to its index; with `alone`, of all entries."""
-
-    snapshot: Snapshot
-    alone: bool
-
-
-Write = Promise | Keep | KeepSnapshot
-
-
-@dataclass(slots=True)
-class Step:
-    writes: list[Write] = field(default_factory=list)
-    sends: list[tuple[str, Line]] = field(default_factory=list)
-    restored: Snapshot | None = None  # the state is to become this, before what is delivered
-    delivered: list[Entry] = field(default_factory=list)
+from playhouse.promptbook.messages import (
+    AppendEntries,
+    AppendReply,
+    Entry,
+    HardState,
+    InstallSnapshot,
+    Join,
+    KeepEntries,
+    KeepSnapshot,
+    Kept,
+    Member,
+    Message,
+    RequestVote,
+    Snapshot,
+    Step,
+    VoteReply,
+)
 
 
 class Role(Enum):
     FOLLOWER = "follower"
-    TRIAL = "trial"
+    PRE_CANDIDATE = "pre-candidate"
     CANDIDATE = "candidate"
-    HOLDER = "holder"
+    LEADER = "leader"
 
 
 @dataclass(frozen=True, slots=True)
 class Times:
-    quiet: float = 0.5  # s without the holder before which nobody gives another a voice
+    quiet: float = 0.5  # s without the leader before which nobody gives another a vote
     beat: float = 0.15
-    turn: float = 0.05  # s that each waits longer than the one before it: two at once would split the voices
-    soon: float = 0.1  # s that they spread over where the last holder's life is known to be over
+    turn: float = 0.05  # s that each waits longer than the one before it: two at once would split the votes
+    soon: float = 0.1  # s that they spread over where the last leader's life is known to be over
     again: float = 0.4  # s after which an append that was not answered is sent again
     join: float = 0.3
-    open: float = 5.0  # s within which a holder's first entry is to be decided
-    unheard: float = 2.0  # s without a holder after which a member asks whether it is one
+    open: float = 5.0  # s within which a leader's first entry is to be decided
+    unheard: float = 2.0  # s without a leader after which a member asks whether it is one
     drift: float = 0.05  # of a span that two clocks may differ by
 
     @property
@@ -172,7 +64,7 @@
 
 @dataclass(slots=True)
 class Progress:
-    """How far another member is, as far as the holder knows."""
+    """How far another member is, as far as the leader knows."""
 
     member: Member
     next: int
@@ -188,26 +80,31 @@
     ) -> None:  # fmt: skip
         """`doors`: where other members may be, for one that is none yet."""
         self.me, self.rng, self.times, self.doors = me, rng, times or Times(), tuple(doors)
-        self.view, self.voted, self.base, self.log = kept.view, kept.voted, kept.snapshot, list(kept.entries)
-        self.commit = kept.snapshot.index
+        self.term, self.voted_for, self.base, self.log = (
+            kept.term,
+            kept.voted_for,
+            kept.snapshot,
+            list(kept.entries),
+        )
+        self.commit_index = kept.snapshot.index
         self.role = Role.FOLLOWER
-        self.holder: Member | None = None
+        self.leader: Member | None = None
         self.peers: dict[str, Progress] = {}  # by disk; members and those that are to become some
         self.changed_at = 0.0
         self._members: tuple[Member, ...] = ()
         self._members_at = 0  # the entry that named them
         self._before: tuple[Member, ...] = ()  # those before that entry
-        self._voices: set[str] = set()
-        self._opened = False  # an entry of the view that this one holds was delivered
+        self._votes: set[str] = set()
+        self._opened = False  # an entry of the term that this one holds was delivered
         self._beat_at = self._join_at = now
         self.heard_at = (
-            now  # a start counts: what was promised to a holder before it, is not known any longer
+            now  # a start counts: what was promised to a leader before it, is not known any longer
         )
         self._due = 0.0
         self._look_up_members()
-        self._wait(now)
+        self._reset_election_timer(now)
         self._soon_until = float("-inf")
-        if kept.voted == me.disk:  # it may have held this view: the promises of that life were to itself
+        if kept.voted_for == me.disk:  # it may have held this term: the promises of that life were to itself
             self._due, self._soon_until = now, now + 3 * self.times.quiet
 
     # What is known.
@@ -220,18 +117,18 @@
     def last(self) -> int:
         return self.base.index + len(self.log)
 
-    def view_at(self, index: int) -> int:
+    def term_at(self, index: int) -> int:
         if index == self.base.index:
-            return self.base.view
-        return self.log[index - self.base.index - 1].view if self.base.index < index <= self.last else -1
+            return self.base.term
+        return self.log[index - self.base.index - 1].term if self.base.index < index <= self.last else -1
 
-    def holds(self, now: float) -> bool:
-        """This one holds the view, a majority follows it for sure, and it knows all that was ever
+    def leads(self, now: float) -> bool:
+        """This one holds the term, a majority follows it for sure, and it knows all that was ever
         delivered."""
-        return self.role is Role.HOLDER and self._opened and now < self.lease_end(now)
+        return self.role is Role.LEADER and self._opened and now < self.lease_end(now)
 
     def lease_end(self, now: float) -> float:
-        """Until when no other can hold a later view."""
+        """Until when no other can hold a later term."""
         acked = sorted(
             (now if m == self.me else self.peers[m.disk].acked if m.disk in self.peers else float("-inf"))
             for m in self._members
@@ -241,7 +138,7 @@
     def wants_snapshot(self) -> bool:
         """Who the members are is decided, and only the log says so: after a start nobody would know that it
         is, and those before them would be asked as well, of whom one disk is gone."""
-        return self.base.index < self._members_at <= self.commit
+        return self.base.index < self._members_at <= self.commit_index
 
     def is_member(self) -> bool:
         return self.me in self._members
@@ -253,8 +150,8 @@
                 before, found, at = found, entry.members, entry.index
         self._members, self._members_at, self._before = found, at, before
 
-    def _wait(self, now: float) -> None:
-        others = [m for m in self._members if m != self.holder]
+    def _reset_election_timer(self, now: float) -> None:
+        others = [m for m in self._members if m != self.leader]
         turn = others.index(self.me) if self.me in others else len(others)
         self._due = now + 1.05 * self.times.quiet + self.times.turn * (turn + 0.4 * self.rng.random())
 
@@ -262,11 +159,13 @@
 
     def tick(self, now: float) -> Step:
         step = Step()
-        if self.role is Role.HOLDER:
+        if self.role is Role.LEADER:
             if now >= self.lease_end(now) + self.times.quiet and now - self.changed_at > 2 * self.times.quiet:
-                self._follow(now, step, self.view, None)  # nobody follows: others may be better off
+                self._become_follower(now, step, self.term, None)  # nobody follows: others may be better off
             elif not self._opened and now - self.changed_at > self.times.open:
-                self._follow(now, step, self.view, None)  # followed, and nothing is ever decided: as well
+                self._become_follower(
+                    now, step, self.term, None
+                )  # followed, and nothing is ever decided: as well
                 self._due += 2 * self.times.quiet
             elif now >= self._beat_at:
                 self._beat(now, step)
@@ -276,45 +175,45 @@
             if now - self.heard_at > self.times.unheard:
                 self._ask_in(now, step)  # that it is a member may never have been decided
             if now >= self._due:
-                self._canvass(now, step, trial=True)
+                self._campaign(now, step, pre_vote=True)
         return step
 
     def _ask_in(self, now: float, step: Step) -> None:
         if now >= self._join_at:
             self._join_at = now + self.times.join * (1 + self.rng.random())
-            step.sends += [(door, Join(self.view, self.me)) for door in self._others()]
+            step.sends += [(door, Join(self.term, self.me)) for door in self._others()]
 
     def propose(self, now: float, data: bytes) -> tuple[int, Step]:
-        """Appends; the index, or 0 if this one does not hold the view. Delivery tells what became of it."""
+        """Appends; the index, or 0 if this one does not hold the term. Delivery tells what became of it."""
         step = Step()
-        if self.role is not Role.HOLDER:
+        if self.role is not Role.LEADER:
             return 0, step
-        return self._append(now, step, Entry(self.last + 1, self.view, data)), step
+        return self._append_entry(now, step, Entry(self.last + 1, self.term, data)), step
 
-    def received(self, now: float, line: Line) -> Step:
+    def received(self, now: float, message: Message) -> Step:
         step = Step()
-        match line:
-            case Canvass():
-                self._canvassed(now, step, line)
-            case Ballot():
-                self._ballot(now, step, line)
-            case Append():
-                self._appending(now, step, line)
-            case Appended():
-                self._appended(now, step, line)
-            case Install():
-                self._install(now, step, line)
+        match message:
+            case RequestVote():
+                self._vote_requested(now, step, message)
+            case VoteReply():
+                self._vote_replied(now, step, message)
+            case AppendEntries():
+                self._append_entries(now, step, message)
+            case AppendReply():
+                self._append_replied(now, step, message)
+            case InstallSnapshot():
+                self._install_snapshot(now, step, message)
             case Join():
-                self._joining(now, step, line)
+                self._joining(now, step, message)
         return step
 
     def compact(self, state: bytes) -> Step:
         """The state after all that was delivered takes the place of the entries that led to it."""
-        step, index = Step(), self.commit
+        step, index = Step(), self.commit_index
         members = self.base.members
         for entry in self.log[: index - self.base.index]:
             members = entry.members or members
-        made = Snapshot(index, self.view_at(index), members, state)
+        made = Snapshot(index, self.term_at(index), members, state)
         self.log = self.log[index - self.base.index :]
         self.base = made
         self._look_up_members()
@@ -327,81 +226,81 @@
         named = [m.door for m in self._members] + list(self.doors)
         return [d for d in dict.fromkeys(named) if d != self.me.door]
 
-    def _canvass(self, now: float, step: Step, trial: bool) -> None:
-        self._wait(now)
-        if trial and now < self._soon_until:  # others may be about to start
+    def _campaign(self, now: float, step: Step, pre_vote: bool) -> None:
+        self._reset_election_timer(now)
+        if pre_vote and now < self._soon_until:  # others may be about to start
             self._due = now + self.times.soon
-        self._voices = {self.me.disk}
-        self.holder = None
-        if trial:
-            self.role = Role.TRIAL
+        self._votes = {self.me.disk}
+        self.leader = None
+        if pre_vote:
+            self.role = Role.PRE_CANDIDATE
         else:
-            self.role, self.view, self.voted = Role.CANDIDATE, self.view + 1, self.me.disk
-            step.writes.append(Promise(self.view, self.voted))
-        asked = Canvass(self.view + trial, self.me, trial, self.last, self.view_at(self.last))
+            self.role, self.term, self.voted_for = Role.CANDIDATE, self.term + 1, self.me.disk
+            step.writes.append(HardState(self.term, self.voted_for))
+        asked = RequestVote(self.term + pre_vote, self.me, pre_vote, self.last, self.term_at(self.last))
         step.sends += [(m.door, asked) for m in self._members if m != self.me]
         self._count(now, step)
 
-    def _canvassed(self, now: float, step: Step, line: Canvass) -> None:
-        follows = self.role is Role.HOLDER and now < self.lease_end(now)
-        follows = follows or (self.role is not Role.HOLDER and now - self.heard_at < self.times.quiet)
-        # The promise was to give no other a voice. Who it was to asks only in a new life, the old one is
+    def _vote_requested(self, now: float, step: Step, message: RequestVote) -> None:
+        follows = self.role is Role.LEADER and now < self.lease_end(now)
+        follows = follows or (self.role is not Role.LEADER and now - self.heard_at < self.times.quiet)
+        # The promise was to give no other a vote. Who it was to asks only in a new life, the old one is
         # over.
-        follows = follows and not (self.role is not Role.HOLDER and self.voted == line.sender.disk)
-        current = (line.last_view, line.last_index) >= (self.view_at(self.last), self.last)
-        if line.trial:
-            granted = line.view > self.view and current and not follows
-            # A no tells the view here: whoever lags behind it has to ask above it to be heard at all.
-            view = line.view if granted else self.view
-            step.sends.append((line.sender.door, Ballot(view, self.me, True, granted)))
+        follows = follows and not (self.role is not Role.LEADER and self.voted_for == message.sender.disk)
+        current = (message.last_term, message.last_index) >= (self.term_at(self.last), self.last)
+        if message.pre_vote:
+            granted = message.term > self.term and current and not follows
+            # A no tells the term here: whoever lags behind it has to ask above it to be heard at all.
+            term = message.term if granted else self.term
+            step.sends.append((message.sender.door, VoteReply(term, self.me, True, granted)))
             return
         if follows:
-            return  # a majority promised the holder this span: that is what its lease rests on
-        if line.view > self.view:
-            self._follow(now, step, line.view, None)
-        granted = line.view == self.view and current and self.voted in ("", line.sender.disk)
+            return  # a majority promised the leader this span: that is what its lease rests on
+        if message.term > self.term:
+            self._become_follower(now, step, message.term, None)
+        granted = message.term == self.term and current and self.voted_for in ("", message.sender.disk)
         granted = granted and self.role is Role.FOLLOWER
         if granted:
-            self.voted = line.sender.disk
-            step.writes.append(Promise(self.view, self.voted))
-            self._wait(now)
-        step.sends.append((line.sender.door, Ballot(self.view, self.me, False, granted)))
-
-    def _ballot(self, now: float, step: Step, line: Ballot) -> None:
-        behind = not line.trial or (not line.granted and self.role is Role.TRIAL)
-        if line.view > self.view and behind:
-            self._follow(now, step, line.view, None)
+            self.voted_for = message.sender.disk
+            step.writes.append(HardState(self.term, self.voted_for))
+            self._reset_election_timer(now)
+        step.sends.append((message.sender.door, VoteReply(self.term, self.me, False, granted)))
+
+    def _vote_replied(self, now: float, step: Step, message: VoteReply) -> None:
+        behind = not message.pre_vote or (not message.granted and self.role is Role.PRE_CANDIDATE)
+        if message.term > self.term and behind:
+            self._become_follower(now, step, message.term, None)
             return
-        wanted = self.view + 1 if self.role is Role.TRIAL else self.view
-        asks = self.role is (Role.TRIAL if line.trial else Role.CANDIDATE)
-        if asks and line.granted and line.view == wanted and line.sender in self._members:
-            self._voices.add(line.sender.disk)
+        wanted = self.term + 1 if self.role is Role.PRE_CANDIDATE else self.term
+        asks = self.role is (Role.PRE_CANDIDATE if message.pre_vote else Role.CANDIDATE)
+        if asks and message.granted and message.term == wanted and message.sender in self._members:
+            self._votes.add(message.sender.disk)
             self._count(now, step)
 
     def _count(self, now: float, step: Step) -> None:
-        if len(self._voices) <= len(self._members) // 2:
+        if len(self._votes) <= len(self._members) // 2:
             return
-        if self.role is Role.TRIAL:
-            self._canvass(now, step, trial=False)
+        if self.role is Role.PRE_CANDIDATE:
+            self._campaign(now, step, pre_vote=False)
             return
-        self.role, self.holder, self.changed_at, self._opened = Role.HOLDER, self.me, now, False
+        self.role, self.leader, self.changed_at, self._opened = Role.LEADER, self.me, now, False
         self.peers = {m.disk: Progress(m, self.last + 1) for m in self._members if m != self.me}
-        self._append(now, step, Entry(self.last + 1, self.view, opens=True))
+        self._append_entry(now, step, Entry(self.last + 1, self.term, opens=True))
 
-    def _follow(self, now: float, step: Step, view: int, holder: Member | None) -> None:
-        if view > self.view:
-            self.view, self.voted = view, ""
-            step.writes.append(Promise(view, ""))
-        if self.role is not Role.FOLLOWER or holder != self.holder:
+    def _become_follower(self, now: float, step: Step, term: int, leader: Member | None) -> None:
+        if term > self.term:
+            self.term, self.voted_for = term, ""
+            step.writes.append(HardState(term, ""))
+        if self.role is not Role.FOLLOWER or leader != self.leader:
             self.changed_at = now
-        self.role, self.holder, self.peers = Role.FOLLOWER, holder, {}
-        self._wait(now)
+        self.role, self.leader, self.peers = Role.FOLLOWER, leader, {}
+        self._reset_election_timer(now)
 
-    # The holder.
+    # The leader.
 
-    def _append(self, now: float, step: Step, entry: Entry) -> int:
+    def _append_entry(self, now: float, step: Step, entry: Entry) -> int:
         self.log.append(entry)
-        step.writes.append(Keep(entry.index, (entry,)))
+        step.writes.append(KeepEntries(entry.index, (entry,)))
         if entry.members:
             self._look_up_members()
         self._beat(now, step)
@@ -418,7 +317,7 @@
         if peer.next <= self.base.index:
             if peer.out_at < 0 or now - peer.out_at >= 4 * self.times.again:
                 peer.out_at = now
-                step.sends.append((peer.member.door, Install(self.view, self.me, self.base, sent)))
+                step.sends.append((peer.member.door, InstallSnapshot(self.term, self.me, self.base, sent)))
             return
         entries: list[Entry] = []
         if peer.out_at < 0 or now - peer.out_at >= self.times.again:
@@ -430,26 +329,28 @@
                 entries.append(entry)
             peer.out_at = now if entries else -1.0
         before = peer.next - 1
-        line = Append(self.view, self.me, before, self.view_at(before), tuple(entries), self.commit, sent)
-        step.sends.append((peer.member.door, line))
+        message = AppendEntries(
+            self.term, self.me, before, self.term_at(before), tuple(entries), self.commit_index, sent
+        )
+        step.sends.append((peer.member.door, message))
 
-    def _appended(self, now: float, step: Step, line: Appended) -> None:
-        if line.view > self.view:
-            self._follow(now, step, line.view, None)
+    def _append_replied(self, now: float, step: Step, message: AppendReply) -> None:
+        if message.term > self.term:
+            self._become_follower(now, step, message.term, None)
             return
-        peer = self.peers.get(line.sender.disk)
-        if self.role is not Role.HOLDER or line.view != self.view or peer is None:
+        peer = self.peers.get(message.sender.disk)
+        if self.role is not Role.LEADER or message.term != self.term or peer is None:
             return
-        peer.acked = max(peer.acked, line.sent / 1e6)
-        if not line.ok:
-            peer.next, peer.out_at = max(1, min(line.match + 1, peer.next - 1)), -1.0
+        peer.acked = max(peer.acked, message.sent / 1e6)
+        if not message.ok:
+            peer.next, peer.out_at = max(1, min(message.match + 1, peer.next - 1)), -1.0
             self._send(now, step, peer)
             return
-        if line.match > peer.match or peer.next <= line.match:
-            peer.match = max(peer.match, line.match)
-            peer.next, peer.out_at = max(peer.next, line.match + 1), -1.0
+        if message.match > peer.match or peer.next <= message.match:
+            peer.match = max(peer.match, message.match)
+            peer.next, peer.out_at = max(peer.next, message.match + 1), -1.0
             self._advance(now, step)
-            if peer.next <= self.last and self.role is Role.HOLDER:
+            if peer.next <= self.last and self.role is Role.LEADER:
                 self._send(now, step, peer)
         self._take_in(now, step)
 
@@ -460,9 +361,11 @@
 
     def _advance(self, now: float, step: Step) -> None:
         index = self.last
-        while index > self.commit and self.view_at(index) == self.view:
+        while index > self.commit_index and self.term_at(index) == self.term:
             held = self._held(index, self._members)
-            if self._members_at > self.commit and index >= self._members_at:  # those before say yes as well
+            if (
+                self._members_at > self.commit_index and index >= self._members_at
+            ):  # those before say yes as well
                 held = held and self._held(index, self._before)
             if held:
                 self._deliver(index, step)
@@ -471,95 +374,101 @@
             index -= 1
 
     def _deliver(self, upto: int, step: Step) -> None:
-        for entry in self.log[self.commit - self.base.index : upto - self.base.index]:
+        for entry in self.log[self.commit_index - self.base.index : upto - self.base.index]:
             step.delivered.append(entry)
-            if entry.view == self.view and self.role is Role.HOLDER:
+            if entry.term == self.term and self.role is Role.LEADER:
                 self._opened = True
-        self.commit = max(self.commit, upto)
+        self.commit_index = max(self.commit_index, upto)
 
-    def _joining(self, now: float, step: Step, line: Join) -> None:
-        if self.role is not Role.HOLDER:
-            held = next((m for m in self._members if m.disk == self.voted), None)
-            if held and held.door == line.sender.door and held != line.sender and self.is_member():
-                # The last holder's disk is gone, and the life that held the view with it: nobody holds it.
+    def _joining(self, now: float, step: Step, message: Join) -> None:
+        if self.role is not Role.LEADER:
+            held = next((m for m in self._members if m.disk == self.voted_for), None)
+            if held and held.door == message.sender.door and held != message.sender and self.is_member():
+                # The last leader's disk is gone, and the life that held the term with it: nobody holds it.
                 self.heard_at = float("-inf")
                 self._due = min(self._due, now + self.times.soon * self.rng.random())
-            if self.holder and self.holder != line.sender:
-                step.sends.append((self.holder.door, line))
+            if self.leader and self.leader != message.sender:
+                step.sends.append((self.leader.door, message))
             return
-        if line.sender.disk not in self.peers and line.sender != self.me:
+        if message.sender.disk not in self.peers and message.sender != self.me:
             for disk, peer in list(self.peers.items()):
-                if peer.member.door == line.sender.door and peer.member not in self._members:
+                if peer.member.door == message.sender.door and peer.member not in self._members:
                     del self.peers[disk]
             # From the snapshot on, if it is the founders' alone: who came before it, only that tells.
-            self.peers[line.sender.disk] = Progress(line.sender, 0)
-            self._send(now, step, self.peers[line.sender.disk])
+            self.peers[message.sender.disk] = Progress(message.sender, 0)
+            self._send(now, step, self.peers[message.sender.disk])
 
     def _take_in(self, now: float, step: Step) -> None:
         """One that has caught up becomes a member, in the place of the one at its door before; one at a
         time."""
-        if not self._opened or self._members_at > self.commit:
+        if not self._opened or self._members_at > self.commit_index:
             return
         for peer in list(self.peers.values()):
-            if peer.member not in self._members and peer.match >= self.commit > 0:
+            if peer.member not in self._members and peer.match >= self.commit_index > 0:
                 stay = tuple(m for m in self._members if m.door != peer.member.door)
                 gone = [m for m in self._members if m.door == peer.member.door]
                 members = tuple(sorted((*stay, peer.member)))
-                self._append(now, step, Entry(self.last + 1, self.view, members=members))
+                self._append_entry(now, step, Entry(self.last + 1, self.term, members=members))
                 for member in gone:
                     self.peers.pop(member.disk, None)
                 return
 
     # Those who follow.
 
-    def _heard(self, now: float, step: Step, line: Append | Install) -> bool:
-        if line.view < self.view or (line.view == self.view and self.role is Role.HOLDER):
-            step.sends.append((line.sender.door, Appended(self.view, self.me, False, self.last, line.sent)))
+    def _heard(self, now: float, step: Step, message: AppendEntries | InstallSnapshot) -> bool:
+        if message.term < self.term or (message.term == self.term and self.role is Role.LEADER):
+            step.sends.append(
+                (message.sender.door, AppendReply(self.term, self.me, False, self.last, message.sent))
+            )
             return False
-        if line.view > self.view or self.role is not Role.FOLLOWER or self.holder != line.sender:
-            self._follow(now, step, line.view, line.sender)
-        if self.voted != line.sender.disk:  # whom its promises are to is known after a start as well
-            self.voted = line.sender.disk
-            step.writes.append(Promise(self.view, self.voted))
+        if message.term > self.term or self.role is not Role.FOLLOWER or self.leader != message.sender:
+            self._become_follower(now, step, message.term, message.sender)
+        if self.voted_for != message.sender.disk:  # whom its promises are to is known after a start as well
+            self.voted_for = message.sender.disk
+            step.writes.append(HardState(self.term, self.voted_for))
         self.heard_at = now
-        self._wait(now)
+        self._reset_election_timer(now)
         return True
 
-    def _appending(self, now: float, step: Step, line: Append) -> None:
-        if not self._heard(now, step, line):
+    def _append_entries(self, now: float, step: Step, message: AppendEntries) -> None:
+        if not self._heard(now, step, message):
             return
-        entries, before, before_view = list(line.entries), line.prev_index, line.prev_view
+        entries, before, before_term = list(message.entries), message.prev_index, message.prev_term
         while entries and before < self.base.index:  # covered by the snapshot: delivered, so the same
-            before, before_view = entries[0].index, entries[0].view
+            before, before_term = entries[0].index, entries[0].term
             entries.pop(0)
-        fits = before <= self.base.index if before < self.base.index else self.view_at(before) == before_view
+        fits = before <= self.base.index if before < self.base.index else self.term_at(before) == before_term
         if not fits:
             hint = min(self.last, before - 1)
-            step.sends.append((line.sender.door, Appended(self.view, self.me, False, hint, line.sent)))
+            step.sends.append(
+                (message.sender.door, AppendReply(self.term, self.me, False, hint, message.sent))
+            )
             return
         match = max(before, self.base.index)
         for number, entry in enumerate(entries):
-            if self.view_at(entry.index) != entry.view:
+            if self.term_at(entry.index) != entry.term:
                 del self.log[entry.index - self.base.index - 1 :]
                 self.log += entries[number:]
-                step.writes.append(Keep(entry.index, tuple(entries[number:])))
+                step.writes.append(KeepEntries(entry.index, tuple(entries[number:])))
                 self._look_up_members()
                 break
         match = max(match, entries[-1].index) if entries else match
-        step.sends.append((line.sender.door, Appended(self.view, self.me, True, match, line.sent)))
-        if (upto := min(line.commit, match)) > self.commit:
+        step.sends.append((message.sender.door, AppendReply(self.term, self.me, True, match, message.sent)))
+        if (upto := min(message.commit_index, match)) > self.commit_index:
             self._deliver(upto, step)
 
-    def _install(self, now: float, step: Step, line: Install) -> None:
-        if not self._heard(now, step, line):
+    def _install_snapshot(self, now: float, step: Step, message: InstallSnapshot) -> None:
+        if not self._heard(now, step, message):
             return
-        made = line.snapshot
-        if made.index > self.commit or not self.base.members:
-            self.base, self.log, self.commit = made, [], made.index
+        made = message.snapshot
+        if made.index > self.commit_index or not self.base.members:
+            self.base, self.log, self.commit_index = made, [], made.index
             self._look_up_members()
             step.writes.append(KeepSnapshot(made, alone=True))
             step.restored = made
-        step.sends.append((line.sender.door, Appended(self.view, self.me, True, self.commit, line.sent)))
+        step.sends.append(
+            (message.sender.door, AppendReply(self.term, self.me, True, self.commit_index, message.sent))
+        )
 
 
 def founded(members: Iterable[Member]) -> Kept:
--- a/playhouse/promptbook/store.py
+++ b/playhouse/promptbook/store.py
@@ -11,7 +11,13 @@
 from google.protobuf.message import DecodeError
 
 from playhouse.promptbook import codec
-from playhouse.promptbook.machine import Keep, KeepSnapshot, Kept, Promise, Write
+from playhouse.promptbook.messages import (
+    HardState,
+    KeepEntries,
+    KeepSnapshot,
+    Kept,
+    Write,
+)
 
 ROOM = 128 * 1024 * 1024  # bytes the map may grow to: the disk has twice that
 FORMAT = b"1"
@@ -46,7 +52,7 @@
         with self._env.begin(write=True) as change:
             change.put(b"format", FORMAT, db=self._meta)
             change.put(b"disk", disk.encode(), db=self._meta)
-            change.put(b"promise", struct.pack(">Q", kept.view) + kept.voted.encode(), db=self._meta)
+            change.put(b"promise", struct.pack(">Q", kept.term) + kept.voted_for.encode(), db=self._meta)
             change.put(b"snapshot", codec.snapshot_out(kept.snapshot), db=self._meta)
 
     def load(self) -> Kept:
@@ -81,9 +87,9 @@
         with self._env.begin(write=True) as change:
             for write in writes:
                 match write:
-                    case Promise(view, voted):
-                        change.put(b"promise", struct.pack(">Q", view) + voted.encode(), db=self._meta)
-                    case Keep(first, entries):
+                    case HardState(term, voted_for):
+                        change.put(b"promise", struct.pack(">Q", term) + voted_for.encode(), db=self._meta)
+                    case KeepEntries(first, entries):
                         with change.cursor(self._entries) as cursor:
                             while cursor.set_range(struct.pack(">Q", first)):
                                 cursor.delete()
--- a/playhouse/rehearsal/__main__.py
+++ b/playhouse/rehearsal/__main__.py
@@ -41,13 +41,13 @@
     async def troubles(self) -> None:
         world = self.world
         _, shown = await world.order("GET", "Fleet.Show")
-        holder = next(n for n, m in world.machines.items() if shown["holder"].startswith(f"{m.ip}:"))
+        leader = next(n for n, m in world.machines.items() if shown["leader"].startswith(f"{m.ip}:"))
         deeds: dict[int, tuple[str, Callable[[], Awaitable[object]]]] = {
             3: ("edge-1 is killed", lambda: world.kill("edge-1")),
             5: ("edge-1 comes back", lambda: self._start("edge-1")),
-            6: (f"{holder}, which holds the duty, is killed", lambda: world.kill(holder)),
+            6: (f"{leader}, which holds the duty, is killed", lambda: world.kill(leader)),
             9: ("north-a is evacuated", lambda: world.order("POST", "Drain.Begin/north-a")),
-            11: (f"{holder} comes back with an empty disk", lambda: self._wiped(holder)),
+            11: (f"{leader} comes back with an empty disk", lambda: self._wiped(leader)),
             13: ("north-a is taken back", lambda: world.order("POST", "Drain.Finish/north-a")),
         }
         loop, began = asyncio.get_running_loop(), asyncio.get_running_loop().time()
--- a/playhouse/rehearsal/plants.py
+++ b/playhouse/rehearsal/plants.py
@@ -8,12 +8,12 @@
 
 def early_ack() -> None:
     """A configuration is acknowledged before every ingress serves by it."""
-    from playhouse.core import Core
+    from playhouse.understudy.desk import Desk
 
-    async def at_once(self: Core, version: int) -> None:
+    async def at_once(self: Desk, version: int) -> None:
         return
 
-    Core._everywhere = at_once  # type: ignore[method-assign]
+    Desk._everywhere = at_once  # type: ignore[method-assign]
 
 
 def broken_promise() -> None:
@@ -62,7 +62,7 @@
 
     House.may_serve = lambda self: True  # type: ignore[method-assign]
     Roll.all_at = lambda self, now, script: all(  # type: ignore[method-assign]
-        held.script >= script for held in self.held.values() if held.here and held.node.kind == "edge"
+        held.script >= script for held in self.leases.values() if held.here and held.node.kind == "edge"
     )
 
 
--- a/playhouse/rehearsal/storm.py
+++ b/playhouse/rehearsal/storm.py
@@ -144,7 +144,7 @@
     async def _holder(self) -> str:
         try:
             _, shown = await self.order("GET", "Fleet.Show", within=1.5)
-            return next(n for n, m in self.machines.items() if shown["holder"].startswith(f"{m.ip}:"))
+            return next(n for n, m in self.machines.items() if shown["leader"].startswith(f"{m.ip}:"))
         except (TimeoutError, StopIteration, KeyError):
             return self.rng.choice([n for n, m in self.machines.items() if m.core])
 
@@ -154,9 +154,9 @@
         edges = [n for n, m in self.machines.items() if not m.core]
         kinds = (
             "kill",
-            "holder",
+            "leader",
             "stop",
-            "stop holder",
+            "stop leader",
             "cut core",
             "cut edge",
             "one way",
@@ -175,7 +175,7 @@
         pairs: list[tuple[str, str]] = []
         if kind == "kill":
             victims = [rng.choice([*cores, *edges])]
-        elif kind in ("holder", "stop holder", "wipe"):
+        elif kind in ("leader", "stop leader", "wipe"):
             victims = [await self._holder()] if kind != "wipe" or rng.random() < 0.5 else [rng.choice(cores)]
         elif kind == "stop":
             victims = [rng.choice([*cores, *edges])]
--- a/playhouse/script/check.py
+++ b/playhouse/script/check.py
@@ -101,7 +101,7 @@
 
 
 def content_looks(content: dict[str, Any]) -> Iterator[list[str]]:
-    """The same, with a pause after so many items in which a holder of the duty can keep it."""
+    """The same, with a pause after so many items in which a leader of the duty can keep it."""
     errors: list[str] = []
     sound: dict[str, list[tuple[str, dict[str, Any]]]] = {t: [] for t in TABLES}
     for table in TABLES:
--- a/playhouse/stage/choice.py
+++ b/playhouse/stage/choice.py
@@ -24,7 +24,7 @@
 @dataclass(slots=True)
 class Budget:
     """Further tries at one service: earned by requests, up to this ingress's part of the slack; beyond these
-    each is dealt by the holder."""
+    each is dealt by the leader."""
 
     tokens: float = 0.0
 
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -87,7 +87,7 @@
         self._settled = False  # in this life it has been told of all servers that there were
         self._seen: tuple[str, int, int, int, int] = ("", 0, 0, 0, 0)
         self._life = f"{random.getrandbits(40):x}"
-        self._told: tuple[str, pb.Node] | None = None  # what the holder knows of it, and in which epoch
+        self._told: tuple[str, pb.Node] | None = None  # what the leader knows of it, and in which epoch
         self.wings.lost = self._lost
         self._began = self._loop.time()
         self._leaving, self._until = False, float("inf")  # when it must be done, once it leaves
@@ -252,7 +252,7 @@
         return self._settled or all(self.service(name) in self.rows.rows for name in self.bill.named)
 
     def _lost(self, door: str) -> None:
-        """The holder's connection has ended: there as well, or the holder has."""
+        """The leader's connection has ended: there as well, or the leader has."""
         if door == self.reach.hint:
             self.heard_at = float("-inf")
 
@@ -409,7 +409,7 @@
             entry.cold_until,
         )  # fmt: skip
 
-    # Units that are dealt, and the counter: both are at the holder of the duty.
+    # Units that are dealt, and the counter: both are at the leader of the duty.
 
     def deal(self, units: tuple[it.Unit, ...], dealt: Callable[[int], None]) -> None:
         self._keep(self._deal(units, dealt))
--- a/playhouse/understudy/__init__.py
+++ b/playhouse/understudy/__init__.py
@@ -1,1 +1,1 @@
-"""The duty: what its holder settles for all, and stops settling before its lease ends."""
+"""The leader's duty: what it settles for all under its lease, and stops settling before that ends."""
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -1,4 +1,4 @@
-"""What the holder of the duty knows and settles: servers, ingresses, units, and what is news to whom.
+"""What the leader of the duty knows and settles: servers, ingresses, units, and what is news to whom.
 
 A plain object without I/O; times are seconds on its process's clock.
 """
@@ -40,12 +40,12 @@
 
 class Duty:
     def __init__(
-        self, view: int, now: float, ever: bool, board: Board, roll: Roll, edges: Iterable[str],
+        self, term: int, now: float, ever: bool, board: Board, roll: Roll, edges: Iterable[str],
         bounds: Bounds, beat: float,
     ) -> None:  # fmt: skip
         """`ever`: somebody may have held the duty before; `edges`: who may hold leases of theirs. `board`
         and `roll` are as they were last heard."""
-        self.view, self.began, self._beat = view, now, beat
+        self.term, self.began, self._beat = term, now, beat
         self.board, self.roll, self.till = board, roll, Till(now, bounds, ever)
         self.moves = Moves(now, bounds.ack, ever)
         self.purse, self._warm_per_s = Purse(now, ever), dict[str, float]()
@@ -59,7 +59,7 @@
     def epoch(self, now: float) -> str:
         """Numbers of boards and rolls mean something within one. It changes once all servers had time to say
         that they are there: until then nobody is told that one is not."""
-        return f"{self.view}" if self.settled(now) else f"{self.view}~"
+        return f"{self.term}" if self.settled(now) else f"{self.term}~"
 
     def settled(self, now: float) -> bool:
         return not self._from_nothing or now - self.began > SETTLE * self._beat
@@ -105,7 +105,7 @@
 
     def shared_by(self, now: float) -> int:
         """Ingresses that static parts of a whole are counted over."""
-        for held in self.roll.held.values():
+        for held in self.roll.leases.values():
             if held.node.kind == "edge":
                 self._shared[held.node.name] = now + COUNTED
         self._shared = {name: until for name, until in self._shared.items() if until > now}
@@ -133,12 +133,12 @@
     def asked(self, now: float, ask: pb.Ask) -> bool:
         """True if it is news to others. Raises SystemFailure where who asks is not known."""
         if not ask.HasField("node"):
-            known = self.roll.held.get(ask.name)
+            known = self.roll.leases.get(ask.name)
             if known is None or known.node.life != ask.life or not known.node.door:
                 raise SystemFailure(Code.STALE)
             ask.node.CopyFrom(known.node)
         news = self.roll.ask(now, ask.node, ask.script)
-        held = self.roll.held[ask.node.name]
+        held = self.roll.leases[ask.node.name]
         if held.idle_from == float("inf"):
             held.idle_from = now - ask.idle_ms / 1000
         held.current, held.counting = ask.servers == self.board.number, ask.counting and self.counting
@@ -177,7 +177,7 @@
             cue.node.extend(here)
             cue.node_gone.extend(gone)
         self.roll.answered(now, ask.node.name)
-        if held := self.roll.held.get(ask.node.name):
+        if held := self.roll.leases.get(ask.node.name):
             held.idle_until = min(held.idle_until, now)
         return cue
 
@@ -189,7 +189,7 @@
                 "version": h.script, "current": h.current,
                 "lease_left": round(h.lease_end - now, 1),
             }
-            for n, h in sorted(self.roll.held.items())
+            for n, h in sorted(self.roll.leases.items())
         ]  # fmt: skip
         servers = [
             {
@@ -202,6 +202,6 @@
             for s in self.board.servers.values()
         ]
         return {
-            "view": self.view, "version": state.version, "gen": state.gen, "evacuated": state.evacuated,
+            "term": self.term, "version": state.version, "gen": state.gen, "evacuated": state.evacuated,
             "nodes": nodes, "servers": servers,
         }  # fmt: skip
--- a/playhouse/understudy/moves.py
+++ b/playhouse/understudy/moves.py
@@ -22,7 +22,7 @@
 
 
 class Moves:
-    """Times are seconds on the holder's clock."""
+    """Times are seconds on the leader's clock."""
 
     def __init__(self, now: float, again: float, ever: bool) -> None:
         """`again`: for how long an order without an answer may be sent anew. `ever`: another held the duty
--- a/playhouse/usher/__main__.py
+++ b/playhouse/usher/__main__.py
@@ -108,7 +108,7 @@
             return code
         evacuated = ", ".join(f"{zone} ({orders})" for zone, orders in told["evacuated"].items()) or "none"
         self.line(
-            f"gen {told['gen']} (version {told['version']}), view {told['view']} held at {told['holder']}"
+            f"gen {told['gen']} (version {told['version']}), term {told['term']} held at {told['leader']}"
         )
         self.line(f"core: {', '.join(member[0] for member in told['members'])}; evacuated zones: {evacuated}")
         self._table(
@@ -236,7 +236,7 @@
         members = kept.snapshot.members
         for entry in kept.entries:
             members = entry.members or members
-        self.line(f"disk {disk}; view {kept.view}, promised to {kept.voted or 'nobody'}")
+        self.line(f"disk {disk}; term {kept.term}, promised to {kept.voted_for or 'nobody'}")
         self.line("members: " + ", ".join(f"{m.door} ({m.disk})" for m in members))
         last = kept.entries[-1].index if kept.entries else kept.snapshot.index
         self.line(f"snapshot at {kept.snapshot.index}, {len(kept.entries)} entries after it, to {last}")
--- a/playhouse/wings/links.py
+++ b/playhouse/wings/links.py
@@ -252,6 +252,6 @@
             raise SystemFailure(Code.SILENT, door) from None
         finally:
             del self._calls[number]
-        if answer.fault and answer.fault != Code.NOT_HOLDER:
+        if answer.fault and answer.fault != Code.NOT_LEADER:
             raise SystemFailure(Code(answer.fault), door)
         return answer
--- a/playhouse/wings/reach.py
+++ b/playhouse/wings/reach.py
@@ -1,4 +1,4 @@
-"""How the holder of the duty is found and called: straight, or passed on by a peer where the way is cut."""
+"""How the leader of the duty is found and called: straight, or passed on by a peer where the way is cut."""
 
 from __future__ import annotations
 
@@ -46,8 +46,8 @@
         return random.choice(others) if others else door
 
     async def call(self, envelope: pb.Envelope, within: float, patience: float) -> pb.Envelope:
-        """The holder's answer, in `within` seconds over all tries and `patience` for one. Raises
-        SystemFailure. The call may reach the holder more than once."""
+        """The leader's answer, in `within` seconds over all tries and `patience` for one. Raises
+        SystemFailure. The call may reach the leader more than once."""
         end, wings, failure = self._wings.now() + within, self._wings, SystemFailure(Code.UNREACHABLE)
         for _ in range(TRIES):
             now = wings.now()
@@ -64,7 +64,7 @@
             except SystemFailure as error:
                 failure = error
                 if error.code in (Code.REFUSED, Code.STALE):
-                    raise  # the holder has said so
+                    raise  # the leader has said so
                 if error.code in (Code.UNREACHABLE, Code.SILENT):
                     self._avoid(way, wings.now())
                     if way != door or not self._peers():
@@ -72,7 +72,7 @@
                 await asyncio.sleep(random.uniform(*PAUSE) / 2)
                 continue
             self._bad.pop(way, None)
-            if answer.fault == Code.NOT_HOLDER:
+            if answer.fault == Code.NOT_LEADER:
                 self.hint = answer.pass_to if answer.pass_to != door else ""
                 if not self.hint:
                     await asyncio.sleep(random.uniform(*PAUSE))
--- a/tests/features/steps/system.py
+++ b/tests/features/steps/system.py
@@ -129,7 +129,7 @@
 
 
 async def settled(world: World) -> bool:
-    """Every ingress has the newest news that the holder knows of."""
+    """Every ingress has the newest news that the leader knows of."""
     status, shown = await world.order("GET", "Fleet.Show")
     nodes = [n for n in shown["nodes"] if n["kind"] == "edge"]
     return status == 200 and all(n["version"] == shown["version"] and n["current"] for n in nodes)
@@ -144,14 +144,14 @@
     ]
 
 
-async def holder(world: World) -> str:
+async def leader(world: World) -> str:
     _, shown = await world.order("GET", "Fleet.Show")
-    return next(n for n, m in world.machines.items() if shown["holder"].startswith(f"{m.ip}:"))
+    return next(n for n, m in world.machines.items() if shown["leader"].startswith(f"{m.ip}:"))
 
 
-@step(when, "the holder of the duty is killed")
+@step(when, "the leader of the duty is killed")
 async def _(context: Any, world: World) -> None:
-    context.killed = await holder(world)
+    context.killed = await leader(world)
     await world.kill(context.killed)
 
 
@@ -269,7 +269,7 @@
         door = world.control[number % len(world.control)]
         status, body = await ask(door, "POST", f"/-/Drain.{call}/north-a", b"")
         left.append((status, json.loads(body)["orders"]))
-        await asyncio.sleep(0.05)  # that the answer was read is on its way to the holder
+        await asyncio.sleep(0.05)  # that the answer was read is on its way to the leader
     assert left == [(200, 1), (200, 2), (200, 1), (200, 0)], left
 
 
--- a/tests/measure_core.py
+++ b/tests/measure_core.py
@@ -9,7 +9,14 @@
 import time
 from pathlib import Path
 
-from playhouse.promptbook.machine import Entry, Keep, Kept, Member, Snapshot, Step
+from playhouse.promptbook.messages import (
+    Entry,
+    KeepEntries,
+    Kept,
+    Member,
+    Snapshot,
+    Step,
+)
 from playhouse.promptbook.store import Store
 from tests.test_playhouse_promptbook import DOORS, World
 
@@ -21,9 +28,9 @@
 
     def do(self, door: str, step: Step) -> None:
         self.disks[door].write(step.writes)
-        for to, line in step.sends:
+        for to, message in step.sends:
             wait = self.rng.uniform(*DELAY)
-            self.later(wait, lambda to=to, line=line: self.pass_on(door, to, line))  # type: ignore[misc]
+            self.later(wait, lambda to=to, message=message: self.pass_on(door, to, message))  # type: ignore[misc]
         if step.restored:
             self.delivered[door] = step.restored.index
         for entry in step.delivered:
@@ -34,14 +41,14 @@
     """s from the trouble until another, or the same one again, holds the duty."""
     world = Far(seed)
     world.run(6.0 + random.Random(seed).random())
-    holder = next(d for d, m in world.machines.items() if m.holds(world.now))
+    leader = next(d for d, m in world.machines.items() if m.leads(world.now))
     began = world.now
     if kind == "kill":
-        world.kill(holder)
+        world.kill(leader)
     elif kind == "freeze":
-        world.frozen[holder] = []
+        world.frozen[leader] = []
     elif kind == "cut":
-        world.cut = {frozenset((holder, b)) for b in DOORS if b != holder}
+        world.cut = {frozenset((leader, b)) for b in DOORS if b != leader}
     else:
         for door in DOORS:
             world.kill(door)
@@ -51,7 +58,7 @@
             world.later(world.rng.uniform(0, 0.3), lambda door=door: world.start(door))  # type: ignore[misc]
     for _ in range(2000):
         world.run(0.005)
-        if any(m.holds(world.now) for d, m in world.machines.items() if d != holder or kind == "all"):
+        if any(m.leads(world.now) for d, m in world.machines.items() if d != leader or kind == "all"):
             return world.now - began
     return float("inf")
 
@@ -67,7 +74,7 @@
         begun, syncs = time.perf_counter(), 0
         for index in range(1, count + 1):
             for store in stores[: members // 2 + 1]:  # what an acknowledgement waits for
-                store.write([Keep(index, (Entry(index, 1, b"x" * 400),))])
+                store.write([KeepEntries(index, (Entry(index, 1, b"x" * 400),))])
                 syncs += 1
         took = time.perf_counter() - begun
         for store in stores:
--- a/tests/test_playhouse_control.py
+++ b/tests/test_playhouse_control.py
@@ -95,7 +95,7 @@
 
 
 def test_a_large_configuration_is_checked_in_little_more_time_than_it_is_read() -> None:
-    """One of 350 routes took a holder 0.8 s, in which it lost the duty (khadra-carto, trouble-3)."""
+    """One of 350 routes took a leader 0.8 s, in which it lost the duty (khadra-carto, trouble-3)."""
     made = content(routes=[route(f"r{n}", split=[{"backend": "s1", "weight": 9}]) for n in range(1000)])
     for one in made["routes"]:
         del one["backend"]
@@ -327,7 +327,7 @@
     roll.ask(1.2, node("a"), 2)
     assert not roll.all_at(1.2, 2) and not roll.all_at(1.0 + LEASE, 2) and roll.all_at(1.01 + LEASE, 2)
     roll.ask(2.0, node("b", life="2"), 0)  # its life before is over, and so is what that had told
-    assert roll.held["b"].script == 0
+    assert roll.leases["b"].script == 0
     later = Roll()
     later.begin(10.0, ["a", "b"])  # another held the duty, and may have given them leases to the last
     later.ask(10.1, node("a"), 2)
@@ -368,7 +368,7 @@
 def test_leased_units_never_sum_above_the_bound_in_any_window(
     rate: float, burst: float, seed: int, gaps: list[float]
 ) -> None:
-    """The model spends each lease at the worst moment of its life, over changes of the duty's holder."""
+    """The model spends each lease at the worst moment of its life, over changes of the duty's leader."""
     bounds = Bounds(quota_overrun=0.1, quota_slack=20)
     rng, now, spent = random.Random(seed), 0.0, list[tuple[float, float]]()
     till = Till(-100.0, bounds)
--- a/tests/test_playhouse_house.py
+++ b/tests/test_playhouse_house.py
@@ -40,7 +40,7 @@
         assert not house.ready() and not house._node().ready
         house._apply(cue("1" if settled else "1~", last, settled=settled), now)
         assert house.ready() and house._node().ready
-        house._apply(cue("2~", {}), now)  # a later holder, who has not heard of all yet
+        house._apply(cue("2~", {}), now)  # a later leader, who has not heard of all yet
         assert house.ready()
         house.backends.stop()
 
--- a/tests/test_playhouse_promptbook.py
+++ b/tests/test_playhouse_promptbook.py
@@ -13,26 +13,24 @@
 from cleo.testers.command_tester import CommandTester
 
 from playhouse.promptbook import codec
-from playhouse.promptbook.machine import (
-    Append,
-    Appended,
-    Ballot,
-    Canvass,
+from playhouse.promptbook.machine import Machine, founded, founder
+from playhouse.promptbook.messages import (
+    AppendEntries,
+    AppendReply,
     Entry,
-    Install,
+    HardState,
+    InstallSnapshot,
     Join,
-    Keep,
+    KeepEntries,
     KeepSnapshot,
     Kept,
-    Line,
-    Machine,
     Member,
-    Promise,
+    Message,
+    RequestVote,
     Snapshot,
     Step,
+    VoteReply,
     Write,
-    founded,
-    founder,
 )
 from playhouse.promptbook.store import Store, StoreError
 from playhouse.script.state import Command, State, Verb
@@ -52,9 +50,9 @@
         kept = self.kept
         for write in writes:
             match write:
-                case Promise(view, voted):
-                    kept.view, kept.voted = view, voted
-                case Keep(first, entries):
+                case HardState(term, voted_for):
+                    kept.term, kept.voted_for = term, voted_for
+                case KeepEntries(first, entries):
                     kept.entries = [e for e in kept.entries if e.index < first] + list(entries)
                 case KeepSnapshot(snapshot, alone):
                     kept.entries = [] if alone else [e for e in kept.entries if e.index > snapshot.index]
@@ -62,7 +60,7 @@
 
     def load(self) -> Kept:
         kept = self.kept
-        return Kept(kept.view, kept.voted, kept.snapshot, list(kept.entries))
+        return Kept(kept.term, kept.voted_for, kept.snapshot, list(kept.entries))
 
 
 class World:
@@ -96,7 +94,7 @@
         disk = self.disks[door]
         me, rng = Member(door, disk.disk), random.Random(self.rng.random())
         made = self.machines[door] = self.machine(me, disk.load(), self.now, rng, doors=SEEDS)
-        self.delivered[door] = made.commit
+        self.delivered[door] = made.commit_index
         self.later(0.0, lambda: self.tick(door, made))
 
     def tick(self, door: str, made: Machine) -> None:
@@ -107,10 +105,11 @@
 
     def do(self, door: str, step: Step) -> None:
         self.disks[door].write(step.writes)
-        for to, line in step.sends:
+        for to, message in step.sends:
             if self.rng.random() < 0.98:
                 self.later(
-                    self.rng.uniform(0.001, 0.03), lambda to=to, line=line: self.pass_on(door, to, line)
+                    self.rng.uniform(0.001, 0.03),
+                    lambda to=to, message=message: self.pass_on(door, to, message),
                 )
         if step.restored:
             self.delivered[door] = step.restored.index
@@ -119,23 +118,23 @@
         for entry in step.delivered:
             assert entry.index == self.delivered[door] + 1
             self.delivered[door] = entry.index
-            known = self.order.setdefault(entry.index, (entry.view, entry.data))
-            assert known == (entry.view, entry.data), "two orders"
-            if machine.role.value == "holder" and entry.view == machine.view and entry.data:
+            known = self.order.setdefault(entry.index, (entry.term, entry.data))
+            assert known == (entry.term, entry.data), "two orders"
+            if machine.role.value == "leader" and entry.term == machine.term and entry.data:
                 self.acked.add(entry.data)
         if step.delivered and (len(machine.log) > 12 or machine.wants_snapshot()):
             self.do(door, machine.compact(b"%d" % self.delivered[door]))
-        holders = [d for d, m in self.machines.items() if m.holds(self.now)]
-        assert len(holders) <= 1, "two hold the duty"
+        leaders = [d for d, m in self.machines.items() if m.leads(self.now)]
+        assert len(leaders) <= 1, "two hold the duty"
 
-    def pass_on(self, sender: str, to: str, line: Line) -> None:
+    def pass_on(self, sender: str, to: str, message: Message) -> None:
         if frozenset((sender, to)) in self.cut or to not in self.machines:
             return
-        line = codec.line_in(codec.line_out(line))
+        message = codec.message_in(codec.message_out(message))
         if to in self.frozen:
-            self.frozen[to].append(line)
+            self.frozen[to].append(message)
         else:
-            self.do(to, self.machines[to].received(self.now, line))
+            self.do(to, self.machines[to].received(self.now, message))
 
     def run(self, seconds: float) -> None:
         end = self.now + seconds
@@ -156,14 +155,14 @@
         self.disks[door] = Disk(f"wiped-{self.rng.random()}", founded(()))
 
     def thaw(self, door: str) -> None:
-        lines = self.frozen.pop(door, [])
-        for line in lines:
+        messages = self.frozen.pop(door, [])
+        for message in messages:
             if door in self.machines:
-                self.do(door, self.machines[door].received(self.now, line))
+                self.do(door, self.machines[door].received(self.now, message))
 
     def say(self) -> None:
         for door, machine in list(self.machines.items()):
-            if machine.role.value == "holder" and door not in self.frozen:
+            if machine.role.value == "leader" and door not in self.frozen:
                 self.words += 1
                 _, step = machine.propose(self.now, b"w%d" % self.words)
                 self.do(door, step)
@@ -180,7 +179,7 @@
         """All are members with the disks that they have now."""
         members = {Member(d, self.disks[d].disk) for d in self.doors}
         return any(
-            m.holds(self.now) and set(m.members) == members and m.commit == m.last
+            m.leads(self.now) and set(m.members) == members and m.commit_index == m.last
             for m in self.machines.values()
         )
 
@@ -189,9 +188,9 @@
     """A few things at once, no more than are to be borne: one disk, and a minority away beside it."""
     rng = world.rng
     kind = rng.choice(
-        ("kill", "kill all", "holder", "wipe", "cut", "alone", "freeze", "wipe after ack", "none")
+        ("kill", "kill all", "leader", "wipe", "cut", "alone", "freeze", "wipe after ack", "none")
     )
-    holder = next((d for d, m in world.machines.items() if m.role.value == "holder"), rng.choice(world.doors))
+    leader = next((d for d, m in world.machines.items() if m.role.value == "leader"), rng.choice(world.doors))
     one = rng.choice(world.doors)
     if kind == "kill":
         for door in rng.sample(world.doors, rng.randint(1, 3)):
@@ -199,14 +198,14 @@
     elif kind == "kill all":
         for door in world.doors:
             world.kill(door)
-    elif kind == "holder":
+    elif kind == "leader":
         world.say()
-        world.kill(holder)
+        world.kill(leader)
     elif kind in ("wipe", "wipe after ack"):
         if kind == "wipe after ack":
             world.say()
             world.run(0.05)
-        world.wipe(holder if rng.random() < 0.5 else one)
+        world.wipe(leader if rng.random() < 0.5 else one)
         if rng.random() < 0.5:
             for door in world.doors:  # and all others lose power
                 world.kill(door)
@@ -215,10 +214,10 @@
         world.cut = {frozenset((a, b)) for a in side for b in set(world.doors) - side}
     elif kind == "alone":  # and what it is told then is on its disk only
         world.say()
-        world.cut = {frozenset((holder, b)) for b in world.doors if b != holder}
+        world.cut = {frozenset((leader, b)) for b in world.doors if b != leader}
         world.say()
     elif kind == "freeze":
-        world.frozen[holder] = []
+        world.frozen[leader] = []
 
 
 def play(world: World, rounds: int) -> None:
@@ -264,24 +263,24 @@
     for door in SEEDS[1:]:
         world.start(door)
     world.run(2.0)
-    assert any(m.holds(world.now) for m in world.machines.values())
+    assert any(m.leads(world.now) for m in world.machines.values())
 
 
 @pytest.mark.parametrize("seed", range(1, 4))
 def test_who_takes_itself_for_a_member_and_is_none_is_taken_in(seed: int) -> None:
-    """The holder that had made it one ended before anybody else knew."""
+    """The leader that had made it one ended before anybody else knew."""
     world = World(seed)
     world.kill("e:1")
     first = ""
     while not first:
         world.run(0.005)
-        first = next((d for d, m in world.machines.items() if m.holds(world.now)), "")
-    holder = world.machines[first]
-    while holder._members_at <= holder.commit:
+        first = next((d for d, m in world.machines.items() if m.leads(world.now)), "")
+    leader = world.machines[first]
+    while leader._members_at <= leader.commit_index:
         world.run(0.002)
     world.cut = {frozenset((first, d)) for d in SEEDS if d != first}
     world.run(0.25)
-    assert world.machines["d:1"].is_member() and holder._members_at > holder.commit
+    assert world.machines["d:1"].is_member() and leader._members_at > leader.commit_index
     world.kill(first)
     world.cut.clear()
     world.run(3.0)
@@ -298,18 +297,18 @@
     disks = {d: Kept(1, "new", Snapshot(0, 0, before), list(entries)) for d in SEEDS}
     disks["b:1"].snapshot = Snapshot()
     machines = {m.door: Machine(m, disks[m.door], 0.0, random.Random(m.door)) for m in members}
-    now, lines, held = 0.0, list[tuple[str, Line]](), set[str]()
+    now, messages, held = 0.0, list[tuple[str, Message]](), set[str]()
     for _ in range(300):
         now += 0.05
-        steps = [machines[door].received(now, line) for door, line in lines]
+        steps = [machines[door].received(now, message) for door, message in messages]
         steps += [machine.tick(now) for machine in machines.values()]
-        lines = [sent for step in steps for sent in step.sends]
-        held |= {d for d, m in machines.items() if m.holds(now)}
+        messages = [sent for step in steps for sent in step.sends]
+        held |= {d for d, m in machines.items() if m.leads(now)}
     assert held and "b:1" not in held
 
 
 def test_a_longer_log_in_an_older_view_is_not_kept_out_for_good() -> None:
-    """Storm 5013: one ahead in views and behind in its log, one the other way round; neither could win."""
+    """Storm 5013: one ahead in terms and behind in its log, one the other way round; neither could win."""
     members = tuple(founder(door) for door in SEEDS)
     entries = [Entry(1, 1, opens=True), Entry(2, 1, b"said")]
     disks = {
@@ -317,13 +316,13 @@
         "b:1": Kept(7, founder("b:1").disk, Snapshot(0, 0, members), entries[:1]),
     }
     machines = {d: Machine(founder(d), k, 0.0, random.Random(d)) for d, k in disks.items()}
-    now, lines = 0.0, list[tuple[str, Line]]()
+    now, messages = 0.0, list[tuple[str, Message]]()
     for _ in range(200):
         now += 0.05
-        steps = [machines[door].received(now, line) for door, line in lines if door in machines]
+        steps = [machines[door].received(now, message) for door, message in messages if door in machines]
         steps += [machine.tick(now) for machine in machines.values()]
-        lines = [sent for step in steps for sent in step.sends]
-    assert [d for d, m in machines.items() if m.holds(now)] == ["a:1"]
+        messages = [sent for step in steps for sent in step.sends]
+    assert [d for d, m in machines.items() if m.leads(now)] == ["a:1"]
     assert machines["b:1"].log[1].data == b"said"
 
 
@@ -333,45 +332,49 @@
 
 
 class WipedVotes(Machine):
-    """Takes a voice for its door's, whatever disk it comes from, and votes with an empty disk."""
+    """Takes a vote for its door's, whatever disk it comes from, and votes with an empty disk."""
 
-    def _ballot(self, now: float, step: Step, line: Ballot) -> None:
-        same = next((m for m in self.members if m.door == line.sender.door), line.sender)
-        super()._ballot(now, step, replace(line, sender=same))
+    def _vote_replied(self, now: float, step: Step, message: VoteReply) -> None:
+        same = next((m for m in self.members if m.door == message.sender.door), message.sender)
+        super()._vote_replied(now, step, replace(message, sender=same))
 
-    def _appended(self, now: float, step: Step, line: Appended) -> None:
-        same = next((m for m in self.members if m.door == line.sender.door), line.sender)
-        super()._appended(now, step, replace(line, sender=same))
+    def _append_replied(self, now: float, step: Step, message: AppendReply) -> None:
+        same = next((m for m in self.members if m.door == message.sender.door), message.sender)
+        super()._append_replied(now, step, replace(message, sender=same))
 
-    def _canvassed(self, now: float, step: Step, line: Canvass) -> None:
-        super()._canvassed(now, step, line)
+    def _vote_requested(self, now: float, step: Step, message: RequestVote) -> None:
+        super()._vote_requested(now, step, message)
 
 
 class NeverTrims(Machine):
-    def _appending(self, now: float, step: Step, line: Append) -> None:
-        fresh = tuple(e for e in line.entries if e.index > self.last)
-        super()._appending(now, step, replace(line, entries=fresh) if line.entries and not fresh else line)
+    def _append_entries(self, now: float, step: Step, message: AppendEntries) -> None:
+        fresh = tuple(e for e in message.entries if e.index > self.last)
+        super()._append_entries(
+            now, step, replace(message, entries=fresh) if message.entries and not fresh else message
+        )
 
 
 class TakesOld(Machine):
-    """What the holder of a view that is over says, is taken and answered all the same."""
+    """What the leader of a term that is over says, is taken and answered all the same."""
 
-    def received(self, now: float, line: Line) -> Step:
-        old = isinstance(line, Append) and line.view < self.view and self.role.value == "follower"
+    def received(self, now: float, message: Message) -> Step:
+        old = (
+            isinstance(message, AppendEntries) and message.term < self.term and self.role.value == "follower"
+        )
         if not old:
-            return super().received(now, line)
-        view, holder, self.view, self.holder = self.view, self.holder, line.view, line.sender
-        step = super().received(now, line)
-        self.view, self.holder = view, holder
+            return super().received(now, message)
+        term, leader, self.term, self.leader = self.term, self.leader, message.term, message.sender
+        step = super().received(now, message)
+        self.term, self.leader = term, leader
         return step
 
 
 class NoPromise(Machine):
-    """Gives its voice though it hears the holder."""
+    """Gives its vote though it hears the leader."""
 
-    def _canvassed(self, now: float, step: Step, line: Canvass) -> None:
+    def _vote_requested(self, now: float, step: Step, message: RequestVote) -> None:
         self.heard_at = float("-inf")
-        super()._canvassed(now, step, line)
+        super()._vote_requested(now, step, message)
 
     def tick(self, now: float) -> Step:
         if self.role.value == "follower" and self.rng.random() < 0.05:
@@ -394,10 +397,10 @@
     assert any(found(seed) for seed in range(200))
 
 
-LINES: list[Line] = [
-    Canvass(3, Member("a:1", "x"), True, 7, 2),
-    Ballot(3, Member("a:1", "x"), False, True),
-    Append(
+MESSAGES: list[Message] = [
+    RequestVote(3, Member("a:1", "x"), True, 7, 2),
+    VoteReply(3, Member("a:1", "x"), False, True),
+    AppendEntries(
         3,
         Member("a:1", "x"),
         4,
@@ -406,15 +409,15 @@
         4,
         99,
     ),
-    Appended(3, Member("a:1", "x"), True, 6, 99),
-    Install(3, Member("a:1", "x"), Snapshot(4, 2, (Member("b:1", "y"),), b"state"), 99),
+    AppendReply(3, Member("a:1", "x"), True, 6, 99),
+    InstallSnapshot(3, Member("a:1", "x"), Snapshot(4, 2, (Member("b:1", "y"),), b"state"), 99),
     Join(0, Member("a:1", "x")),
 ]
 
 
-@pytest.mark.parametrize("line", LINES, ids=lambda line: type(line).__name__)
-def test_lines_come_back_as_they_were(line: Line) -> None:
-    assert codec.line_in(codec.line_out(line)) == line
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda message: type(message).__name__)
+def test_lines_come_back_as_they_were(message: Message) -> None:
+    assert codec.message_in(codec.message_out(message)) == message
 
 
 def test_a_disk_gives_back_what_was_written_and_refuses_what_it_cannot_read(tmp_path: Path) -> None:
@@ -425,8 +428,8 @@
     entries = tuple(Entry(n, 1 + n // 5, b"%d" % n) for n in range(1, 10))
     snapshot = Snapshot(4, 1, (Member("a:1", "x"),), b"four")
     for writes in (
-        [Promise(2, "y"), Keep(1, entries)],
-        [Keep(8, (Entry(8, 3, b"other"),))],
+        [HardState(2, "y"), KeepEntries(1, entries)],
+        [KeepEntries(8, (Entry(8, 3, b"other"),))],
         [KeepSnapshot(snapshot, False)],
     ):
         store.write(writes)  # type: ignore[arg-type]
@@ -437,7 +440,7 @@
     assert again.disk() == "x" and again.load() == plain.load()
     again.write([KeepSnapshot(Snapshot(20, 4), True)])
     assert again.load().entries == []
-    again.write([Keep(23, (Entry(23, 4),))])  # a gap: entries in between are missing
+    again.write([KeepEntries(23, (Entry(23, 4),))])  # a gap: entries in between are missing
     with pytest.raises(StoreError):
         again.load()
     again.close()
@@ -446,7 +449,7 @@
 def test_a_damaged_disk_is_told_from_an_empty_one(tmp_path: Path) -> None:
     store = Store(tmp_path)
     store.begin("x", founded([Member("a:1", "x")]))
-    store.write([Keep(1, (Entry(1, 1, b"d"),))])
+    store.write([KeepEntries(1, (Entry(1, 1, b"d"),))])
     with store._env.begin(write=True) as change:
         change.put((1).to_bytes(8, "big"), b"\xff\xff not an entry", db=store._entries)
     assert store.disk() == "x"
@@ -465,13 +468,13 @@
     state = State()
     assert state.apply(Command(Verb.REPLACE, "d", content | {"parent": 0}))
     store.begin("x", Kept(2, "x", Snapshot(3, 1, (Member("a:1", "x"),), state.out())))
-    store.write([Keep(4, (Entry(4, 2, Command(Verb.EVACUATE, zone="z").out()),))])
+    store.write([KeepEntries(4, (Entry(4, 2, Command(Verb.EVACUATE, zone="z").out()),))])
     store.close()
     before = (tmp_path / "promptbook/data.mdb").read_bytes()
     shown = CommandTester(Look())
     assert shown.execute(str(tmp_path)) == 0
     told = shown.io.fetch_output()
-    assert "disk x; view 2" in told and "gen 5, version 2, evacuated ['z']" in told
+    assert "disk x; term 2" in told and "gen 5, version 2, evacuated ['z']" in told
     assert shown.execute(f"{tmp_path} --config") == 0 and json.loads(shown.io.fetch_output()) == content
     assert (tmp_path / "promptbook/data.mdb").read_bytes() == before
     assert shown.execute(str(tmp_path / "nowhere")) == 2 and not (tmp_path / "nowhere").exists()
--- a/tests/test_playhouse_states.py
+++ b/tests/test_playhouse_states.py
@@ -1,4 +1,4 @@
-"""Orders in which three core machines can hear one another, with a change of view, a proposal, a crash and a
+"""Orders in which three core machines can hear one another, with a change of term, a proposal, a crash and a
 wiped disk at any step: no two orders, and nothing that was delivered is ever missing."""
 
 from __future__ import annotations
@@ -12,10 +12,17 @@
 
 import pytest
 
-from playhouse.promptbook.machine import Appended, Kept, Line, Machine, Member, Role, Step, founded, founder
+from playhouse.promptbook.machine import Machine, Role, founded, founder
+from playhouse.promptbook.messages import (
+    AppendReply,
+    Kept,
+    Member,
+    Message,
+    Step,
+)
 
 DOORS = ("a", "b", "c")
-FULL = 2  # lines on one way; more are lost, which a network may do
+FULL = 2  # messages on one way; more are lost, which a network may do
 STATES, WALKS = 8_000, 4_000  # looked at
 
 
@@ -31,7 +38,7 @@
 
     machines: dict[str, Machine]
     disks: dict[str, Kept]
-    ways: dict[tuple[str, str], tuple[Line, ...]] = field(default_factory=dict)
+    ways: dict[tuple[str, str], tuple[Message, ...]] = field(default_factory=dict)
     order: dict[int, tuple[int, bytes]] = field(default_factory=dict)
     left: dict[str, int] = field(default_factory=dict)
 
@@ -40,30 +47,32 @@
         for door in DOORS:
             m = self.machines[door]
             peers = tuple(sorted((d, p.next, p.match, p.out_at >= 0) for d, p in m.peers.items()))
-            voices = tuple(sorted(m._voices)) if m.role in (Role.TRIAL, Role.CANDIDATE) else ()
-            log = tuple((e.index, e.view, e.data, e.members) for e in m.log)
-            seen.append((m.me, m.view, m.voted, m.role, m.holder, m.commit, log, peers, voices, m._opened))
-        ways = tuple(sorted((k, tuple(plain(line) for line in v)) for k, v in self.ways.items() if v))
+            votes = tuple(sorted(m._votes)) if m.role in (Role.PRE_CANDIDATE, Role.CANDIDATE) else ()
+            log = tuple((e.index, e.term, e.data, e.members) for e in m.log)
+            seen.append(
+                (m.me, m.term, m.voted_for, m.role, m.leader, m.commit_index, log, peers, votes, m._opened)
+            )
+        ways = tuple(sorted((k, tuple(plain(message) for message in v)) for k, v in self.ways.items() if v))
         return tuple(seen), ways, tuple(self.left.items())
 
 
-def plain(line: Line) -> Line:
-    return replace(line, sent=0) if hasattr(line, "sent") else line
+def plain(message: Message) -> Message:
+    return replace(message, sent=0) if hasattr(message, "sent") else message
 
 
 def do(state: State, door: str, step: Step) -> None:
     kept = state.disks[door]
     machine = state.machines[door]
     if step.writes:
-        kept.view, kept.voted, kept.snapshot = machine.view, machine.voted, machine.base
+        kept.term, kept.voted_for, kept.snapshot = machine.term, machine.voted_for, machine.base
         kept.entries = list(machine.log)
-    for to, line in step.sends:
+    for to, message in step.sends:
         queue = state.ways.get((door, to), ())
         if len(queue) < FULL:
-            state.ways[door, to] = (*queue, line)
+            state.ways[door, to] = (*queue, message)
     for entry in step.delivered:
-        known = state.order.setdefault(entry.index, (entry.view, entry.data))
-        assert known == (entry.view, entry.data), "two orders"
+        known = state.order.setdefault(entry.index, (entry.term, entry.data))
+        assert known == (entry.term, entry.data), "two orders"
 
 
 def begin(made: type[Machine], me: Member, kept: Kept) -> Machine:
@@ -81,19 +90,19 @@
 
     def hear(way: tuple[str, str]) -> Deed:
         def deed(state: State) -> None:
-            line, state.ways[way] = state.ways[way][0], state.ways[way][1:]
+            message, state.ways[way] = state.ways[way][0], state.ways[way][1:]
             machine = state.machines[way[1]]
-            if machine.role is not Role.HOLDER:
+            if machine.role is not Role.LEADER:
                 machine.heard_at = float("-inf")
-            do(state, way[1], machine.received(1.0, line))
+            do(state, way[1], machine.received(1.0, message))
 
         return deed
 
-    def canvass(door: str) -> Deed:
+    def request_vote(door: str) -> Deed:
         def deed(state: State) -> None:
             step = Step()
-            state.left["view"] -= 1
-            state.machines[door]._canvass(1.0, step, trial=False)
+            state.left["term"] -= 1
+            state.machines[door]._campaign(1.0, step, pre_vote=False)
             do(state, door, step)
 
         return deed
@@ -139,28 +148,28 @@
     for door in DOORS:
         machine = state.machines[door]
         quiet = not any(queue for (sender, _), queue in state.ways.items() if sender == door)
-        if state.left["view"] and machine.is_member() and machine.role is not Role.HOLDER:
-            found.append(canvass(door))
+        if state.left["term"] and machine.is_member() and machine.role is not Role.LEADER:
+            found.append(request_vote(door))
         if not machine.is_member() and quiet:
             found.append(join(door))
-        if state.left["say"] and machine.role is Role.HOLDER:
+        if state.left["say"] and machine.role is Role.LEADER:
             found.append(say(door))
-        if machine.role is Role.HOLDER and quiet:
+        if machine.role is Role.LEADER and quiet:
             found.append(beat(door))
         found += [end(door, what) for what in ("crash", "wipe") if state.left[what]]
     return found
 
 
 def opened(made: type[Machine]) -> State:
-    """A holds the first view, and all have heard of that."""
+    """A holds the first term, and all have heard of that."""
     members = [founder(door) for door in DOORS]
     disks = {door: founded(members) for door in DOORS}
     machines = {d: begin(made, founder(d), copy.deepcopy(disks[d])) for d in DOORS}
-    state = State(machines, disks, {}, {}, {"view": 1, "say": 0, "crash": 0, "wipe": 0})
+    state = State(machines, disks, {}, {}, {"term": 1, "say": 0, "crash": 0, "wipe": 0})
     deeds(made, state)[0](state)
     while any(state.ways.values()):
         deeds(made, state)[0](state)
-    state.left = {"view": 1, "say": 1, "crash": 1, "wipe": 1}
+    state.left = {"term": 1, "say": 1, "crash": 1, "wipe": 1}
     return state
 
 
@@ -182,7 +191,7 @@
 def walk(made: type[Machine], seed: int, length: int = 60) -> None:
     """One long way through the states."""
     rng, state = random.Random(seed), opened(made)
-    state.left["view"] = 2
+    state.left["term"] = 2
     for _ in range(length):
         if not (ahead := deeds(made, state)):
             return
@@ -204,25 +213,25 @@
 
 
 class AnyDisk(Machine):
-    """Whoever stands at a member's door has its voice."""
+    """Whoever stands at a member's door has its vote."""
 
-    def _ballot(self, now: float, step: Step, line: Any) -> None:
-        same = next((m for m in self.members if m.door == line.sender.door), line.sender)
-        super()._ballot(now, step, replace(line, sender=same))
+    def _vote_replied(self, now: float, step: Step, message: Any) -> None:
+        same = next((m for m in self.members if m.door == message.sender.door), message.sender)
+        super()._vote_replied(now, step, replace(message, sender=same))
 
     def is_member(self) -> bool:
         return True
 
-    def _appended(self, now: float, step: Step, line: Appended) -> None:
-        same = next((m for m in self.members if m.door == line.sender.door), line.sender)
-        super()._appended(now, step, replace(line, sender=same))
+    def _append_replied(self, now: float, step: Step, message: AppendReply) -> None:
+        same = next((m for m in self.members if m.door == message.sender.door), message.sender)
+        super()._append_replied(now, step, replace(message, sender=same))
 
 
 class Forgets(Machine):
-    """What it voted is not on disk."""
+    """What it voted_for is not on disk."""
 
     def __init__(self, me: Member, kept: Kept, *rest: Any, **more: Any) -> None:
-        kept.voted = ""
+        kept.voted_for = ""
         kept.entries = [e for e in kept.entries if e.data == b""]
         super().__init__(me, kept, *rest, **more)
 
--- a/tests/test_playhouse_units.py
+++ b/tests/test_playhouse_units.py
@@ -1,5 +1,5 @@
 """Leases and parts of a quota, and units that are dealt, over all ingresses in virtual time: cuts, kills,
-freezes, clocks that drift and changes of the holder, with every ingress spending all that it may at every
+freezes, clocks that drift and changes of the leader, with every ingress spending all that it may at every
 moment; judged from plain lists at the end."""
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
     quota_window=5.0, quota_overrun=0.1, quota_slack=20, retry_slack=62, warmup_overrun=1.5, warmup_slack=5
 )
 WHOLES = {"further/s": further(BOUNDS), "starts/i": starts(BOUNDS, 5.3)}
-KINDS = ("cut", "heal", "holder", "restart", "all restart", "freeze", "thaw")
+KINDS = ("cut", "heal", "leader", "restart", "all restart", "freeze", "thaw")
 Trouble = tuple[float, str, int]  # s after the one before it, which, and whom it strikes
 
 
@@ -60,7 +60,7 @@
         self.used: dict[str, list[tuple[float, float]]] = {name: [] for name in WHOLES}
         self.life = life
         self.cut: set[str] = set()
-        self.state, self.view = State(), 0
+        self.state, self.term = State(), 0
         content = {"gen": 1, "parent": 0, "routes": [], "backends": [{"name": "s", "warmupPerS": 5.3}]}
         tenant = {"name": "t", "apiKeys": ["k"], "ratePerS": RATE, "burst": BURST}
         self.state.apply(Command(Verb.REPLACE, "d", content | {"tenants": [tenant]}))
@@ -78,11 +78,11 @@
         heapq.heappush(self.queue, (self.now + wait, self.count, what))
 
     def hold_duty(self, ever: bool) -> None:
-        self.view += 1
+        self.term += 1
         names = self.state.edges
         board = Board()
         board.beat(Seen("i", "s", "a:1", "z", "", 2, "ready", 1e5, 1, self.now))
-        self.duty = Duty(self.view, self.now, ever, board, self.roll, names, BOUNDS, 1.5)
+        self.duty = Duty(self.term, self.now, ever, board, self.roll, names, BOUNDS, 1.5)
         self.duty.follow(self.state)
 
     def in_touch(self, edge: Edge) -> bool:
@@ -197,7 +197,7 @@
             self.frozen = {names[whom]}
         elif kind == "thaw":
             self.frozen = set()
-        elif kind in ("holder", "all restart"):
+        elif kind in ("leader", "all restart"):
             self.duty = None
             if kind == "all restart":
                 self.roll = Roll()
@@ -227,6 +227,7 @@
             self.now = at
             what()
 
+
 def worst(spent: list[tuple[float, float]], window: float) -> float:
     """The most that was spent in any window."""
     most, total, first, spent = 0.0, 0.0, 0, sorted(spent)
@@ -274,13 +275,13 @@
 
 
 def full_again(monkeypatch: pytest.MonkeyPatch) -> None:
-    """A later holder deals as if nothing had been dealt before."""
+    """A later leader deals as if nothing had been dealt before."""
     begin = Purse.__init__
     monkeypatch.setattr(Purse, "__init__", lambda self, now, ever: begin(self, now, False))
 
 
 def counts_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
-    """A part is passed on though its holder was not heard."""
+    """A part is passed on though its leader was not heard."""
     monkeypatch.setattr(Roll, "all_heard", lambda self, now: True)
     monkeypatch.setattr(Roll, "silent", lambda self, now, edges: 0)
 
--- a/tests/test_playhouse_wings.py
+++ b/tests/test_playhouse_wings.py
@@ -29,7 +29,7 @@
     if envelope.order.path == "no":
         raise SystemFailure(Code.REFUSED)
     if envelope.order.path == "not here":
-        return pb.Envelope(fault=Code.NOT_HOLDER, pass_to=envelope.order.method)
+        return pb.Envelope(fault=Code.NOT_LEADER, pass_to=envelope.order.method)
     return pb.Envelope(outcome=pb.Outcome(status=200, body=envelope.order.body))
 
 
@@ -110,20 +110,20 @@
 
 
 async def test_a_call_finds_the_holder_by_hints_and_round_a_cut_by_a_peer() -> None:
-    async with wings() as ours, wings() as other, wings() as holder, wings() as peer:
+    async with wings() as ours, wings() as other, wings() as leader, wings() as peer:
         reach = Reach(ours, lambda: [other.own], lambda: [peer.own])
 
         async def elsewhere(envelope: pb.Envelope) -> pb.Envelope:
-            return pb.Envelope(fault=Code.NOT_HOLDER, pass_to=holder.own)
+            return pb.Envelope(fault=Code.NOT_LEADER, pass_to=leader.own)
 
         other._handle = elsewhere
-        assert (await reach.call(order(), 2.0, 1.0)).outcome.status == 200 and reach.hint == holder.own
+        assert (await reach.call(order(), 2.0, 1.0)).outcome.status == 200 and reach.hint == leader.own
         straight = ours._send
 
         def cut(door: str, envelope: pb.Envelope) -> None:
-            if door != holder.own:  # what goes straight to the holder is lost
+            if door != leader.own:  # what goes straight to the leader is lost
                 straight(door, envelope)
 
         ours._send = cut  # type: ignore[method-assign]
         assert (await reach.call(order(), 2.0, 0.1)).outcome.status == 200
-        assert reach.hint == holder.own and reach._is_bad(holder.own, ours.now())
+        assert reach.hint == leader.own and reach._is_bad(leader.own, ours.now())
