--- a/tests/measure_worst_days.py
+++ b/tests/measure_worst_days.py
@@ -13,9 +13,20 @@
 from typing import Any
 
 PLANNED = frozenset(
-    ("big_config", "config_change", "config_race", "config_storm", "evacuate", "release", "revoke", "roll_term",
-     "scale_in", "scale_out", "seed_turnover")
-)  # fmt: skip
+    (
+        "big_config",
+        "config_change",
+        "config_race",
+        "config_storm",
+        "evacuate",
+        "release",
+        "revoke",
+        "roll_term",
+        "scale_in",
+        "scale_out",
+        "seed_turnover",
+    )
+)
 CLOSING = ("power_off_all", "kill_all", "wipe_after_ack")
 HARDER = {
     "core_cut": ("", "one_way", "leader", "leader race", "leader drain meet"),
