--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -156,7 +156,10 @@
 
     def data_received(self, data: bytes) -> None:
         self.pool.heard_at = self.pool.now()
-        super().data_received(data)
+        if self.exchange is None:  # nobody has asked: the rest of it would come under the next request
+            self.drop()
+        else:
+            super().data_received(data)
 
     def headed(self, message: Message) -> None:
         """An answer of unknown length may be short, and can be asked for again until some of it goes on; it
@@ -213,11 +216,11 @@
         self.exchange = None
         if kept := KEPT.search(message.headers.get(b"keep-alive", b"")):
             self.pool.kept(int(kept[1]))
-        # Answered before it had all been read, or more said than was asked for.
+        # Answered before it had all been read, or more said than was asked for: a part of a message, what is
+        # none, or whole ones read along with this, which the next request would get for its answer.
         unsound = self.transport.get_write_buffer_size() > 0 or self._begun or self._lost_framing
-        unsound = unsound or self.astray or (exchange is not None and not exchange.written)
-        if not self.dead:
-            self.pool.rest(self, exchange is not None and message.keep_alive and not unsound)
+        unsound = unsound or bool(self._hooks) or self.astray or not (exchange and exchange.written)
+        self.pool.rest(self, message.keep_alive and not unsound)
         if exchange:
             exchange.end(answer)
 
@@ -378,7 +381,7 @@
                     sock.close()
             elif not (up and wanted):  # it came up just as its time was over: its end is counted once
                 link.drop()
-            if up and wanted and link:
+            if up and wanted and link and not link.dead:
                 self._do(self.pool.dialled(self.now(), dial, link))
             elif wanted:
                 self._do(self.pool.failed(self.now(), dial, refused))
@@ -392,10 +395,12 @@
     # Connections rest and end.
 
     def rest(self, link: Link, reusable: bool) -> None:
-        if link in self.busy:
-            self._do(self.pool.freed(self.now(), link, reusable and link.address == self.address))
-        else:  # it spoke though nobody had asked
-            link.drop()
+        if link.dead:
+            return
+        reusable = reusable and link.address == self.address
+        if reusable and self.pool.waiting:  # it goes on to them as it is, so it is looked at now
+            reusable = link.stands()
+        self._do(self.pool.freed(self.now(), link, reusable))
 
     def left(self, link: Link, under_request: bool) -> None:
         """Its socket is closed, by whichever side."""
--- a/ironledge/net/http.py
+++ b/ironledge/net/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -80,7 +81,7 @@
     def __init__(self, parser: type[Any]) -> None:
         self._parser = parser(self)
         self._message = Message()
-        self._hooks: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
+        self._hooks: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
         self._parts: list[bytes] = []
         self._fed = 0  # bytes since the message began, while its head is open
         self._size = 0  # of the head's fields, then of the body
@@ -144,8 +145,9 @@
             self.garbage(bad)
 
     def _run_hooks(self) -> None:
-        hooks, self._hooks = self._hooks, []
-        for hook, args in hooks:
+        """What is still to be called is seen by those before it: more was read than they are about."""
+        while self._hooks:
+            hook, args = self._hooks.popleft()
             hook(*args)
 
     def ended_by_close(self) -> None:
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import pytest
@@ -215,6 +216,69 @@
     assert len(fleet.server.peers) == 2
 
 
+OWN, SURPLUS = (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n%b" % body for body in (b"own", b"sur"))
+
+
+class Spoken:
+    """Asks; what an answer calls goes on at once, as the module's next attempt does."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet, self.got = fleet, asyncio.Queue[bytes]()
+
+    def ask(self, then: Callable[[], object] = lambda: None) -> None:
+        def ended(answer: Answer) -> None:
+            self.got.put_nowait(answer.body)
+            then()
+
+        self.fleet.backends.send(1, REQUEST, ended)
+
+    async def answer(self) -> bytes:
+        async with asyncio.timeout(10):
+            return await self.got.get()
+
+
+@pytest.mark.parametrize("surplus", [SURPLUS, b"HTTP/1.1 103 Early\r\n\r\n" + SURPLUS])
+async def test_an_answer_read_behind_another_is_never_the_next_requests(fleet: Fleet, surplus: bytes) -> None:
+    """The next one is asked the moment the first is answered, by which time both have been read."""
+    spoken = Spoken(fleet)
+    fleet.server.heard = answers(OK + surplus)
+
+    def again() -> None:
+        fleet.server.heard = answers(OWN)
+        spoken.ask()
+
+    spoken.ask(then=again)
+    assert [await spoken.answer(), await spoken.answer()] == [b"warm", b"own"]
+    assert len(fleet.server.peers) == 2
+
+
+@pytest.mark.parametrize("read", [True, False])
+async def test_who_waits_for_a_link_gets_none_that_has_said_more(fleet: Fleet, read: bool) -> None:
+    """`read`: along with the answer before; else it is still in the socket."""
+    fleet.server.heard = lambda peer: None
+    spoken, held = Spoken(fleet), fleet.backends._pools[1]
+    spoken.ask()
+    await fleet.server.until(lambda: bool(fleet.server.peers) and b"\r\n\r\n" in fleet.server.peers[0].data)
+    (link,), (peer,) = held.busy, fleet.server.peers
+    spoken.ask()
+    assert len(held.pool.waiting) == 1
+    fleet.server.heard = answers(OWN)
+    if not read:
+        os.write(peer.transport.get_extra_info("socket").fileno(), SURPLUS)
+    link.data_received(OK + SURPLUS * read)
+    assert [await spoken.answer(), await spoken.answer()] == [b"warm", b"own"]
+
+
+async def test_what_comes_on_an_idle_link_ends_it_though_it_is_only_a_part(fleet: Fleet) -> None:
+    """It is no longer in the socket then, where a look would find it, but in the parser."""
+    fleet.backends.tune(600_000_000, 250_000)  # nothing else ends it
+    assert await fleet.outcome() is Outcome.OK
+    fleet.server.peers[0].transport.write(SURPLUS[:20])
+    await fleet.server.until(lambda: len(fleet.server.closed) == 1)
+    assert fleet.backends._pools[1].idle == []
+    assert await fleet.outcome() is Outcome.OK and len(fleet.server.peers) == 2
+
+
 # The pool's mechanisms on sockets; the decisions alone are in test_net_pool.py.
 
 
@@ -305,6 +369,24 @@
     assert (fleet.sockets.open, fleet.sockets.servers) == (0, 0)
 
 
+async def test_a_link_that_ended_as_it_came_up_is_handed_to_nobody(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It would be busy for good. It may be read from before its dial is told that it is up."""
+    loop = asyncio.get_running_loop()
+    made = loop.create_connection
+
+    async def ended(*args: Any, **more: Any) -> Any:
+        transport, link = await made(*args, **more)
+        link.data_received(b"HTTP/1.1 408 Late\r\n\r\n")
+        return transport, link
+
+    monkeypatch.setattr(Server, "now", staticmethod(loop.time))
+    monkeypatch.setattr("ironledge.net.backends.asyncio.get_running_loop", lambda: Late(loop, ended))
+    assert await fleet.outcome() is Outcome.CONNECT_FAILED
+    assert (fleet.backends._pools[1].pool.open(), fleet.sockets.open) == (0, 0)
+
+
 class Late:
     """The loop, but for one call."""
 
