--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -99,10 +99,15 @@
         self.lost_word = False  # it broke under a request of which nothing had been answered
         self.dead = self.passing = False  # passing: an answer goes on to the client in parts
         self.astray = False  # it has brought an answer that belongs to another request
+        self.answered = b""  # id of the request that it answered last
         self.heard_at = math.inf  # while it does, when the last part came
         self._hold: asyncio.TimerHandle | None = None
 
     def send(self, exchange: Exchange) -> None:
+        if exchange.flow and exchange.flow.id and exchange.flow.id == self.answered:
+            self.drop()  # a second answer to the attempt before, still on its way, would count for this one
+            self.pool.ask(exchange)
+            return
         data = exchange.data if isinstance(exchange.data, bytes) else exchange.data()
         if data is None:  # what was true when it was begun holds no longer: not a byte has gone
             self.pool.rest(self, True)
@@ -175,8 +180,8 @@
 
     def opened(self, message: Message) -> None:
         exchange, answer = self.exchange, self._answer(message)
-        if answer.outcome is Outcome.MOOT:  # another request's
-            self._gone()
+        if answer.outcome is Outcome.MOOT:  # another request's: it passes by
+            self.astray = True
         elif answer.outcome is not Outcome.OK or exchange is None or exchange.flow is None:
             self._settle(exchange, answer)
         elif exchange.flow.opened(answer):
@@ -213,7 +218,7 @@
         if (100 <= message.status < 200 or answer.outcome is Outcome.MOOT) and exchange:
             self.astray = self.astray or answer.outcome is Outcome.MOOT
             return
-        self.exchange = None
+        self.exchange, self.answered = None, exchange.flow.id if exchange and exchange.flow else b""
         if kept := KEPT.search(message.headers.get(b"keep-alive", b"")):
             self.pool.kept(int(kept[1]))
         # Answered before it had all been read, or more said than was asked for: a part of a message, what is
--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -75,6 +75,7 @@
     opened: Callable[[Answer], bool]  # a large answer begins; False if nobody wants it any longer
     part: Callable[[bytes], None]
     patience: float = math.inf  # s that the attempt has in all
+    id: bytes = b""  # the request's, which answers may carry: its further attempts have the same
 
 
 class Servers(Protocol):
@@ -541,7 +542,7 @@
                 return None if 0 < until < now else dress(name, end - now)
 
         more, opened = request.client.more, lambda answer: self._opened(request, attempt, answer)
-        flow = Flow(wanted.upload, opened, more, wait / 1e6)
+        flow = Flow(wanted.upload, opened, more, wait / 1e6, wanted.id)
         attempt.exchange = self.servers.send(
             attempt.backend, data, lambda answer: self._ended(request, attempt, answer), flow
         )
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -12,7 +12,7 @@
 from ironledge.net.bodies import Memory
 from ironledge.net.clients import Listener
 from ironledge.net.discovery import Entry
-from ironledge.net.engine import Clock, Engine, Names
+from ironledge.net.engine import Answer, Clock, Engine, Names
 from ironledge.net.sockets import Sockets
 from ironledge.wire import settings_from_json
 
@@ -130,6 +130,29 @@
 
 
 OK = b"HTTP/1.1 200 OK\r\nServer-Load: queue=3\r\nContent-Length: 4\r\n\r\nwarm"
+ASKED = b"GET /read HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+class Fleet:
+    """One backend behind the real pools."""
+
+    def __init__(self, server: PeerServer, idle_us: int = 10_000_000) -> None:
+        self.server, self.sockets = server, Sockets(1024)
+        self.backends = Backends(self.sockets, idle_us, 250_000)
+        self.list()
+
+    def list(self, status: str = "up", port: int = 0, since_ms: int = 0) -> None:
+        self.backends.know(entry("s-1", port or self.server.port, status, since_ms), 1)
+        self.backends.settle([1] if status == "removed" else [])
+
+    def send(self, data: bytes = ASKED) -> asyncio.Future[Answer]:
+        done: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self.exchange = self.backends.send(1, data, done.set_result)
+        return done
+
+    async def outcome(self) -> it.Outcome:
+        async with asyncio.timeout(10):
+            return (await self.send()).outcome
 
 
 class Ingress:
--- /dev/null
+++ b/tests/test_net_answers.py
@@ -0,0 +1,160 @@
+"""Answers too many on a connection to a backend: none is ever taken for the next request's."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import AsyncIterator, Callable
+
+import pytest
+import pytest_asyncio
+
+from ironledge.interface import Outcome
+from ironledge.net.engine import Answer, Flow
+from ironledge.net.http import HOLD
+from playhouse.stage.dialect import judge
+from tests.net_helpers import ASKED, OK, Fleet, Peer, PeerServer, answers
+
+
+@pytest_asyncio.fixture
+async def fleet() -> AsyncIterator[Fleet]:
+    server = await PeerServer(answers(OK)).start()
+    fleet = Fleet(server)
+    yield fleet
+    fleet.backends.stop()
+    server.stop()
+
+
+OWN, SURPLUS = (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n%b" % body for body in (b"own", b"sur"))
+
+
+class Spoken:
+    """Asks; what an answer calls goes on at once, as the module's next attempt does."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet, self.got = fleet, asyncio.Queue[bytes]()
+
+    def ask(self, then: Callable[[], object] = lambda: None) -> None:
+        def ended(answer: Answer) -> None:
+            self.got.put_nowait(answer.body)
+            then()
+
+        self.fleet.backends.send(1, ASKED, ended)
+
+    async def answer(self) -> bytes:
+        async with asyncio.timeout(10):
+            return await self.got.get()
+
+
+@pytest.mark.parametrize("surplus", [SURPLUS, b"HTTP/1.1 103 Early\r\n\r\n" + SURPLUS])
+async def test_an_answer_read_behind_another_is_never_the_next_requests(fleet: Fleet, surplus: bytes) -> None:
+    """The next one is asked the moment the first is answered, by which time both have been read."""
+    spoken = Spoken(fleet)
+    fleet.server.heard = answers(OK + surplus)
+
+    def again() -> None:
+        fleet.server.heard = answers(OWN)
+        spoken.ask()
+
+    spoken.ask(then=again)
+    assert [await spoken.answer(), await spoken.answer()] == [b"warm", b"own"]
+    assert len(fleet.server.peers) == 2
+
+
+@pytest.mark.parametrize("read", [True, False])
+async def test_who_waits_for_a_link_gets_none_that_has_said_more(fleet: Fleet, read: bool) -> None:
+    """`read`: along with the answer before; else it is still in the socket."""
+    fleet.server.heard = lambda peer: None
+    spoken, held = Spoken(fleet), fleet.backends._pools[1]
+    spoken.ask()
+    await fleet.server.until(lambda: bool(fleet.server.peers) and b"\r\n\r\n" in fleet.server.peers[0].data)
+    (link,), (peer,) = held.busy, fleet.server.peers
+    spoken.ask()
+    assert len(held.pool.waiting) == 1
+    fleet.server.heard = answers(OWN)
+    if not read:
+        os.write(peer.transport.get_extra_info("socket").fileno(), SURPLUS)
+    link.data_received(OK + SURPLUS * read)
+    assert [await spoken.answer(), await spoken.answer()] == [b"warm", b"own"]
+
+
+async def test_what_comes_on_an_idle_link_ends_it_though_it_is_only_a_part(fleet: Fleet) -> None:
+    """It is no longer in the socket then, where a look would find it, but in the parser."""
+    fleet.backends.tune(600_000_000, 250_000)  # nothing else ends it
+    assert await fleet.outcome() is Outcome.OK
+    fleet.server.peers[0].transport.write(SURPLUS[:20])
+    await fleet.server.until(lambda: len(fleet.server.closed) == 1)
+    assert fleet.backends._pools[1].idle == []
+    assert await fleet.outcome() is Outcome.OK and len(fleet.server.peers) == 2
+
+
+# The same for the system's data plane, whose servers' answers carry the request's id.
+
+
+def sealed(status: bytes, id: bytes, body: bytes, more: bytes = b"") -> bytes:
+    head = b"HTTP/1.1 %b\r\nX-Request-Id: %b\r\n%bContent-Length: %d\r\n\r\n"
+    return head % (status, id, more, len(body)) + body
+
+
+async def attempt(fleet: Fleet, id: bytes) -> tuple[Outcome, bytes]:
+    """An attempt as the system's data plane makes it: the answer, whole or in parts."""
+    done: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+    parts: list[bytes] = []
+    data = b"GET /a HTTP/1.1\r\nX-Request-Id: %b\r\n\r\n" % id
+    flow = Flow(None, lambda answer: True, parts.append, id=id)
+    fleet.backends.send(1, data, done.set_result, flow)
+    async with asyncio.timeout(10):
+        answer = await done
+    return answer.outcome, answer.body or b"".join(parts)
+
+
+@pytest.fixture
+def relaying(fleet: Fleet) -> Fleet:
+    fleet.backends.relays, fleet.backends.judge, fleet.backends.strict = True, judge, True
+    return fleet
+
+
+@pytest.mark.parametrize("id", [b"X-Request-Id: first\r\n", b""])
+async def test_a_refusal_read_behind_an_answer_is_not_the_next_requests(relaying: Fleet, id: bytes) -> None:
+    """It would say that the next one never ran, whose one attempt is on its way to run."""
+    refusal = b"HTTP/1.1 503 Full\r\n%bX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n" % id
+    relaying.server.heard = answers(sealed(b"200 OK", b"first", b"1") + refusal)
+    second: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+
+    def again(answer: Answer) -> None:
+        relaying.server.heard = answers(sealed(b"200 OK", b"second", b"2"))
+        relaying.backends.send(1, b"GET /a HTTP/1.1\r\nX-Request-Id: second\r\n\r\n", second.set_result)
+
+    relaying.backends.send(1, b"GET /a HTTP/1.1\r\nX-Request-Id: first\r\n\r\n", again)
+    async with asyncio.timeout(10):
+        assert ((await second).outcome, second.result().body) == (Outcome.OK, b"2")
+    assert len(relaying.server.peers) == 2
+
+
+async def test_a_late_second_refusal_does_not_count_for_the_same_requests_next_attempt(
+    relaying: Fleet,
+) -> None:
+    """Its id is right. Taken for this attempt's it says that it never ran: a third one would run it again."""
+    full, served = sealed(b"503 Full", b"same", b"", b"X-Not-Run: 1\r\n"), sealed(b"200 OK", b"same", b"ran")
+    relaying.server.heard = answers(full)
+    assert await attempt(relaying, b"same") == (Outcome.FULL, b"")
+    (old,) = relaying.server.peers
+
+    def heard(peer: Peer) -> None:
+        answers(full if peer is old else served)(peer)
+
+    relaying.server.heard = heard
+    assert await attempt(relaying, b"same") == (Outcome.OK, b"ran")
+    relaying.server.heard = answers(sealed(b"200 OK", b"other", b"ran"))
+    assert await attempt(relaying, b"other") == (Outcome.OK, b"ran")
+    assert len(relaying.server.peers) == 2
+
+
+@pytest.mark.parametrize("size", [9, HOLD + 1])
+async def test_another_requests_answer_passes_by_however_large(relaying: Fleet, size: int) -> None:
+    own = sealed(b"200 OK", b"new", b"own")
+    relaying.server.heard = answers(sealed(b"200 OK", b"old", b"o" * size) + own)
+    assert await attempt(relaying, b"new") == (Outcome.OK, b"own")
+    relaying.server.heard = answers(sealed(b"200 OK", b"next", b"own"))
+    assert await attempt(relaying, b"next") == (Outcome.OK, b"own")
+    assert len(relaying.server.peers) == 2
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -3,43 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from typing import Any
 
 import pytest
 import pytest_asyncio
 
 from ironledge.interface import Outcome
-from ironledge.net.backends import Backends, Server
+from ironledge.net.backends import Server
 from ironledge.net.engine import Answer, Flow
-from ironledge.net.sockets import Sockets
-from tests.net_helpers import HOST, OK, PeerServer, answers, entry
-
-REQUEST = b"GET /read HTTP/1.1\r\nHost: a\r\n\r\n"
-
-
-class Fleet:
-    """One backend behind the real pools."""
-
-    def __init__(self, server: PeerServer, idle_us: int = 10_000_000) -> None:
-        self.server, self.sockets = server, Sockets(1024)
-        self.backends = Backends(self.sockets, idle_us, 250_000)
-        self.list()
-
-    def list(self, status: str = "up", port: int = 0, since_ms: int = 0) -> None:
-        self.backends.know(entry("s-1", port or self.server.port, status, since_ms), 1)
-        self.backends.settle([1] if status == "removed" else [])
-
-    def send(self, data: bytes = REQUEST) -> asyncio.Future[Answer]:
-        done: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        self.exchange = self.backends.send(1, data, done.set_result)
-        return done
-
-    async def outcome(self) -> Outcome:
-        async with asyncio.timeout(10):
-            return (await self.send()).outcome
+from tests.net_helpers import ASKED, HOST, OK, Fleet, PeerServer, answers
 
 
 @pytest_asyncio.fixture
@@ -216,69 +190,6 @@
     assert len(fleet.server.peers) == 2
 
 
-OWN, SURPLUS = (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n%b" % body for body in (b"own", b"sur"))
-
-
-class Spoken:
-    """Asks; what an answer calls goes on at once, as the module's next attempt does."""
-
-    def __init__(self, fleet: Fleet) -> None:
-        self.fleet, self.got = fleet, asyncio.Queue[bytes]()
-
-    def ask(self, then: Callable[[], object] = lambda: None) -> None:
-        def ended(answer: Answer) -> None:
-            self.got.put_nowait(answer.body)
-            then()
-
-        self.fleet.backends.send(1, REQUEST, ended)
-
-    async def answer(self) -> bytes:
-        async with asyncio.timeout(10):
-            return await self.got.get()
-
-
-@pytest.mark.parametrize("surplus", [SURPLUS, b"HTTP/1.1 103 Early\r\n\r\n" + SURPLUS])
-async def test_an_answer_read_behind_another_is_never_the_next_requests(fleet: Fleet, surplus: bytes) -> None:
-    """The next one is asked the moment the first is answered, by which time both have been read."""
-    spoken = Spoken(fleet)
-    fleet.server.heard = answers(OK + surplus)
-
-    def again() -> None:
-        fleet.server.heard = answers(OWN)
-        spoken.ask()
-
-    spoken.ask(then=again)
-    assert [await spoken.answer(), await spoken.answer()] == [b"warm", b"own"]
-    assert len(fleet.server.peers) == 2
-
-
-@pytest.mark.parametrize("read", [True, False])
-async def test_who_waits_for_a_link_gets_none_that_has_said_more(fleet: Fleet, read: bool) -> None:
-    """`read`: along with the answer before; else it is still in the socket."""
-    fleet.server.heard = lambda peer: None
-    spoken, held = Spoken(fleet), fleet.backends._pools[1]
-    spoken.ask()
-    await fleet.server.until(lambda: bool(fleet.server.peers) and b"\r\n\r\n" in fleet.server.peers[0].data)
-    (link,), (peer,) = held.busy, fleet.server.peers
-    spoken.ask()
-    assert len(held.pool.waiting) == 1
-    fleet.server.heard = answers(OWN)
-    if not read:
-        os.write(peer.transport.get_extra_info("socket").fileno(), SURPLUS)
-    link.data_received(OK + SURPLUS * read)
-    assert [await spoken.answer(), await spoken.answer()] == [b"warm", b"own"]
-
-
-async def test_what_comes_on_an_idle_link_ends_it_though_it_is_only_a_part(fleet: Fleet) -> None:
-    """It is no longer in the socket then, where a look would find it, but in the parser."""
-    fleet.backends.tune(600_000_000, 250_000)  # nothing else ends it
-    assert await fleet.outcome() is Outcome.OK
-    fleet.server.peers[0].transport.write(SURPLUS[:20])
-    await fleet.server.until(lambda: len(fleet.server.closed) == 1)
-    assert fleet.backends._pools[1].idle == []
-    assert await fleet.outcome() is Outcome.OK and len(fleet.server.peers) == 2
-
-
 # The pool's mechanisms on sockets; the decisions alone are in test_net_pool.py.
 
 
@@ -345,7 +256,7 @@
     pool.top = 2.0
     flow = Flow(None, lambda answer: True, lambda data: None, patience=0.08)
     done: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-    fleet.backends.send(1, REQUEST, done.set_result, flow)
+    fleet.backends.send(1, ASKED, done.set_result, flow)
     async with asyncio.timeout(10):
         assert (await done).outcome is Outcome.MOOT
     assert len(fleet.server.peers) == 2 and not any(h.done() for h in held)
