--- a/playhouse/company/roll.py
+++ b/playhouse/company/roll.py
@@ -16,6 +16,7 @@
 HOLD = 0.25  # s that an ask may be kept while there is no news, or ...
 HOLD_EACH = 0.015  # ... so many for each ingress, if that is more
 HEARD = 0.25  # s beyond that after which an ingress may be out of touch, as far as its leader can tell ...
+FRESH = 0.1  # s between an ask and its coming within which it counts as made when it came: under LOST - HEARD
 LOST = 0.4  # ... and after which it is, as it sees it itself
 
 
@@ -28,8 +29,9 @@
     node: pb.Node
     lease_end: float
     heard_at: float
-    asked_at: float  # when its newest ask came
+    asked_at: float  # when its newest ask was made, as far as that is known: not later
     script: int  # the version it has told that it serves by
+    made_at: float = float("-inf")  # of its newest ask, by the clock that cues tell of
     idle_from: float = float("inf")  # since when it has spent nothing, and ...
     idle_until: float = float("inf")  # ... until when: its first answer let it spend its part
     counting: bool = False  # it spends leased units only
@@ -56,23 +58,36 @@
                 unheard = pb.Node(name=name, kind="edge")
                 self.leases[name] = NodeLease(unheard, now + LEASE, float("-inf"), float("-inf"), -1)
         for held in self.leases.values():
-            held.lease_end, held.script, held.asked_at = now + LEASE, -1, float("-inf")
+            held.lease_end, held.script = now + LEASE, -1
+            held.asked_at = held.made_at = float("-inf")
             if held.here:  # as the last leader knew it: clients are sent there until it is missed here
                 held.heard_at = now
             held.counting = False
             held.idle_from = held.idle_until = float("inf")
 
-    def ask(self, now: float, node: pb.Node, script: int) -> bool:
+    def was_held_up(self, now: float, node: pb.Node, made: float | None) -> bool:
+        """An ask that says nothing of now: a later one of the same life has come before it, or a lease that
+        began with it would be over. `made`: when, at the earliest; None: it has not heard of this term."""
+        known = self.leases.get(node.name)
+        before = known.made_at if known and known.node.life == node.life else float("-inf")
+        return before > float("-inf") if made is None else made < before or now - made > LEASE
+
+    def ask(self, now: float, node: pb.Node, script: int, made: float | None = None) -> bool:
         """True if it is news to others."""
+        asked = now if made is None or now - made <= FRESH else made
+        made_at = float("-inf") if made is None else made
         known = self.leases.get(node.name)
         if known is None:
-            self.leases[node.name] = NodeLease(node, now + LEASE, now, now, script, here=True, waiting=True)
+            self.leases[node.name] = NodeLease(
+                node, now + LEASE, now, asked, script, made_at, here=True, waiting=True
+            )
             self._change(node.name)
             return True
         news = known.node != node or not known.here
         new_life = known.node.life != node.life  # a machine runs one life of a role: the one before is over
         known.script = script if new_life else max(known.script, script)
-        known.node, known.heard_at, known.asked_at, known.waiting, known.here = node, now, now, True, True
+        known.node, known.heard_at, known.waiting, known.here = node, now, True, True
+        known.asked_at, known.made_at = asked, made_at
         if news:
             self._change(node.name)
         return news
--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -6,7 +6,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import random
 from dataclasses import dataclass
 from typing import Any
@@ -69,11 +68,12 @@
         self._news = asyncio.Event()
         self._seen: tuple[str, int, int] = ("", 0, 0)  # epoch, servers, nodes
         self._collector = Collector(settings, self.board, self.roll)
-        self._life = f"{os.getpid():x}{random.getrandbits(40):x}"
         self.reach = Reach(self.wings, self._cores, self._peers)
         self._web = [Doors(self._take, self._was_read), Doors(self._foyer)]
         self._tasks: list[asyncio.Task[Any]] = []
         self.desk = Desk(self)
+        self.wings.system = self._store.system() or self.state.system
+        self._named_in = 0  # the term in which this one has drawn the system's name
         self._known_members: tuple[Member, ...] = ()
         self._joining: set[str] = set()
         self._striking: set[str] = set()  # no lease is granted to these until it is known what became of that
@@ -134,6 +134,7 @@
                 self._do(self.machine.tick(self.now()))
                 if self.duty and self.duty.tick(self.now()):
                     self.publish()
+                self._draw_name()
             except Exception as error:
                 note(Event.FAILED, "tick: %r", error)
                 raise
@@ -157,6 +158,7 @@
                 if self.duty:
                     self.duty.follow(self.state)
                 self.publish()
+        self._look_at_name()
         if step.delivered and self.machine.commit_index > self.machine.base.index and self._is_long():
             self._do(self.machine.compact(self.state.out()))
         if self.machine.members != self._known_members:
@@ -164,12 +166,27 @@
             note(Event.MEMBERS, "%s", " ".join(m.door for m in self._known_members))
         self._look_at_duty()
 
+    def _look_at_name(self) -> None:
+        """What the log says is the system's name, from the first entry on that says one."""
+        if (name := self.state.system) and name != self.wings.system:
+            self._store.name_system(name)
+            self.wings.name_system(name)
+
+    def _draw_name(self) -> None:
+        if not self.state.system and self.duty and self._named_in != self.duty.term:
+            self._named_in = self.duty.term
+            name = self.wings.system or f"{random.SystemRandom().getrandbits(64):016x}"
+            _, step = self.machine.propose(self.now(), Command(Verb.NAME, digest=name).out())
+            self._do(step)
+
     def _is_long(self) -> bool:
         log = self.machine.log
         return self.machine.wants_snapshot() or len(log) >= ENTRIES or sum(len(e.data) for e in log) >= BYTES
 
     def _look_at_duty(self) -> None:
         now, leads = self.now(), self.machine.leads(self.now())
+        if self.machine.leader:
+            self.wings.fence.admits(self.machine.term)
         if leads and (self.duty is None or self.duty.term != self.machine.term):
             ever = self.machine.base.index > 0 or any(
                 e.opens and e.term < self.machine.term for e in self.machine.log
@@ -201,9 +218,10 @@
         members = [[m.door, m.disk] for m in self.machine.members]
         return {"leader": self.me.door, "members": members}
 
-    def held(self) -> Duty:
-        """The duty, if it is held now, whatever was held when this call began."""
-        if self.duty is None or not self.machine.leads(self.now()):
+    def held(self, term: int = 0) -> Duty:
+        """The duty, if it is held now, whatever was held when this call began, and if nobody has heard of a
+        later term."""
+        if self.duty is None or not self.machine.leads(self.now()) or self.duty.term < term:
             raise SystemFailure(Code.NOT_LEADER)
         return self.duty
 
@@ -217,9 +235,9 @@
                 except ValueError:
                     return
                 self._do(self.machine.received(self.now(), message))
-            case "receipt" if self.duty:
+            case "receipt" if self.duty and self.duty.term == envelope.term:
                 self.duty.moves.read(envelope.receipt.zone, envelope.receipt.order)
-            case "beats" if self.duty:
+            case "beats" if self.duty and self.duty.term == envelope.term:
                 now = self.now()
                 for id, seq in zip(envelope.beats.id, envelope.beats.seq, strict=False):
                     seen = self.duty.board.servers.get(id)
@@ -230,19 +248,15 @@
         try:
             match envelope.WhichOneof("body"):
                 case "ask":
-                    return pb.Envelope(cue=await self._ask(envelope.ask))
-                case "lease":
-                    left = self.held().lease(self.now(), envelope.lease)
-                    if left is None:
-                        raise SystemFailure(Code.REFUSED)
-                    return pb.Envelope(leased=pb.Leased(left=left))
-                case "deal":
-                    return pb.Envelope(dealt=self.held().deal(self.now(), envelope.deal))
+                    self.held(envelope.term)
+                    cue = await self._ask(envelope.ask)
+                    return pb.Envelope(cue=cue, term=self.held().term)
+                case "lease" | "deal":
+                    return self.held(envelope.term).units(self.now(), envelope)
                 case "order":
-                    self.held()
-                    order = envelope.order
+                    term, order = self.held(envelope.term).term, envelope.order
                     status, body = await self.desk.settle(order.method, order.path, order.body)
-                    return pb.Envelope(outcome=pb.Outcome(status=status, body=body))
+                    return pb.Envelope(outcome=pb.Outcome(status=status, body=body), term=term)
         except SystemFailure as failure:
             if failure.code is not Code.NOT_LEADER:
                 raise
@@ -295,7 +309,7 @@
         listen = self.settings.listen
         ctl = shown(listen["ctl"]) if "ctl" in listen else ""
         return pb.Node(
-            name=self.settings.name, life=self._life, door=self.me.door, zone=self.settings.zone,
+            name=self.settings.name, life=self.wings.life, door=self.me.door, zone=self.settings.zone,
             region=self.settings.region, kind="core", ready=True, ctl=ctl,
         )  # fmt: skip
 
@@ -331,7 +345,7 @@
         while True:
             await asyncio.sleep(REPORT * self.settings.heartbeat * random.uniform(0.8, 1.2))
             if (beats := self._collector.report()) and self.reach.hint and not self.duty:
-                self.wings.tell(self.reach.hint, pb.Envelope(beats=beats))
+                self.reach.tell(pb.Envelope(beats=beats))
 
     # Calls of servers and operators.
 
@@ -379,7 +393,7 @@
         if self.duty:
             self.duty.moves.read(receipt.zone, receipt.order)
         elif self.reach.hint:
-            self.wings.tell(self.reach.hint, pb.Envelope(receipt=receipt))
+            self.reach.tell(pb.Envelope(receipt=receipt))
 
     async def decide(self, command: Command) -> bool:
         """True once a majority has it on disk and it is in force; False if it is void. Raises SystemFailure
--- a/playhouse/events.py
+++ b/playhouse/events.py
@@ -26,6 +26,9 @@
     SERVER_NEWS = 400
     NEWS_APPLIED = 502
     NO_HOLDER = 503
+    GARBLED_FRAME = 600
+    FOREIGN_PEER = 601
+    OLD_TERM = 602
     FAILED = 900
 
 
--- a/playhouse/promptbook/store.py
+++ b/playhouse/promptbook/store.py
@@ -55,6 +55,15 @@
             change.put(b"promise", struct.pack(">Q", kept.term) + kept.voted_for.encode(), db=self._meta)
             change.put(b"snapshot", codec.snapshot_out(kept.snapshot), db=self._meta)
 
+    def system(self) -> str:
+        """The name of the system that it belongs to; nothing until that is known."""
+        with self._env.begin(self._meta) as look:
+            return (look.get(b"system") or b"").decode()
+
+    def name_system(self, name: str) -> None:
+        with self._env.begin(write=True) as change:
+            change.put(b"system", name.encode(), db=self._meta)
+
     def load(self) -> Kept:
         """Raises StoreError."""
         try:
--- a/playhouse/script/state.py
+++ b/playhouse/script/state.py
@@ -23,12 +23,13 @@
     EVACUATE = "evacuate"
     TAKE_BACK = "take back"
     ENROL = "enrol"
+    NAME = "name"
 
 
 @dataclass(frozen=True, slots=True)
 class Command:
     verb: Verb
-    digest: str = ""  # of the call as it came, or the order that it belongs to
+    digest: str = ""  # of the call as it came, or the order that it belongs to, or the system's name
     order: dict[str, Any] = field(default_factory=dict)
     zone: str = ""
     names: tuple[str, ...] = ()  # of ingresses that may hold leases from here on ...
@@ -77,6 +78,7 @@
     version: int = 0  # counts what was applied; rises at every change
     edges: list[str] = field(default_factory=list)  # ingresses that may hold leases, whoever has the duty
     known: dict[str, int] = field(default_factory=dict)  # digests of accepted calls, with their gen
+    system: str = ""  # its name: the first that was drawn
     # A gen, and its content as ingresses are told it.
     _told: tuple[int, bytes] = field(default=(-1, b""), compare=False, repr=False)
 
@@ -107,6 +109,9 @@
             case Verb.ENROL:
                 self.edges = sorted({*self.edges, *command.names} - set(command.gone))
                 return False
+            case Verb.NAME:
+                self.system = self.system or command.digest
+                return False
             case Verb.EVACUATE | Verb.TAKE_BACK:
                 before = self.evacuated.get(command.zone, 0)
                 orders = before + (1 if command.verb is Verb.EVACUATE else -1)
@@ -124,6 +129,7 @@
         raw = {
             "gen": self.gen, "content": self.content, "evacuated": self.evacuated, "version": self.version,
             "known": self.known, "edges": self.edges, "moves": self.moves,
+            "system": self.system,
         }  # fmt: skip
         return zlib.compress(json.dumps(raw, separators=(",", ":")).encode(), 6)
 
@@ -134,5 +140,5 @@
         raw = json.loads(zlib.decompress(data))
         return cls(
             raw["gen"], raw["content"], raw["evacuated"], raw["moves"], raw["version"], raw["edges"],
-            raw["known"],
+            raw["known"], raw.get("system", ""),
         )  # fmt: skip
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -86,7 +86,7 @@
         self._counting = False
         self._settled = False  # in this life it has been told of all servers that there were
         self._seen: tuple[str, int, int, int, int] = ("", 0, 0, 0, 0)
-        self._life = f"{random.getrandbits(40):x}"
+        self._clock = (0, 0.0)  # what the newest cue said of the leader's, in ms, and when it came
         self._told: tuple[str, pb.Node] | None = None  # what the leader knows of it, and in which epoch
         self.wings.lost = self._lost
         self._began = self._loop.time()
@@ -191,8 +191,12 @@
         self.backends.stop()
 
     async def _say_leaving(self) -> None:
-        ask = pb.Ask(node=self._node(), script=self._seen[1], gen=self._seen[4], wait_ms=0)
         while True:
+            epoch, script, _, _, gen = self._seen
+            ask = pb.Ask(
+                node=self._node(), epoch=epoch, script=script, gen=gen, wait_ms=0, clock_ms=self._clock_ms(),
+                counting=self._counting,
+            )  # fmt: skip
             try:
                 await self.reach.call(pb.Envelope(ask=ask), ASK_WITHIN, 1.0)
                 return
@@ -292,9 +296,9 @@
     def _node(self) -> pb.Node:
         settings = self.settings
         return pb.Node(
-            name=settings.name, life=self._life, door=self.wings.own, http=shown(settings.listen["http"]),
-            zone=settings.zone, region=settings.region, kind="edge", ready=self._prepared(),
-            leaving=self._leaving,
+            name=settings.name, life=self.wings.life, door=self.wings.own,
+            http=shown(settings.listen["http"]), zone=settings.zone, region=settings.region, kind="edge",
+            ready=self._prepared(), leaving=self._leaving,
         )  # fmt: skip
 
     async def _asks(self) -> None:
@@ -305,6 +309,7 @@
                 epoch=epoch, script=script, gen=gen, servers=servers, nodes=nodes,
                 wait_ms=round(hold(self._edges) * 1000), counting=self._counting,
                 idle_ms=0 if self._edges else round((self._loop.time() - self._began) * 1000),
+                clock_ms=self._clock_ms(),
             )  # fmt: skip
             if (epoch, node) == self._told:
                 ask.name, ask.life = node.name, node.life
@@ -329,6 +334,11 @@
             if self._leaving:
                 await asyncio.sleep(0.5)
 
+    def _clock_ms(self) -> int:
+        """On the leader's clock, or behind it."""
+        said, came = self._clock
+        return int(said + (self._loop.time() - came) * 1000 * (1 - DRIFT)) if said else 0
+
     def _apply(self, cue: pb.Cue, asked: float) -> None:
         if cue.script < self._seen[1]:
             return  # from one that is behind: nothing goes back within a life
@@ -355,6 +365,7 @@
             self._list_servers()
         self._seen = (cue.epoch, cue.script, cue.servers, cue.nodes, cue.gen)
         self.heard_at = self._loop.time()
+        self._clock = (cue.clock_ms, self.heard_at)
         self.lease_end = asked + cue.lease_ms / 1000 * (1 - DRIFT)
 
     def _know_server(self, server: pb.Server, now: int) -> None:
--- a/playhouse/stagedoor/doors.py
+++ b/playhouse/stagedoor/doors.py
@@ -11,7 +11,7 @@
 
 from ironledge.net.http import HttpConnection, Message, plain
 from playhouse.settings import Door
-from playhouse.wings.links import keep_short
+from playhouse.wings.frames import keep_short
 
 MOST_BODY = 16 * 1024 * 1024
 MOST_OPEN = 1024
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -16,6 +16,7 @@
 from playhouse.script.state import State
 from playhouse.settings import Bounds, seconds
 from playhouse.understudy.moves import Moves
+from playhouse.understudy.repeats import Repeats
 from playhouse.wings import cues_pb2 as pb
 
 SETTLE = 2.5  # beats after a start from nothing, until which servers that are not known may yet be there
@@ -47,7 +48,7 @@
         and `roll` are as they were last heard."""
         self.term, self.began, self._beat = term, now, beat
         self.board, self.roll, self.till = board, roll, Till(now, bounds, ever)
-        self.moves = Moves(now, bounds.ack, ever)
+        self.moves, self._repeats = Moves(now, bounds.ack, ever), Repeats()
         self.purse, self._warm_per_s = Purse(now, ever), dict[str, float]()
         self._from_nothing = not board.servers
         self._bounds, self.counting = bounds, not ever
@@ -111,6 +112,24 @@
         self._shared = {name: until for name, until in self._shared.items() if until > now}
         return max(1, len(self._shared))
 
+    def units(self, now: float, call: pb.Envelope) -> pb.Envelope:
+        """The answer to a call for units of this term, the same to each copy. Raises SystemFailure."""
+        if call.term != self.term:
+            raise SystemFailure(Code.STALE, f"meant for term {call.term}")
+        if before := self._repeats.answer(now, call.origin, call.id):
+            made = pb.Envelope()
+            made.CopyFrom(before)  # each copy is answered under its own number
+            return made
+        answer = pb.Envelope(term=self.term)
+        if call.HasField("deal"):
+            answer.dealt.CopyFrom(self.deal(now, call.deal))
+        elif (left := self.lease(now, call.lease)) is not None:
+            answer.leased.left = left
+        else:
+            raise SystemFailure(Code.REFUSED)
+        self._repeats.keep(now, call.origin, call.id, answer)
+        return answer
+
     def lease(self, now: float, lease: pb.Lease) -> float | None:
         """What is left of a tenant's units; None: none are leased, as they are not counted yet or have no
         bound."""
@@ -131,17 +150,23 @@
         return starts(self._bounds, self._warm_per_s.get(seen.service, 0.0)) if seen else None
 
     def asked(self, now: float, ask: pb.Ask) -> bool:
-        """True if it is news to others. Raises SystemFailure where who asks is not known."""
+        """True if it is news to others. Raises SystemFailure where who asks is not known, or has asked since:
+        this one was held up somewhere, and says nothing of now."""
         if not ask.HasField("node"):
             known = self.roll.leases.get(ask.name)
             if known is None or known.node.life != ask.life or not known.node.door:
                 raise SystemFailure(Code.STALE)
             ask.node.CopyFrom(known.node)
-        news = self.roll.ask(now, ask.node, ask.script)
+        is_of_term = ask.epoch.rstrip("~") == f"{self.term}"
+        made = min(now, self.began + ask.clock_ms / 1000) if is_of_term and ask.clock_ms else None
+        if self.roll.was_held_up(now, ask.node, made):
+            raise SystemFailure(Code.STALE, "held up")
+        news = self.roll.ask(now, ask.node, ask.script, made)
         held = self.roll.leases[ask.node.name]
         if held.idle_from == float("inf"):
             held.idle_from = now - ask.idle_ms / 1000
-        held.current, held.counting = ask.servers == self.board.number, ask.counting and self.counting
+        held.current = ask.servers == self.board.number
+        held.counting = is_of_term and ask.counting and self.counting
         news |= self._count(now)
         return news
 
@@ -160,6 +185,7 @@
             epoch=epoch, lease_ms=round(LEASE * 1000), script=state.version, gen=state.gen,
             servers=self.board.number, nodes=self.roll.number, share_of=self.shared_by(now),
             counting=self.counting, settled=self.settled(now),
+            clock_ms=max(1, int((now - self.began) * 1000)),
         )  # fmt: skip
         if ask.script != state.version:
             cue.evacuated.extend(state.evacuated)
--- a/playhouse/wings/links.py
+++ b/playhouse/wings/links.py
@@ -1,104 +1,36 @@
-"""Connections between the system's own processes: frames, calls with answers, passing on for who is cut off.
+"""Connections between the system's own processes: calls with answers, passing on for who is cut off.
 
-A call that fails says whether the other side may have acted on it (`SystemFailure.may_have_run`). Every
-wait is limited, every queue bounded; a connection on which nothing is acknowledged is given up, as behind a
-cut it would hang.
+A call that fails says whether the other side may have acted on it (`SystemFailure.may_have_run`). An answer
+is taken on the connection that its call went out on, which leads to one life of one process, and on no
+other. Every wait is limited, every queue bounded; a connection on which nothing is acknowledged is given up,
+as behind a cut it would hang.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
-import socket
-import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from google.protobuf.message import DecodeError
-
 from playhouse.errors import Code, SystemFailure
+from playhouse.events import Event, note
 from playhouse.settings import Door, shown
 from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.frames import FORMAT, Frames
+from playhouse.wings.kinds import Fence
 
-MOST = 32 * 1024 * 1024  # bytes of a frame
-QUEUED = 8 * 1024 * 1024  # bytes that wait to be written to one door
-UNACKED_MS = 1500  # ms without an acknowledgement after which a connection is given up
 DIAL = 0.3  # s for a connection to come up: what goes to a machine that is dark is not sent again for seconds
 PAUSE = (0.05, 0.4)  # s between dials of a door that fail: the first, the longest
 CALLERS = 1024  # calls of others that are worked on at once
+DIALLED = 256  # envelopes that wait for one connection to come up
+PASSED = 2.0  # s for the answer to a call that is passed on
+REMARK = 5.0  # s between two lines of the log about the same kind of foreign word
 
 Handler = Callable[[pb.Envelope], Awaitable[pb.Envelope]]
 Hearer = Callable[[pb.Envelope], None]
 
 
-def keep_short(sock: socket.socket, unacked_ms: int = UNACKED_MS) -> None:
-    """A peer that is cut off or without power is noticed."""
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacked_ms)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
-
-
-class Frames(asyncio.Protocol):
-    """One connection, either way round."""
-
-    def __init__(self, wings: Wings, door: str = "") -> None:
-        self._wings, self.door = wings, door  # whose door it leads to, if we made it
-        self._buffer = bytearray()
-        self.transport: asyncio.Transport | None = None
-        self.heard_at = 0.0
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport) or hasattr(transport, "write")
-        self.transport = transport  # type: ignore[assignment]
-        if sock := transport.get_extra_info("socket"):
-            keep_short(sock)
-        self._wings.opened(self)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.transport = None
-        self._wings.closed(self)
-
-    def data_received(self, data: bytes) -> None:
-        self.heard_at = self._wings.now()
-        self._buffer += data
-        at = 0
-        while len(self._buffer) - at >= 4:
-            (size,) = struct.unpack_from(">I", self._buffer, at)
-            if size > MOST:
-                self.drop()
-                return
-            if len(self._buffer) - at - 4 < size:
-                break
-            frame = bytes(self._buffer[at + 4 : at + 4 + size])
-            at += 4 + size
-            try:
-                envelope = pb.Envelope.FromString(frame)
-            except DecodeError:
-                self._wings.counts["foreign"] = self._wings.counts.get("foreign", 0) + 1
-                self.drop()
-                return
-            self._wings.came(self, envelope)
-        del self._buffer[:at]
-
-    def write(self, envelope: pb.Envelope) -> bool:
-        if self.transport is None or self.transport.is_closing():
-            return False
-        if self.transport.get_write_buffer_size() > QUEUED:
-            return False
-        data = envelope.SerializeToString()
-        self.transport.write(struct.pack(">I", len(data)) + data)
-        return True
-
-    def drop(self) -> None:
-        if self.transport:
-            self.transport.abort()
-
-
 @dataclass(slots=True)
 class _Waiting:
     future: asyncio.Future[pb.Envelope]
@@ -118,11 +50,15 @@
         self._all: set[Frames] = set()
         self._queued: dict[str, list[pb.Envelope]] = {}  # until a dial is up
         self._calls: dict[int, _Waiting] = {}
-        self._next = 0
+        self._next = random.getrandbits(27)  # two lives do not count alike
+        self.life = f"{random.getrandbits(48):x}"
+        self.system = ""  # its name, once it is known
+        self.fence = Fence()
+        self._remarks: dict[Event, tuple[float, int]] = {}  # not before when, and how many were left out
         self.lost: Callable[[str], None] = lambda door: None  # told when a connection to a door has ended
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
-        self.counts: dict[str, int] = {}
+        self.counts: dict[str, int] = {}  # of what was refused, by why
         self.frames = Frames  # what connections are made as
 
     def now(self) -> float:
@@ -144,8 +80,70 @@
     def opened(self, frames: Frames) -> None:
         self._all.add(frames)
 
+    def greeted(self, frames: Frames) -> bool:
+        """Who has no name for its system yet may be new to this one. Who has none itself learns it from those
+        it dialled: it was told of them."""
+        peer = frames.peer
+        assert peer
+        if peer.format != FORMAT:
+            return self._foreign(frames, f"format {peer.format}, where {FORMAT} is known")
+        is_for_us = peer.door == frames.door if frames.door else peer.to == self.own
+        if not (peer.life and peer.door and is_for_us):
+            return self._foreign(frames, f"{peer.door or 'nobody'} to {peer.to or frames.door}")
+        if peer.system and self.system and peer.system != self.system:
+            return self._foreign(frames, f"system {peer.system}, where this one is {self.system}")
+        if frames.door:
+            self._pause.pop(frames.door, None)
+        if peer.system and not self.system:
+            if frames.door:
+                self.name_system(peer.system)
+            elif not frames.was_greeted:
+                frames.is_strange = True
+        frames.was_greeted = True
+        return True
+
+    def name_system(self, name: str) -> None:
+        """The name is known from now on: all who are connected hear of it, and who is of another is left."""
+        if name == self.system:
+            return
+        self.system = name
+        for frames in list(self._all):
+            frames.is_strange = False
+            if frames.peer and frames.peer.system not in ("", name):
+                self._foreign(frames, f"system {frames.peer.system}, where this one is {name}")
+            else:
+                frames.regreet()
+
+    def _foreign(self, frames: Frames, why: str) -> bool:
+        self._refuse("foreign", Event.FOREIGN_PEER, why)
+        frames.drop()
+        return False
+
+    def garbled(self, frames: Frames, why: str) -> None:
+        self._refuse("garbled", Event.GARBLED_FRAME, why)
+        frames.drop()
+
+    def outdated(self, envelope: pb.Envelope, door: str) -> bool:
+        """A leader's word of an older term than one that was heard: nothing is to come of it."""
+        if envelope.fault or self.fence.admits(envelope.term):
+            return False
+        self._refuse("outdated", Event.OLD_TERM, f"{envelope.term} at {door}, after {self.fence.newest}")
+        return True
+
+    def _refuse(self, what: str, event: Event, why: str) -> None:
+        """Counted; told of at a bounded rate, as whoever sends it may go on."""
+        self.counts[what] = self.counts.get(what, 0) + 1
+        due, left_out = self._remarks.get(event, (0.0, 0))
+        if self.now() < due:
+            self._remarks[event] = (due, left_out + 1)
+            return
+        self._remarks[event] = (self.now() + REMARK, 0)
+        note(event, "%s%s", why, f" ({left_out} more before)" if left_out else "")
+
     def closed(self, frames: Frames) -> None:
         self._all.discard(frames)
+        if frames.door and frames.peer is None:  # it was not let in, or nobody is there: not dialled at once
+            self._pause_dials(frames.door)
         if frames.door and self._made.get(frames.door) is frames:
             del self._made[frames.door]
             self.lost(frames.door)
@@ -161,20 +159,20 @@
             if made.transport is None:  # it came up and ended before this went on
                 raise ConnectionResetError
         except (OSError, TimeoutError):
-            pause = self._pause.get(door, (0.0, PAUSE[0]))[1]
-            self._pause[door] = (self.now() + pause * (0.5 + random.random()), min(PAUSE[1], pause * 2))
+            self._pause_dials(door)
             for envelope in self._queued.pop(door, ()):
-                waiting = self._calls.get(envelope.call)
-                if waiting and not envelope.answer and not waiting.future.done():
-                    waiting.future.set_exception(SystemFailure(Code.UNREACHABLE, door))
+                self._fail(envelope, Code.UNREACHABLE, door)
             return
         finally:
             self._dials.pop(door, None)
-        self._pause.pop(door, None)
         self._made[door] = made
         for envelope in self._queued.pop(door, ()):
             self._write(made, envelope)
 
+    def _pause_dials(self, door: str) -> None:
+        pause = self._pause.get(door, (0.0, PAUSE[0]))[1]
+        self._pause[door] = (self.now() + pause * (0.5 + random.random()), min(PAUSE[1], pause * 2))
+
     def _write(self, frames: Frames, envelope: pb.Envelope) -> None:
         waiting = self._calls.get(envelope.call) if envelope.call and not envelope.answer else None
         if frames.write(envelope):
@@ -183,18 +181,24 @@
         elif waiting and not waiting.future.done():
             waiting.future.set_exception(SystemFailure(Code.FULL, frames.door))
 
+    def _fail(self, envelope: pb.Envelope, code: Code, door: str) -> None:
+        """A call of ours was not sent."""
+        waiting = self._calls.get(envelope.call) if envelope.call else None
+        if waiting and not waiting.future.done():
+            waiting.future.set_exception(SystemFailure(code, door))
+
     def _send(self, door: str, envelope: pb.Envelope) -> None:
         if made := self._made.get(door):
             self._write(made, envelope)
             return
         if self._pause.get(door, (0.0, 0.0))[0] > self.now():
-            waiting = self._calls.get(envelope.call)
-            if waiting and not waiting.future.done():
-                waiting.future.set_exception(SystemFailure(Code.UNREACHABLE, door))
+            self._fail(envelope, Code.UNREACHABLE, door)
             return
         queue = self._queued.setdefault(door, [])
-        if len(queue) < 256:
+        if len(queue) < DIALLED:
             queue.append(envelope)
+        else:
+            self._fail(envelope, Code.FULL, door)
         if door not in self._dials:
             self._dials[door] = self._loop.create_task(self._dial(door))
 
@@ -203,7 +207,9 @@
     def came(self, frames: Frames, envelope: pb.Envelope) -> None:
         if envelope.answer:
             waiting = self._calls.get(envelope.call)
-            if waiting and not waiting.future.done():
+            if waiting is None or waiting.frames is not frames:  # late, or by one that was not asked
+                self.counts["unasked"] = self.counts.get("unasked", 0) + 1
+            elif not waiting.future.done():
                 waiting.future.set_result(envelope)
         elif envelope.call:
             if len(self._tasks) >= CALLERS:
@@ -212,16 +218,21 @@
             task = self._loop.create_task(self._answer(frames, envelope))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
+        elif frames.is_strange:
+            self.counts["strange"] = self.counts.get("strange", 0) + 1
         else:
             self._hear(envelope)
 
     async def _answer(self, frames: Frames, envelope: pb.Envelope) -> None:
-        call = envelope.call
+        call, life = envelope.call, frames.peer.life if frames.peer else ""
         try:
             if envelope.pass_to and envelope.pass_to != self.own:
-                door, envelope.pass_to = envelope.pass_to, ""
-                answer = await self.call(door, envelope, 2.0)
+                door, envelope.pass_to, envelope.origin = envelope.pass_to, "", life
+                answer = await self.call(door, envelope, PASSED)
+                if self.outdated(answer, door):
+                    raise SystemFailure(Code.SILENT, "an older leader's word")
             else:
+                envelope.origin = envelope.origin or life
                 answer = await self._handle(envelope)
         except SystemFailure as failure:
             answer = pb.Envelope(fault=failure.code)
--- a/playhouse/wings/reach.py
+++ b/playhouse/wings/reach.py
@@ -8,6 +8,7 @@
 
 from playhouse.errors import Code, SystemFailure
 from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.kinds import KINDS, Repeat
 from playhouse.wings.links import Wings
 
 AVOID = (1.0, 8.0)  # s that a door that did not answer is gone around: at first, and at most
@@ -20,7 +21,7 @@
         """`cores`: doors where the duty may be held; `peers`: those that may pass calls on."""
         self._wings, self._cores, self._peers = wings, cores, peers
         self.hint = ""
-        self._turn = 0
+        self._turn = self._id = 0
         self._bad: dict[str, tuple[float, float]] = {}  # by door: until when, and for how long that was
 
     def _next(self) -> str:
@@ -45,9 +46,20 @@
         others = [d for d in self._peers() if d not in own and not self._is_bad(d, now)]
         return random.choice(others) if others else door
 
+    def tell(self, envelope: pb.Envelope) -> None:
+        """To the leader, as far as it is known; may be lost, and means nothing to a later one."""
+        envelope.term = self._wings.fence.newest
+        if self.hint:
+            self._wings.tell(self.hint, envelope)
+
     async def call(self, envelope: pb.Envelope, within: float, patience: float) -> pb.Envelope:
         """The leader's answer, in `within` seconds over all tries and `patience` for one. Raises
-        SystemFailure. The call may reach the leader more than once."""
+        SystemFailure. The call may reach the leader more than once, and late: `KINDS` says what each kind
+        bears that by. A word of an older leader than one that was heard is no answer."""
+        kind = KINDS[envelope.WhichOneof("body") or ""]
+        if kind.repeat is Repeat.REMEMBERED:
+            self._id += 1
+            envelope.id = self._id
         end, wings, failure = self._wings.now() + within, self._wings, SystemFailure(Code.UNREACHABLE)
         for _ in range(TRIES):
             now = wings.now()
@@ -57,6 +69,7 @@
             way = self._way(door, now)
             made = pb.Envelope()
             made.CopyFrom(envelope)
+            made.term = wings.fence.newest
             if way != door:
                 made.pass_to = door
             try:
@@ -77,6 +90,10 @@
                 if not self.hint:
                     await asyncio.sleep(random.uniform(*PAUSE))
                 continue
+            if wings.outdated(answer, door):
+                failure, self.hint = SystemFailure(Code.SILENT, "an older leader's word"), ""
+                await asyncio.sleep(random.uniform(*PAUSE))
+                continue
             self.hint = door
             return answer
         raise failure
--- a/tests/test_playhouse_units.py
+++ b/tests/test_playhouse_units.py
@@ -49,6 +49,8 @@
     share: float = 1.0
     share_at: float = 0.0
     rate: float = 1.0  # of its clock
+    epoch: str = ""
+    clock: tuple[int, float] = (0, 0.0)  # what the newest cue said of its leader's, and when it came
 
 
 class World:
@@ -95,18 +97,24 @@
         asked, answered = self.now, [False]
         idle = 0 if edge.edges else int((asked - edge.began) * 1000)
         lag = self.rng.uniform(0.001, 0.03)
+        epoch, counting, (said, came) = edge.epoch, edge.counting, edge.clock
+        clock = int(said + (asked - came) * 1000 * 0.98 / edge.rate) if said else 0
 
-        def arrive() -> None:
-            if edge.name in self.cut or self.duty is None:
+        def arrive(again: bool = False) -> None:
+            if (edge.name in self.cut and not again) or self.duty is None:
                 return
             if edge.name not in self.state.edges:
                 self.state.apply(Command(Verb.ENROL, names=(edge.name,)))
             node = pb.Node(name=edge.name, life=str(life), kind="edge", door="d", http="h")
             made = pb.Ask(
-                node=node, counting=edge.counting, epoch="", script=self.state.version, idle_ms=idle
-            )
+                node=node, counting=counting, epoch=epoch, script=self.state.version, idle_ms=idle,
+                clock_ms=clock,
+            )  # fmt: skip
             duty = self.duty
-            duty.asked(self.now, made)
+            try:
+                duty.asked(self.now, made)
+            except SystemFailure:
+                return
             self.later(hold(EDGES) * self.rng.random(), lambda: answer(duty, made))
 
         def answer(duty: Duty, made: pb.Ask) -> None:
@@ -123,6 +131,7 @@
                 return
             answered[0] = True
             edge.counting, edge.edges = cue.counting, max(edge.edges, cue.share_of)
+            edge.epoch, edge.clock = cue.epoch, (cue.clock_ms, self.now)
             edge.heard_at, edge.lease_end = self.now, asked + LEASE * 0.98 / edge.rate
             self.ask(edge, life)
 
@@ -132,6 +141,8 @@
                 self.ask(edge, life)
 
         self.later(lag, arrive)
+        if self.rng.random() < 0.2:  # a copy that a peer held up, and passes on when it thaws
+            self.later(self.rng.uniform(0.1, 6.0), lambda: arrive(True))
         self.later(hold(EDGES) + 0.35, give_up)
 
     def spend(self, edge: Edge) -> None:
@@ -208,6 +219,7 @@
                 edge.began = self.now
                 edge.heard_at = edge.lease_end = -1e9
                 edge.counting, edge.edges, edge.share = False, 0, 1.0
+                edge.epoch, edge.clock = "", (0, 0.0)
                 edge.tokens.clear()
                 self.later(0.3, lambda edge=edge: self.ask(edge, edge.life))  # type: ignore[misc]
 
--- a/tests/test_playhouse_wings.py
+++ b/tests/test_playhouse_wings.py
@@ -12,7 +12,8 @@
 
 from playhouse.errors import Code, SystemFailure
 from playhouse.wings import cues_pb2 as pb
-from playhouse.wings.links import Frames, Wings
+from playhouse.wings.frames import Frames
+from playhouse.wings.links import Wings
 from playhouse.wings.reach import Reach
 
 HOST = "127.0.0.1"
@@ -100,13 +101,13 @@
 async def test_bytes_that_are_no_frame_end_the_connection_and_are_counted() -> None:
     async with wings() as ours:
         host, _, port = ours.own.rpartition(":")
-        for data in (struct.pack(">I", 5) + b"\xff" * 5, struct.pack(">I", 2**31)):
+        for data in (struct.pack(">I", 5) + b"\xff" * 5, struct.pack(">I", 2**31), struct.pack(">I", 2000)):
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(data)
             with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
                 await asyncio.wait_for(reader.readexactly(1), 5)
             writer.close()
-        assert ours.counts == {"foreign": 1}
+        assert ours.counts == {"garbled": 3}
 
 
 async def test_a_call_finds_the_holder_by_hints_and_round_a_cut_by_a_peer() -> None:
