--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -226,7 +226,10 @@
         another request's."""
         if judge := self.pool.judge:
             asked = self.exchange.data if self.exchange else b""
-            return judge(message, asked if isinstance(asked, bytes) else b"")
+            answer = judge(message, asked if isinstance(asked, bytes) else b"")
+            if answer.outcome is Outcome.ERROR and message.status >= 200:  # nothing shows whose it is: its own answer may yet come
+                self.astray = True
+            return answer
         headers, status = message.headers, message.status
         load = headers.get(b"server-load", b"")
         if self.keep_fields and status not in (502, 503, 504):
--- a/playhouse/stage/dialect.py
+++ b/playhouse/stage/dialect.py
@@ -35,11 +35,10 @@
 
 def judge(message: Message, sent: bytes) -> Answer:
     """What an answer says. MOOT: it belongs to another request. FULL: the server says that it has not run
-    this one. All else was run, and goes to the client as it is."""
+    this one, by its id: without one, nothing shows that these bytes belong to it. All else was run, and goes
+    to the client as it is."""
     headers, status = message.headers, message.status
     if headers.get(ID) != request_id(sent):
-        if status == 421 or b"x-not-run" in headers:
-            return Answer(Outcome.FULL) if ID not in headers else Answer(Outcome.MOOT)
         return Answer(Outcome.MOOT) if ID in headers else Answer(Outcome.ERROR)
     if status == 421 or b"x-not-run" in headers:
         return Answer(Outcome.FULL)
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -117,9 +117,7 @@
         if call.term != self.term:
             raise SystemFailure(Code.STALE, f"meant for term {call.term}")
         if before := self._repeats.answer(now, call.origin, call.id):
-            made = pb.Envelope()
-            made.CopyFrom(before)  # each copy is answered under its own number
-            return made
+            return before
         answer = pb.Envelope(term=self.term)
         if call.HasField("deal"):
             answer.dealt.CopyFrom(self.deal(now, call.deal))
--- a/playhouse/understudy/repeats.py
+++ b/playhouse/understudy/repeats.py
@@ -7,7 +7,7 @@
 # A caller sends copies for 0.5 s, a peer waits 2 s for the answer to what it passes on, and bytes that nobody
 # acknowledges are given up after 1.5 s.
 KEEP = 4.0  # s
-MOST = 4096  # answers; about 600 bytes each
+MOST = 4096  # answers; about 300 bytes each
 
 
 class Repeats:
@@ -17,17 +17,17 @@
     Times are seconds on the leader's clock."""
 
     def __init__(self) -> None:
-        self._answers: dict[tuple[str, int], tuple[float, pb.Envelope]] = {}  # by life and id, in order
+        self._answers: dict[tuple[str, int], tuple[float, bytes]] = {}  # by life and id, in order
 
     def answer(self, now: float, origin: str, id: int) -> pb.Envelope | None:
         """What a copy of this call was answered before."""
         self._forget(now)
         found = self._answers.get((origin, id)) if origin and id else None
-        return found[1] if found else None
+        return pb.Envelope.FromString(found[1]) if found else None
 
     def keep(self, now: float, origin: str, id: int, answer: pb.Envelope) -> None:
         if origin and id:
-            self._answers[origin, id] = (now, answer)
+            self._answers[origin, id] = (now, answer.SerializeToString())
 
     def _forget(self, now: float) -> None:
         answers = self._answers
--- a/playhouse/wings/links.py
+++ b/playhouse/wings/links.py
@@ -116,6 +116,8 @@
 
     def _foreign(self, frames: Frames, why: str) -> bool:
         self._refuse("foreign", Event.FOREIGN_PEER, why)
+        if frames.door:
+            self._pause_dials(frames.door)
         frames.drop()
         return False
 
--- /dev/null
+++ b/tests/test_playhouse_frames.py
@@ -0,0 +1,552 @@
+"""What is not meant for this life of this process of this system, or was said by an older leader, is acted
+upon by nobody: hellos, answers, terms, copies."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import struct
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any, cast
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from playhouse.boxoffice.purse import starts
+from playhouse.callboard.board import Board, Seen
+from playhouse.company.roll import LEASE, LOST, Roll
+from playhouse.core import Core
+from playhouse.errors import Code, SystemFailure
+from playhouse.events import Event
+from playhouse.script.state import Command, State, Verb
+from playhouse.settings import Bounds, checked
+from playhouse.understudy import repeats
+from playhouse.understudy.duty import Duty
+from playhouse.wings import cues_pb2 as pb
+from playhouse.wings import links, reach
+from playhouse.wings.frames import FORMAT, HELLO_MOST, Frames
+from playhouse.wings.kinds import KINDS, Fence, Repeat
+from playhouse.wings.links import Wings
+from playhouse.wings.reach import Reach
+from tests.test_playhouse_control import SETTINGS
+from tests.test_playhouse_wings import HOST, free, order, wings
+
+HERE, OTHER = "0123456789abcdef", "fedcba9876543210"
+
+
+def framed(envelope: pb.Envelope) -> bytes:
+    data = envelope.SerializeToString()
+    return struct.pack(">I", len(data)) + data
+
+
+def hello(to: str, **fields: Any) -> pb.Envelope:
+    made = {"format": FORMAT, "system": HERE, "life": "b", "door": "127.0.0.1:1", "to": to} | fields
+    return pb.Envelope(hello=pb.Hello(**made))
+
+
+class Raw:
+    """The other end of a connection, which says what the test wants."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def read(self) -> pb.Envelope:
+        async with asyncio.timeout(5):
+            (size,) = struct.unpack(">I", await self.reader.readexactly(4))
+            return pb.Envelope.FromString(await self.reader.readexactly(size))
+
+    def write(self, *envelopes: pb.Envelope) -> None:
+        self.writer.write(b"".join(map(framed, envelopes)))
+
+    async def ended(self) -> bool:
+        """Whether nothing more comes, but for a hello."""
+        try:
+            while (await self.read()).HasField("hello"):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return True
+        return False
+
+    @classmethod
+    async def dial(cls, door: str) -> Raw:
+        host, _, port = door.rpartition(":")
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+
+@asynccontextmanager
+async def raw_server(port: int = 0) -> AsyncIterator[tuple[str, asyncio.Queue[Raw]]]:
+    came: asyncio.Queue[Raw] = asyncio.Queue()
+    server = await asyncio.start_server(lambda r, w: came.put_nowait(Raw(r, w)), HOST, port)
+    try:
+        yield f"{HOST}:{server.sockets[0].getsockname()[1]}", came
+    finally:
+        server.close()
+        while not came.empty():
+            came.get_nowait().writer.close()
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    async with asyncio.timeout(5):
+        while not holds():
+            await asyncio.sleep(0.002)
+
+
+def outcome(envelope: pb.Envelope, body: bytes, **fields: Any) -> pb.Envelope:
+    """An answer to that call."""
+    return pb.Envelope(call=envelope.call, answer=True, outcome=pb.Outcome(status=200, body=body), **fields)
+
+
+# Answers.
+
+
+async def test_an_answer_is_taken_on_the_connection_that_its_call_went_out_on() -> None:
+    async with wings() as ours, raw_server() as (door, came):
+        ours.system = HERE
+        call = asyncio.create_task(ours.call(door, order(), 5.0))
+        asked = await came.get()
+        assert (said := (await asked.read()).hello).to == door and said.life == ours.life
+        sent = await asked.read()  # together with the hello: it waits for no answer to that
+        stranger = await Raw.dial(ours.own)
+        stranger.write(hello(ours.own), outcome(sent, b"by another process"))
+        await until(lambda: ours.counts.get("unasked") == 1)
+        assert not call.done()
+        asked.write(hello("", door=door), outcome(sent, b"by who was asked"))
+        assert (await call).outcome.body == b"by who was asked"
+        stranger.writer.close()
+
+
+async def test_a_late_answer_of_a_life_before_is_not_taken_on_a_newer_connection() -> None:
+    async with wings() as ours, raw_server() as (door, came):
+        with pytest.raises(SystemFailure) as silent:
+            await asyncio.gather(ours.call(door, order(), 5.0), end_first(came))
+        assert silent.value.code is Code.SILENT and silent.value.may_have_run
+        ours._pause.clear()
+        call = asyncio.create_task(ours.call(door, order(), 5.0))
+        second = await came.get()
+        await second.read()
+        sent = await second.read()
+        second.write(hello("", door=door), outcome(pb.Envelope(call=sent.call - 1), b"late"))
+        await until(lambda: ours.counts.get("unasked") == 1)
+        second.write(hello("", door=door, life="c"), outcome(sent, b"of another life"))
+        with pytest.raises(SystemFailure):  # the connection's life cannot change: what follows is not heard
+            await call
+        assert ours.counts["garbled"] == 1
+
+
+async def end_first(came: asyncio.Queue[Raw]) -> None:
+    first = await came.get()
+    await first.read()
+    await first.read()
+    first.writer.transport.abort()
+
+
+async def test_two_lives_neither_share_a_name_nor_count_their_calls_alike() -> None:
+    lives = [Wings((HOST, 1), lambda envelope: None, cast(Any, None)) for _ in range(20)]
+    assert len({w.life for w in lives}) == len({w._next >> 8 for w in lives}) == 20
+
+
+# Who may connect.
+
+FOREIGN = {
+    "another format": [hello("", format=FORMAT + 1)],
+    "no life": [hello("", life="")],
+    "no door": [hello("", door="")],
+    "meant for another": [hello("10.9.9.9:7600")],
+    "meant for nobody": [hello("nobody")],
+    "another system": [hello("", system=OTHER)],
+    "no hello": [order()],
+    "another life later": [hello(""), hello("", life="c")],
+    "another system later": [hello("", system=""), hello("", system=OTHER)],
+}
+
+
+@pytest.mark.parametrize("what", FOREIGN)
+async def test_what_is_foreign_is_dropped_and_nothing_acted_upon(
+    what: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    noted = list[Event]()
+    monkeypatch.setattr(links, "note", lambda event, *args: noted.append(event))
+    async with wings() as ours, wings() as friend:
+        ours.system = friend.system = HERE
+        heard = list[pb.Envelope]()
+        ours._hear = heard.append
+        for _ in range(3):
+            raw = await Raw.dial(ours.own)
+            said = [pb.Envelope.FromString(e.SerializeToString()) for e in FOREIGN[what]]
+            for envelope in said:
+                if envelope.HasField("hello") and not envelope.hello.to:
+                    envelope.hello.to = ours.own
+                elif envelope.HasField("hello") and envelope.hello.to == "nobody":
+                    envelope.hello.to = ""
+            raw.write(*said, pb.Envelope(log_message=pb.LogMessage(term=9)), order())
+            assert await raw.ended()
+        assert heard == [] and sum(ours.counts.values()) == 3
+        assert len(noted) == 1 and noted[0] in (Event.FOREIGN_PEER, Event.GARBLED_FRAME)  # one in 5 s
+        assert (await friend.call(ours.own, order(), 2.0)).outcome.status == 200
+
+
+async def test_a_foreign_process_at_a_reused_door_is_left_and_not_dialled_at_once() -> None:
+    async with wings() as ours, raw_server() as (door, came):
+        ours.system = HERE
+        call = asyncio.create_task(ours.call(door, order(), 5.0))
+        raw = await came.get()
+        await raw.read()
+        sent = await raw.read()
+        raw.write(hello("", system=OTHER, door=door), outcome(sent, b"foreign"))
+        with pytest.raises(SystemFailure) as broken:
+            await call
+        assert broken.value.may_have_run and ours.counts["foreign"] == 1
+        with pytest.raises(SystemFailure) as paused:
+            await ours.call(door, order(), 5.0)
+        assert paused.value.code is Code.UNREACHABLE and came.empty()
+
+
+async def test_a_name_is_learnt_from_who_was_dialled_and_from_nobody_else() -> None:
+    async with wings() as ours, wings() as named:
+        heard = list[pb.Envelope]()
+        ours._hear = heard.append
+        named.system = OTHER
+        beat = pb.Envelope(log_message=pb.LogMessage(term=9))
+        named.tell(ours.own, beat)  # as the leader of a system that had this address before
+        await until(lambda: ours.counts.get("strange") == 1)
+        assert ours.system == "" and heard == []
+        assert (await named.call(ours.own, order(), 2.0)).outcome.status == 200  # asked, it may answer
+        async with wings() as seed:
+            assert (await ours.call(seed.own, order(), 2.0)).outcome.status == 200 and ours.system == ""
+            seed.name_system(HERE)  # drawn while they were connected
+            await until(lambda: ours.system == HERE)
+            assert ours.counts.get("foreign") == 1  # the other system's was left then
+            seed.tell(ours.own, beat)
+            await until(lambda: len(heard) == 1)
+
+
+class Ends:
+    """A process that writes down what its connection brings."""
+
+    own, life, system = "127.0.0.1:2", "a", HERE
+
+    def __init__(self) -> None:
+        self.came_in: list[bytes] = []
+        self.bad = 0
+
+    def now(self) -> float:
+        return 0.0
+
+    def opened(self, frames: Frames) -> None: ...
+    def closed(self, frames: Frames) -> None: ...
+    def greeted(self, frames: Frames) -> bool:
+        return True
+
+    def came(self, frames: Frames, envelope: pb.Envelope) -> None:
+        self.came_in.append(envelope.SerializeToString())
+
+    def garbled(self, frames: Frames, why: str) -> None:
+        self.bad += 1
+        frames.drop()
+
+
+class Wire:
+    """A transport in memory."""
+
+    def __init__(self) -> None:
+        self.written, self.closing = b"", False
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def get_extra_info(self, name: str) -> None:
+        return None
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+    def abort(self) -> None:
+        self.closing = True
+
+
+def plainly(data: bytes) -> tuple[list[bytes], int]:
+    """The model: frames one after the other, until the first that is bad; a hello comes first."""
+    came, greeted, life = list[bytes](), False, ("", "")
+    while len(data) >= 4:
+        size = int.from_bytes(data[:4], "big")
+        if size > (32 << 20 if greeted else HELLO_MOST):
+            return came, 1
+        if len(data) < 4 + size:
+            break
+        frame, data = data[4 : 4 + size], data[4 + size :]
+        try:
+            envelope = pb.Envelope.FromString(frame)
+        except Exception:
+            return came, 1
+        if envelope.HasField("hello"):
+            now = (envelope.hello.life, envelope.hello.door)
+            if greeted and now != life:
+                return came, 1
+            greeted, life = True, now
+        elif not greeted:
+            return came, 1
+        else:
+            came.append(envelope.SerializeToString())
+    return came, 0
+
+
+GOOD = [framed(e) for e in (order("x"), outcome(order(), b"y"), pb.Envelope(call=7, ask=pb.Ask(script=3)))]
+PIECES = st.one_of(
+    st.sampled_from([*GOOD, framed(hello("t")), framed(hello("t", life="c")), struct.pack(">I", 1 << 31)]),
+    st.binary(max_size=12),
+    st.builds(lambda piece, cut: piece[:cut], st.sampled_from(GOOD), st.integers(0, 30)),
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.booleans(), st.lists(PIECES, max_size=8), st.lists(st.integers(1, 40), max_size=30))
+def test_bytes_cut_anywhere_bring_what_the_plain_model_reads(
+    greets: bool, pieces: list[bytes], cuts: list[int]
+) -> None:
+    data = (framed(hello("t")) if greets else b"") + b"".join(pieces)
+    process, wire = Ends(), Wire()
+    frames = Frames(process, "127.0.0.1:1")
+    frames.connection_made(cast(Any, wire))
+    rest, sizes = data, [*cuts, len(data) + 1]
+    for size in sizes:
+        if rest and not wire.closing:
+            frames.data_received(rest[:size])
+            rest = rest[size:]
+    assert (process.came_in, process.bad) == plainly(data)
+
+
+# Terms.
+
+
+@pytest.fixture(autouse=True)
+def no_pauses(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    monkeypatch.setattr(reach, "PAUSE", (0.0, 0.001))
+    yield
+
+
+def leader(term: int, body: bytes) -> Any:
+    async def answer(envelope: pb.Envelope) -> pb.Envelope:
+        return pb.Envelope(term=term, outcome=pb.Outcome(status=200, body=body))
+
+    return answer
+
+
+async def test_an_old_leaders_word_after_a_newer_one_is_refused_also_through_a_peer() -> None:
+    async with wings() as ours, wings() as old, wings() as new, wings() as peer, wings() as heard_both:
+        old._handle, new._handle = leader(4, b"old"), leader(5, b"new")
+        ask = Reach(ours, lambda: [new.own], lambda: [peer.own])
+        assert (await ask.call(order(), 2.0, 1.0)).outcome.body == b"new" and ours.fence.newest == 5
+        ask.hint = old.own
+        assert (await ask.call(order(), 2.0, 1.0)).outcome.body == b"new"
+        assert ours.counts["outdated"] == 1 and ask.hint == new.own
+        ask.hint, ask._bad[old.own] = old.own, (ours.now() + 9, 9.0)  # the way there is cut: by the peer
+        assert (await ask.call(order(), 2.0, 1.0)).outcome.body == b"new" and ours.counts["outdated"] == 2
+        heard_both.fence.newest = 5
+        passed = order()
+        passed.pass_to = old.own
+        with pytest.raises(SystemFailure) as refused:  # a peer that has heard the newer passes no older on
+            await peer.call(heard_both.own, passed, 2.0)
+        assert refused.value.code is Code.SILENT and refused.value.may_have_run
+
+
+WORDS = st.lists(st.tuples(st.integers(1, 6), st.booleans()), max_size=12)
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(WORDS)
+def test_which_words_may_be_acted_on_as_in_the_plain_model(words: list[tuple[int, bool]]) -> None:
+    """Only such as are of no older term than any that was acted on in this life, whichever way they come."""
+
+    async def play() -> None:
+        ours = Wings((HOST, 1), lambda envelope: None, cast(Any, None))
+        left, acted, terms = list(words), list[int](), list[int]()
+
+        async def call(door: str, envelope: pb.Envelope, within: float) -> pb.Envelope:
+            assert envelope.term == max(terms, default=0)  # the leader is told what was heard
+            if not left:
+                raise SystemFailure(Code.REFUSED)
+            term, by_peer = left.pop(0)
+            ask._bad = {"core:1": (ours.now() + 9, 9.0)} if by_peer else {}
+            if term >= max(terms, default=0):
+                terms.append(term)
+            return pb.Envelope(term=term, leased=pb.Leased(left=term))
+
+        ours.call = call  # type: ignore[method-assign]
+        ask = Reach(ours, lambda: ["core:1", "core:2"], lambda: ["peer:1"])
+        while left:
+            try:
+                acted.append((await ask.call(pb.Envelope(lease=pb.Lease(amount=1)), 5.0, 5.0)).term)
+            except SystemFailure:
+                break
+        assert acted == terms
+
+    asyncio.run(play())
+
+
+async def test_every_kind_of_call_says_what_a_copy_does_and_remembered_ones_carry_an_id() -> None:
+    kinds = {field.name for field in pb.Envelope.DESCRIPTOR.oneofs_by_name["body"].fields}
+    assert kinds == KINDS.keys()
+    assert {n for n, kind in KINDS.items() if kind.leader} == {
+        n for n, kind in KINDS.items() if kind.repeat is Repeat.ANSWER
+    }
+    ours, sent = Wings((HOST, 1), lambda envelope: None, cast(Any, None)), list[pb.Envelope]()
+
+    async def call(door: str, envelope: pb.Envelope, within: float) -> pb.Envelope:
+        sent.append(envelope)
+        raise SystemFailure(Code.SILENT if len(sent) % 3 else Code.REFUSED)
+
+    ours.call = call  # type: ignore[method-assign]
+    ask = Reach(ours, lambda: ["core:1"], list)
+    for envelope in (pb.Envelope(deal=pb.Deal()), pb.Envelope(lease=pb.Lease()), pb.Envelope(ask=pb.Ask())):
+        with pytest.raises(SystemFailure):
+            await ask.call(envelope, 5.0, 5.0)
+    assert [e.id for e in sent] == [1, 1, 1, 2, 2, 2, 0, 0, 0]  # alike on every copy
+
+
+async def core(folder: Path, **fields: Any) -> Core:
+    """A core of one that holds the duty; its loops do not run."""
+    port = free()
+    raw = {name: dict(part) for name, part in SETTINGS.items()}
+    raw["self"] |= {"ip": HOST, "stateDir": str(folder), "serves": [], "bootstrap": True}
+    raw["network"] |= {"portRange": [port, port + 9], "peers": [f"{HOST}:9"], "listen": {}}
+    made = Core(checked(raw))
+    return made
+
+
+async def lead(made: Core) -> int:
+    async with asyncio.timeout(10):
+        while not (made.duty and made.wings.system):
+            made._do(made.machine.tick(made.now()))
+            made._draw_name()
+            await asyncio.sleep(0.005)
+    assert made.duty
+    return made.duty.term
+
+
+async def test_the_leader_takes_no_call_meant_for_another_term_and_keeps_the_systems_name(
+    tmp_path: Path,
+) -> None:
+    made = await core(tmp_path)
+    term = await lead(made)
+    assert made.duty
+    seen = Seen("i", "s", "a:1", "z", "", 2, "ready", 0.0, 1, made.now())
+    made.duty.board.beat(seen)
+    for said, seq in ((term - 1, 1), (term + 1, 1), (term, 7)):
+        made._hear(pb.Envelope(term=said, beats=pb.Beats(id=["i"], seq=[7])))
+        assert seen.seq == seq
+    lease = pb.Lease(tenant="t", amount=1)
+    for said, code in ((term - 1, Code.STALE), (term, Code.REFUSED)):  # the last has no such tenant
+        with pytest.raises(SystemFailure) as failure:
+            await made._handle(pb.Envelope(term=said, lease=lease))
+        assert failure.value.code is code
+    kinds = (
+        pb.Envelope(lease=lease), pb.Envelope(deal=pb.Deal()), pb.Envelope(ask=pb.Ask()),
+        pb.Envelope(order=pb.Order(method="GET", path="/-/Fleet.Show")),
+    )  # fmt: skip
+    for envelope in kinds:
+        envelope.term = term + 1  # who calls has heard of a later leader: this one is over
+        assert (await made._handle(envelope)).fault == Code.NOT_LEADER
+    envelope.term = term
+    assert (await made._handle(envelope)).term == term == made.wings.fence.newest
+    name = made.wings.system
+    made.wings.stop()
+    made._store.close()
+    again = await core(tmp_path)
+    assert again.wings.system == name and len(name) == 16
+    again._store.close()
+
+
+# Copies.
+
+
+def duty(term: int = 3, began: float = 100.0) -> Duty:
+    state, board = State(), Board()
+    tenants = [{"name": "t", "apiKeys": ["k"], "ratePerS": 10.0, "burst": 100}]
+    content = {"gen": 1, "parent": 0, "routes": [], "tenants": tenants}
+    state.apply(Command(Verb.REPLACE, "d", content | {"backends": [{"name": "s", "warmupPerS": 5.3}]}))
+    board.beat(Seen("i", "s", "a:1", "z", "", 2, "ready", 1e5, 1, began))
+    made = Duty(term, began, False, board, Roll(), [], Bounds(quota_slack=20, warmup_slack=5), 1.5)
+    made.follow(state)
+    return made
+
+
+def unit_call(id: int, origin: str = "a", term: int = 3, deal: bool = False) -> pb.Envelope:
+    if deal:
+        return pb.Envelope(id=id, origin=origin, term=term, deal=pb.Deal(whole=["starts/i"]))
+    return pb.Envelope(id=id, origin=origin, term=term, lease=pb.Lease(tenant="t", amount=10))
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.booleans(), st.integers(1, 3), st.sampled_from("ab")), max_size=20))
+def test_a_copy_is_answered_as_the_first_and_counted_once(calls: list[tuple[bool, int, str]]) -> None:
+    """The model keeps every answer for good, and counts each call once, at another duty."""
+    made, plain = duty(), duty()
+    answers: dict[tuple[int, str], pb.Envelope] = {}
+    now = 100.0
+    for deal, id, origin in calls:
+        now += 0.01
+        id = id + 10 * deal
+        answer = made.units(now, unit_call(id, origin, deal=deal))
+        if (id, origin) not in answers:
+            answers[id, origin] = plain.units(now, unit_call(0, "", deal=deal))
+        assert answer == answers[id, origin]
+        answer.call = 9  # what the connection does with one is nothing to the next
+
+
+def test_copies_are_known_for_as_long_as_they_may_come_and_no_more_than_so_many() -> None:
+    made = duty()
+    call = unit_call(1)
+    call.lease.amount = 80
+    first = made.units(100.0, call)
+    assert made.units(100.0 + repeats.KEEP - 0.01, call) == first
+    assert made.units(100.0 + repeats.KEEP, call) != first  # wasted, and bounded
+    for id in range(2, 2 * repeats.MOST):
+        made.units(105.0, unit_call(id))
+    assert len(made._repeats._answers) <= repeats.MOST
+    with pytest.raises(SystemFailure) as stale:
+        made.units(105.0, unit_call(1, term=2))
+    assert stale.value.code is Code.STALE
+    size = starts(Bounds(warmup_slack=5), 5.3).most
+    dealt = [made.units(105.0, unit_call(9000 + n, deal=True)).dealt.all for n in range(10)]
+    assert dealt.count(True) == int(size)  # another id is another unit
+
+
+def asks(made: Duty, now: float, clock: int, epoch: str = "3", life: str = "1") -> None:
+    node = pb.Node(name="e", life=life, kind="edge", door="d", http="h")
+    ask = pb.Ask(node=node, epoch=epoch, clock_ms=clock, counting=True)
+    made.asked(now, ask)
+
+
+def test_a_copy_of_an_ask_that_was_held_up_is_no_sign_of_life() -> None:
+    """A frozen peer passes it on whenever it thaws: who asked spends its own part of the quotas by then."""
+    made = duty()
+    asks(made, 100.0, 0, "")
+    held = made.roll.leases["e"]
+    made.cue(100.2, pb.Ask(node=held.node), State())
+    assert not held.counting  # it has not heard yet that this term counts
+    asks(made, 100.3, 290)
+    assert held.counting and held.asked_at == 100.3
+    asks(made, 100.35, 290)  # the same one by another way, soon
+    asks(made, 101.0, 700)
+    assert held.asked_at == 100.7 and not made.roll.in_touch(100.7 + 0.25 + LOST, held, 1)
+    for now, clock, epoch in ((101.1, 290, "3"), (101.1, 0, ""), (110.0, 900, "3")):
+        with pytest.raises(SystemFailure) as stale:
+            asks(made, now, clock, epoch)
+        assert stale.value.code is Code.STALE and held.heard_at == 101.0
+    asks(made, 101.2, 0, "", life="2")  # another life has heard nothing yet
+    assert made.roll.leases["e"].node.life == "2" and made.roll.leases["e"].lease_end <= 101.2 + LEASE
+
+
+def test_a_fence_never_goes_back() -> None:
+    rng, fence, newest = random.Random(4), Fence(), 0
+    for _ in range(500):
+        term = rng.randint(0, 30)
+        assert fence.admits(term) == (term >= newest)
+        newest = max(newest, term)
+    assert fence.newest == newest
