--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -227,8 +227,8 @@
         if judge := self.pool.judge:
             asked = self.exchange.data if self.exchange else b""
             answer = judge(message, asked if isinstance(asked, bytes) else b"")
-            if answer.outcome is Outcome.ERROR and message.status >= 200:  # nothing shows whose it is: its own answer may yet come
-                self.astray = True
+            if answer.outcome is Outcome.ERROR and message.status >= 200:
+                self.astray = True  # nothing shows whose it is: its own answer may yet come
             return answer
         headers, status = message.headers, message.status
         load = headers.get(b"server-load", b"")
