--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -23,8 +23,10 @@
     Member,
     Step,
 )
-from playhouse.promptbook.store import Store
+from playhouse.promptbook.store import Store, StoreError
+from playhouse.promptbook.upkeep import Upkeep, uncollected
 from playhouse.script.state import Command, State, Verb
+from playhouse.script.stored import FormatError
 from playhouse.settings import Settings, shown
 from playhouse.stagedoor.doors import Answer, Doors, told, wrong
 from playhouse.stagedoor.tree import CONTROL, FOYER, Wrong, match
@@ -36,8 +38,9 @@
 
 TICK = 0.05  # s
 DECIDE = 3.0  # s for a majority to have a change on disk
-ENTRIES = 128  # in the log, after which a snapshot takes their place ...
+ENTRIES = 128  # after each so many in the log a snapshot takes their place ...
 BYTES = 4 * 1024 * 1024  # ... or so many bytes of them
+LARGE = 64 * 1024  # bytes of a command that makes many objects
 PASS_ON = 2.5  # s for the leader to answer what is passed on to it
 ASK_WAIT = 1.0  # s that the leader may keep an ask for news
 REPORT = 0.6  # beats between reports of those that said nothing new
@@ -62,7 +65,11 @@
         disk, kept = self._begin(shown(own))
         self.me = Member(shown(own), disk)
         self.machine = Machine(self.me, kept, self.now(), random.Random(), doors=self._doors)
-        self.state = State.read(kept.snapshot.state)
+        try:
+            self.state = State.read(kept.snapshot.state)
+        except FormatError as error:
+            raise StoreError(f"the state cannot be read: {error}") from error
+        self.upkeep = Upkeep(self._store, self.machine, self._do, self.now)
         self.board, self.roll = Board(), Roll()
         self.duty: Duty | None = None
         self._pending: dict[int, Pending] = {}
@@ -113,7 +120,8 @@
             if name in listen:
                 await doors.listen(listen[name])
         self._tasks = [
-            self._loop.create_task(work()) for work in (self._ticks, self._asks, self._reports, self._strike)
+            self._loop.create_task(work())
+            for work in (self._ticks, self._upkeep, self._asks, self._reports, self._strike)
         ]
 
     async def stop(self) -> None:
@@ -138,18 +146,35 @@
                 note(Event.FAILED, "tick: %r", error)
                 raise
 
+    async def _upkeep(self) -> None:
+        while True:
+            await asyncio.sleep(self.upkeep.work())
+
+    def _write(self, step: Step) -> None:
+        """What is not on disk must not be said: where it cannot be put there this life ends, as by a kill."""
+        try:
+            self._store.write(step.writes)
+        except StoreError as error:
+            note(Event.DISK_FAILED, "%s", error)
+            os._exit(1)
+
     def _do(self, step: Step) -> None:
         """Carries a step out, in order: on disk, to the others, then here."""
         if step.writes:
-            self._store.write(step.writes)
+            self._write(step)
         for door, message in step.sends:
             self.wings.tell(door, pb.Envelope(log_message=codec.message_out(message)))
+        if step.dropped:
+            note(Event.SNAPSHOT_DROPPED, "%s", step.dropped)
         if step.restored:
-            self.state = State.read(step.restored.state)
+            self.state = self.upkeep.read
         for entry in step.delivered:
             applied = False
             if entry.data:
-                applied = self.state.apply(Command.read(entry.data))
+                with uncollected() if len(entry.data) > LARGE else contextlib.nullcontext():
+                    applied = self.state.apply(Command.read(entry.data))
+            if entry.index % ENTRIES == 0:  # alike at all members: who leads next goes on with the same
+                self.upkeep.make(self.state.raw(), entry.index)
             pending = self._pending.pop(entry.index, None)
             if pending and not pending.future.done():
                 pending.future.set_result(applied and pending.term == entry.term)
@@ -157,8 +182,10 @@
                 if self.duty:
                     self.duty.follow(self.state)
                 self.publish()
-        if step.delivered and self.machine.commit_index > self.machine.base.index and self._is_long():
-            self._do(self.machine.compact(self.state.out()))
+        if step.delivered and self._is_long():
+            self.upkeep.make(self.state.raw(), step.delivered[-1].index)
+        if step.received:
+            self.upkeep.install(step.received)
         if self.machine.members != self._known_members:
             self._known_members = self.machine.members
             note(Event.MEMBERS, "%s", " ".join(m.door for m in self._known_members))
@@ -166,7 +193,8 @@
 
     def _is_long(self) -> bool:
         log = self.machine.log
-        return self.machine.wants_snapshot() or len(log) >= ENTRIES or sum(len(e.data) for e in log) >= BYTES
+        many = len(log) >= 2 * ENTRIES
+        return self.machine.wants_snapshot() or many or sum(len(e.data) for e in log) >= BYTES
 
     def _look_at_duty(self) -> None:
         now, leads = self.now(), self.machine.leads(self.now())
--- a/playhouse/events.py
+++ b/playhouse/events.py
@@ -16,6 +16,10 @@
     ENDED = 104
     DISK_UNREADABLE = 110
     DISK_NAMED = 111
+    DISK_FAILED = 120
+    SNAPSHOT_FAILED = 121
+    SNAPSHOT_DROPPED = 122
+    SNAPSHOT_INSTALLED = 123
     DUTY_BEGINS = 200
     DUTY_ENDS = 201
     MEMBERS = 202
@@ -29,6 +33,8 @@
     FAILED = 900
 
 
+WARNINGS = (Event.FAILED, Event.NO_HOLDER, Event.DISK_FAILED, Event.SNAPSHOT_FAILED)
+
 _log = picologging.getLogger("playhouse")
 
 
@@ -40,5 +46,5 @@
 
 
 def note(event: Event, text: str, *args: object) -> None:
-    level = picologging.WARNING if event in (Event.FAILED, Event.NO_HOLDER) else picologging.INFO
+    level = picologging.WARNING if event in WARNINGS else picologging.INFO
     _log.log(level, f"{event.value} {event.name.lower()}: {text}", *args)
--- a/playhouse/promptbook/codec.py
+++ b/playhouse/promptbook/codec.py
@@ -14,6 +14,8 @@
     Message,
     RequestVote,
     Snapshot,
+    SnapshotHead,
+    SnapshotReply,
     VoteReply,
 )
 from playhouse.wings import cues_pb2 as pb
@@ -50,24 +52,30 @@
     return _entry_of(pb.Entry.FromString(data))
 
 
-def _install_snapshot(snapshot: Snapshot, sent: int = 0) -> pb.InstallSnapshot:
-    members = _members_out(snapshot.members)
+def _head_pb(head: SnapshotHead) -> pb.InstallSnapshot:
     return pb.InstallSnapshot(
-        index=snapshot.index, at_term=snapshot.term, members=members, state=snapshot.state, sent=sent
-    )
+        index=head.index, at_term=head.term, members=_members_out(head.members), size=head.size,
+        digest=head.digest,
+    )  # fmt: skip
 
 
-def _snapshot(made: pb.InstallSnapshot) -> Snapshot:
-    return Snapshot(made.index, made.at_term, _members_in(made.members), made.state)
+def _head_of(made: pb.InstallSnapshot) -> SnapshotHead:
+    return SnapshotHead(made.index, made.at_term, _members_in(made.members), made.size, made.digest)
 
 
-def snapshot_out(snapshot: Snapshot) -> bytes:
-    data: bytes = _install_snapshot(snapshot).SerializeToString()
+def head_out(head: SnapshotHead) -> bytes:
+    data: bytes = _head_pb(head).SerializeToString()
     return data
 
 
-def snapshot_in(data: bytes) -> Snapshot:
-    return _snapshot(pb.InstallSnapshot.FromString(data))
+def head_in(data: bytes) -> SnapshotHead:
+    return _head_of(pb.InstallSnapshot.FromString(data))
+
+
+def snapshot_in_format_1(data: bytes) -> Snapshot:
+    """Whole, as disks of that format hold it."""
+    made = pb.InstallSnapshot.FromString(data)
+    return Snapshot(made.index, made.at_term, _members_in(made.members), made.data)
 
 
 def message_out(message: Message) -> pb.LogMessage:
@@ -94,7 +102,14 @@
         case AppendReply():
             made.append_reply.CopyFrom(pb.AppendReply(ok=message.ok, match=message.match, sent=message.sent))
         case InstallSnapshot():
-            made.install_snapshot.CopyFrom(_install_snapshot(message.snapshot, message.sent))
+            part = _head_pb(message.head)
+            part.offset, part.data, part.checksum = message.offset, message.data, message.checksum
+            part.sent = message.sent
+            made.install_snapshot.CopyFrom(part)
+        case SnapshotReply():
+            made.snapshot_reply.CopyFrom(
+                pb.SnapshotReply(index=message.index, wanted=message.wanted, sent=message.sent)
+            )
         case Join():
             made.join.SetInParent()
     return made
@@ -118,7 +133,11 @@
                 term, sender, made.append_reply.ok, made.append_reply.match, made.append_reply.sent
             )
         case "install_snapshot":
-            return InstallSnapshot(term, sender, _snapshot(made.install_snapshot), made.install_snapshot.sent)
+            p = made.install_snapshot
+            return InstallSnapshot(term, sender, _head_of(p), p.offset, p.data, p.checksum, p.sent)
+        case "snapshot_reply":
+            r = made.snapshot_reply
+            return SnapshotReply(term, sender, r.index, r.wanted, r.sent)
         case "join":
             return Join(term, sender)
     raise ValueError("a message that says nothing")
--- a/playhouse/promptbook/machine.py
+++ b/playhouse/promptbook/machine.py
@@ -30,9 +30,11 @@
     Message,
     RequestVote,
     Snapshot,
+    SnapshotReply,
     Step,
     VoteReply,
 )
+from playhouse.promptbook.snapshot import Incoming, Tail, Transfer, messages, offer, still_serves
 
 
 class Role(Enum):
@@ -59,7 +61,7 @@
         return self.quiet * (1 - 2 * self.drift)
 
 
-BATCH = 256 * 1024  # bytes of entries in one append, but for one that is larger by itself
+BATCH = 32 * 1024  # bytes of entries in one append, but for one that is larger by itself: beats wait for it
 
 
 @dataclass(slots=True)
@@ -71,6 +73,7 @@
     match: int = 0
     out_at: float = -1.0  # when entries were sent that were not answered yet; -1: none are out
     acked: float = float("-inf")  # when the newest beat was sent that it has answered
+    transfer: Transfer | None = None  # of a snapshot, to one that wants entries that are gone
 
 
 class Machine:
@@ -87,6 +90,7 @@
             list(kept.entries),
         )
         self.commit_index = kept.snapshot.index
+        self.tail, self.incoming = Tail(), Incoming(kept.incoming)
         self.role = Role.FOLLOWER
         self.leader: Member | None = None
         self.peers: dict[str, Progress] = {}  # by disk; members and those that are to become some
@@ -120,7 +124,9 @@
     def term_at(self, index: int) -> int:
         if index == self.base.index:
             return self.base.term
-        return self.log[index - self.base.index - 1].term if self.base.index < index <= self.last else -1
+        if index < self.base.index:
+            return self.tail.term_at(index)
+        return self.log[index - self.base.index - 1].term if index <= self.last else -1
 
     def leads(self, now: float) -> bool:
         """This one holds the term, a majority follows it for sure, and it knows all that was ever
@@ -203,23 +209,50 @@
                 self._append_replied(now, step, message)
             case InstallSnapshot():
                 self._install_snapshot(now, step, message)
+            case SnapshotReply():
+                self._snapshot_replied(now, step, message)
             case Join():
                 self._joining(now, step, message)
         return step
 
-    def compact(self, state: bytes) -> Step:
-        """The state after all that was delivered takes the place of the entries that led to it."""
-        step, index = Step(), self.commit_index
+    def snapshot(self, index: int, state: bytes, digest: bytes = b"") -> Snapshot:
+        """That of the state after a delivered entry that is still in the log."""
         members = self.base.members
         for entry in self.log[: index - self.base.index]:
             members = entry.members or members
-        made = Snapshot(index, self.term_at(index), members, state)
-        self.log = self.log[index - self.base.index :]
+        return Snapshot(index, self.term_at(index), members, state, digest)
+
+    def compact(self, made: Snapshot | bytes) -> Step:
+        """A snapshot, or the state after all that was delivered, takes the place of the entries that led to
+        it. Nothing, if a newer one is here already."""
+        step = Step()
+        made = self.snapshot(self.commit_index, made) if isinstance(made, bytes) else made
+        if made.index <= self.base.index:
+            return step
+        sending = any(p.transfer for p in self.peers.values())
+        self.tail.add(self.log[: made.index - self.base.index], sending)
+        self.log = self.log[made.index - self.base.index :]
         self.base = made
         self._look_up_members()
         step.writes.append(KeepSnapshot(made, alone=False))
         return step
 
+    def install(self, now: float, made: Snapshot) -> Step:
+        """One that was received, and whose state has been read, takes the place of what is here."""
+        step = Step()
+        if self.role is not Role.LEADER and (made.index > self.commit_index or not self.base.members):
+            follows = self.base.members and self.term_at(made.index) == made.term  # the log goes on from it
+            self.log = self.log[made.index - self.base.index :] if follows else []
+            self.base, self.commit_index, self.tail = made, made.index, Tail()
+            self._look_up_members()
+            step.writes.append(KeepSnapshot(made, alone=not follows))
+            step.restored = made
+        self.incoming = Incoming()
+        if self.leader and self.leader != self.me:
+            reply = AppendReply(self.term, self.me, True, self.commit_index, 0)
+            step.sends.append((self.leader.door, reply))
+        return step
+
     # Views.
 
     def _others(self) -> list[str]:
@@ -314,15 +347,15 @@
 
     def _send(self, now: float, step: Step, peer: Progress) -> None:
         sent = int(now * 1e6)
-        if peer.next <= self.base.index:
-            if peer.out_at < 0 or now - peer.out_at >= 4 * self.times.again:
-                peer.out_at = now
-                step.sends.append((peer.member.door, InstallSnapshot(self.term, self.me, self.base, sent)))
+        if peer.next <= self.base.index and not self.tail.covers(peer.next):
+            self._send_snapshot(now, step, peer, beat=True)
             return
+        peer.transfer = None
         entries: list[Entry] = []
         if peer.out_at < 0 or now - peer.out_at >= self.times.again:
             size = 0
-            for entry in self.log[peer.next - self.base.index - 1 :]:
+            at = peer.next - self.base.index - 1
+            for entry in self.log[at:] if at >= 0 else self.tail.since(peer.next):
                 size += len(entry.data)
                 if entries and size > BATCH:
                     break
@@ -334,6 +367,25 @@
         )
         step.sends.append((peer.member.door, message))
 
+    def _send_snapshot(self, now: float, step: Step, peer: Progress, beat: bool) -> None:
+        if peer.transfer is None or not still_serves(peer.transfer, now, self.base, self.tail):
+            others = [p.transfer for p in self.peers.values() if p.transfer and p is not peer]
+            peer.transfer = offer(now, others, self.base, self.tail)
+        for message in messages(self.term, self.me, peer.transfer, now, beat):
+            step.sends.append((peer.member.door, message))
+
+    def _snapshot_replied(self, now: float, step: Step, message: SnapshotReply) -> None:
+        if message.term > self.term:
+            self._become_follower(now, step, message.term, None)
+            return
+        peer = self.peers.get(message.sender.disk)
+        if self.role is not Role.LEADER or message.term != self.term or peer is None:
+            return
+        peer.acked = max(peer.acked, message.sent / 1e6)
+        if peer.transfer:
+            peer.transfer.replied(now, message.index, message.wanted)
+            self._send_snapshot(now, step, peer, beat=False)
+
     def _append_replied(self, now: float, step: Step, message: AppendReply) -> None:
         if message.term > self.term:
             self._become_follower(now, step, message.term, None)
@@ -460,15 +512,14 @@
     def _install_snapshot(self, now: float, step: Step, message: InstallSnapshot) -> None:
         if not self._heard(now, step, message):
             return
-        made = message.snapshot
-        if made.index > self.commit_index or not self.base.members:
-            self.base, self.log, self.commit_index = made, [], made.index
-            self._look_up_members()
-            step.writes.append(KeepSnapshot(made, alone=True))
-            step.restored = made
-        step.sends.append(
-            (message.sender.door, AppendReply(self.term, self.me, True, self.commit_index, message.sent))
-        )
+        index = message.head.index
+        reply: Message = AppendReply(self.term, self.me, True, self.commit_index, message.sent)
+        if index > self.commit_index or not self.base.members:
+            taken = self.incoming.take(message)
+            step.writes += taken.writes
+            step.received, step.dropped = taken.whole, taken.dropped
+            reply = SnapshotReply(self.term, self.me, index, taken.wanted, message.sent)
+        step.sends.append((message.sender.door, reply))
 
 
 def founded(members: Iterable[Member]) -> Kept:
--- a/playhouse/promptbook/messages.py
+++ b/playhouse/promptbook/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -20,12 +21,33 @@
     opens: bool = False  # the first of its term
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotHead:
+    """Which snapshot: members that made theirs at the same entry have the same one."""
+
+    index: int
+    term: int
+    members: tuple[Member, ...]
+    size: int  # bytes of the state
+    digest: bytes  # of the state
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     index: int = 0
     term: int = 0
     members: tuple[Member, ...] = ()
     state: bytes = b""
+    digest: bytes = field(default=b"", compare=False)  # of the state, where it is known already
+
+    @property
+    def head(self) -> SnapshotHead:
+        digest = self.digest or state_digest(self.state).digest()
+        return SnapshotHead(self.index, self.term, self.members, len(self.state), digest)
+
+
+def state_digest(state: bytes = b"") -> blake2b:
+    return blake2b(state, digest_size=16)
 
 
 @dataclass(slots=True)
@@ -36,6 +58,7 @@
     voted_for: str = ""  # the disk that this one's vote went to in that term
     snapshot: Snapshot = field(default_factory=Snapshot)
     entries: list[Entry] = field(default_factory=list)  # those after the snapshot
+    incoming: tuple[SnapshotHead, bytes] | None = None  # the first parts of one that is being received
 
 
 # What members say to one another.
@@ -80,9 +103,23 @@
 
 @dataclass(frozen=True, slots=True)
 class InstallSnapshot:
+    """One part of a snapshot; without data, a beat to one that is being sent it."""
+
     term: int
     sender: Member
-    snapshot: Snapshot
+    head: SnapshotHead
+    offset: int  # of the data in the state
+    data: bytes
+    checksum: int  # of the data
+    sent: int  # the leader's clock, us: comes back with the answer
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotReply:
+    term: int
+    sender: Member
+    index: int  # of the snapshot
+    wanted: int  # all before this offset is on disk
     sent: int
 
 
@@ -92,7 +129,7 @@
     sender: Member
 
 
-Message = RequestVote | VoteReply | AppendEntries | AppendReply | InstallSnapshot | Join
+Message = RequestVote | VoteReply | AppendEntries | AppendReply | InstallSnapshot | SnapshotReply | Join
 
 
 # What a disk is to keep.
@@ -112,6 +149,16 @@
     entries: tuple[Entry, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class KeepPart:
+    """Part of a snapshot that is not in force yet; offset 0 begins anew."""
+
+    head: SnapshotHead
+    offset: int
+    data: bytes
+    received: bool  # from the leader; else made here
+
+
 @dataclass(frozen=True, slots=True)
 class KeepSnapshot:
     """In place of all entries up to its index; with `alone`, of all entries."""
@@ -120,12 +167,14 @@
     alone: bool
 
 
-Write = HardState | KeepEntries | KeepSnapshot
+Write = HardState | KeepEntries | KeepPart | KeepSnapshot
 
 
 @dataclass(slots=True)
 class Step:
     writes: list[Write] = field(default_factory=list)
     sends: list[tuple[str, Message]] = field(default_factory=list)
+    received: Snapshot | None = None  # whole: once its state has been read, it is to be installed
     restored: Snapshot | None = None  # the state is to become this, before what is delivered
+    dropped: str = ""  # what came and was not taken, and why
     delivered: list[Entry] = field(default_factory=list)
--- a/playhouse/script/state.py
+++ b/playhouse/script/state.py
@@ -12,6 +12,7 @@
 from enum import Enum
 from typing import Any
 
+from playhouse.script import stored
 from playhouse.script.check import TABLES
 
 KNOWN = 256  # accepted calls that are remembered, so that one sent again is known
@@ -120,19 +121,23 @@
         self.version += 1
         return True
 
+    def raw(self) -> dict[str, Any]:
+        """As it is now, whatever is applied later: what is in it is replaced then, and not changed."""
+        fields = {name: getattr(self, name) for name in self.__slots__ if not name.startswith("_")}
+        return {n: v.copy() if isinstance(v, dict | list) else v for n, v in fields.items()}
+
     def out(self) -> bytes:
-        raw = {
-            "gen": self.gen, "content": self.content, "evacuated": self.evacuated, "version": self.version,
-            "known": self.known, "edges": self.edges, "moves": self.moves,
-        }  # fmt: skip
-        return zlib.compress(json.dumps(raw, separators=(",", ":")).encode(), 6)
+        return stored.whole(self.raw())
 
     @classmethod
     def read(cls, data: bytes) -> State:
-        if not data:
-            return cls()
-        raw = json.loads(zlib.decompress(data))
-        return cls(
-            raw["gen"], raw["content"], raw["evacuated"], raw["moves"], raw["version"], raw["edges"],
-            raw["known"],
-        )  # fmt: skip
+        """Raises FormatError."""
+        return cls.of(stored.read(data))
+
+    @classmethod
+    def of(cls, raw: dict[str, Any]) -> State:
+        """Raises FormatError."""
+        try:
+            return cls(**raw)
+        except TypeError as error:
+            raise stored.FormatError(str(error)) from error
--- a/playhouse/usher/__main__.py
+++ b/playhouse/usher/__main__.py
@@ -214,6 +214,7 @@
         from playhouse.promptbook.store import Store, StoreError
         from playhouse.script.state import Command as Change
         from playhouse.script.state import State
+        from playhouse.script.stored import FormatError
 
         folder = Path(self.argument("folder"))
         if not (folder / "promptbook").is_dir():
@@ -223,10 +224,10 @@
             store = Store(folder, look=True)
             disk, kept = store.disk(), store.load()
             store.close()
-        except StoreError as error:
+            state = State.read(kept.snapshot.state)
+        except (StoreError, FormatError) as error:
             self.line_error(f"{folder}: {error}")
             return REFUSED
-        state = State.read(kept.snapshot.state)
         for entry in kept.entries:
             if entry.data:
                 state.apply(Change.read(entry.data))
--- a/tests/measure_core.py
+++ b/tests/measure_core.py
@@ -35,6 +35,8 @@
             self.delivered[door] = step.restored.index
         for entry in step.delivered:
             self.delivered[door] = entry.index
+        if step.received:
+            self.do(door, self.machines[door].install(self.now, step.received))
 
 
 def without(kind: str, seed: int) -> float:
--- a/tests/test_playhouse_promptbook.py
+++ b/tests/test_playhouse_promptbook.py
@@ -22,12 +22,14 @@
     InstallSnapshot,
     Join,
     KeepEntries,
+    KeepPart,
     KeepSnapshot,
     Kept,
     Member,
     Message,
     RequestVote,
     Snapshot,
+    SnapshotReply,
     Step,
     VoteReply,
     Write,
@@ -54,13 +56,17 @@
                     kept.term, kept.voted_for = term, voted_for
                 case KeepEntries(first, entries):
                     kept.entries = [e for e in kept.entries if e.index < first] + list(entries)
+                case KeepPart(head, offset, data, received=True):
+                    kept.incoming = (head, kept.incoming[1] + data if kept.incoming and offset else data)
                 case KeepSnapshot(snapshot, alone):
+                    if kept.incoming and kept.incoming[0].index <= snapshot.index:
+                        kept.incoming = None
                     kept.entries = [] if alone else [e for e in kept.entries if e.index > snapshot.index]
                     kept.snapshot = snapshot
 
     def load(self) -> Kept:
         kept = self.kept
-        return Kept(kept.term, kept.voted_for, kept.snapshot, list(kept.entries))
+        return Kept(kept.term, kept.voted_for, kept.snapshot, list(kept.entries), kept.incoming)
 
 
 class World:
@@ -124,6 +130,8 @@
                 self.acked.add(entry.data)
         if step.delivered and (len(machine.log) > 12 or machine.wants_snapshot()):
             self.do(door, machine.compact(b"%d" % self.delivered[door]))
+        if step.received:
+            self.do(door, machine.install(self.now, step.received))
         leaders = [d for d, m in self.machines.items() if m.leads(self.now)]
         assert len(leaders) <= 1, "two hold the duty"
 
@@ -410,7 +418,8 @@
         99,
     ),
     AppendReply(3, Member("a:1", "x"), True, 6, 99),
-    InstallSnapshot(3, Member("a:1", "x"), Snapshot(4, 2, (Member("b:1", "y"),), b"state"), 99),
+    InstallSnapshot(3, Member("a:1", "x"), Snapshot(4, 2, (Member("b:1", "y"),), b"s").head, 0, b"s", 7, 9),
+    SnapshotReply(3, Member("a:1", "x"), 4, 3, 99),
     Join(0, Member("a:1", "x")),
 ]
 
--- a/tests/test_playhouse_states.py
+++ b/tests/test_playhouse_states.py
@@ -73,6 +73,8 @@
     for entry in step.delivered:
         known = state.order.setdefault(entry.index, (entry.term, entry.data))
         assert known == (entry.term, entry.data), "two orders"
+    if step.received:
+        do(state, door, machine.install(1.0, step.received))
 
 
 def begin(made: type[Machine], me: Member, kept: Kept) -> Machine:
