--- a/playhouse/script/stored.py
+++ b/playhouse/script/stored.py
@@ -87,7 +87,10 @@
             (size,) = struct.unpack_from(">I", data, at)
             if at + 4 + size > len(data):
                 raise FormatError("a part is cut off")
-            text = zlib.decompressobj().decompress(data[at + 4 : at + 4 + size], MOST)
+            packed = zlib.decompressobj()
+            text = packed.decompress(data[at + 4 : at + 4 + size], MOST)
+            if not packed.eof:
+                raise FormatError("a part is not whole, or larger than any of ours")
             for path, value in json.loads(text):
                 _put(raw, path, value)
             at += 4 + size
