--- a/playhouse/promptbook/machine.py
+++ b/playhouse/promptbook/machine.py
@@ -168,7 +168,7 @@
         if self.role is Role.LEADER:
             if now >= self.lease_end(now) + self.times.quiet and now - self.changed_at > 2 * self.times.quiet:
                 self._become_follower(now, step, self.term, None)  # nobody follows: others may be better off
-            elif not self._opened and now - self.changed_at > self.times.open:
+            elif not self._opened and now - self.changed_at > self.times.open and not self._catches_up(now):
                 self._become_follower(
                     now, step, self.term, None
                 )  # followed, and nothing is ever decided: as well
@@ -184,6 +184,10 @@
                 self._campaign(now, step, pre_vote=True)
         return step
 
+    def _catches_up(self, now: float) -> bool:
+        """Somebody is sent a snapshot, and it may be their word that is wanting."""
+        return any(p.transfer and not p.transfer.is_stalled(now) for p in self.peers.values())
+
     def _ask_in(self, now: float, step: Step) -> None:
         if now >= self._join_at:
             self._join_at = now + self.times.join * (1 + self.rng.random())
@@ -230,7 +234,7 @@
         if made.index <= self.base.index:
             return step
         sending = any(p.transfer for p in self.peers.values())
-        self.tail.add(self.log[: made.index - self.base.index], sending)
+        self.tail.add(self.base, self.log[: made.index - self.base.index], sending)
         self.log = self.log[made.index - self.base.index :]
         self.base = made
         self._look_up_members()
@@ -352,7 +356,9 @@
             return
         peer.transfer = None
         entries: list[Entry] = []
-        if peer.out_at < 0 or now - peer.out_at >= self.times.again:
+        # Sent again only to who has answered something later: one that is away would have its way filled.
+        lost = now - peer.out_at >= self.times.again and peer.acked >= peer.out_at
+        if peer.out_at < 0 or lost:
             size = 0
             at = peer.next - self.base.index - 1
             for entry in self.log[at:] if at >= 0 else self.tail.since(peer.next):
@@ -368,6 +374,11 @@
         step.sends.append((peer.member.door, message))
 
     def _send_snapshot(self, now: float, step: Step, peer: Progress, beat: bool) -> None:
+        door = peer.member.door
+        if peer.member in self._members and any(
+            p.member.door == door and p.member not in self._members for p in self.peers.values()
+        ):
+            return  # another disk is there by now, and is sent it
         if peer.transfer is None or not still_serves(peer.transfer, now, self.base, self.tail):
             others = [p.transfer for p in self.peers.values() if p.transfer and p is not peer]
             peer.transfer = offer(now, others, self.base, self.tail)
@@ -395,7 +406,8 @@
             return
         peer.acked = max(peer.acked, message.sent / 1e6)
         if not message.ok:
-            peer.next, peer.out_at = max(1, min(message.match + 1, peer.next - 1)), -1.0
+            if peer.next:  # else it is to have the snapshot first, whatever was meant for the disk before it
+                peer.next, peer.out_at = max(1, min(message.match + 1, peer.next - 1)), -1.0
             self._send(now, step, peer)
             return
         if message.match > peer.match or peer.next <= message.match:
--- a/playhouse/promptbook/snapshot.py
+++ b/playhouse/promptbook/snapshot.py
@@ -126,33 +126,43 @@
     def __init__(self) -> None:
         self._entries: list[Entry] = []
         self._size = 0
+        self._before = (0, -1)  # index and term of the entry before these
 
     def covers(self, index: int) -> bool:
-        """The entry at this index is here, and the one before it."""
-        return bool(self._entries) and self._entries[0].index < index <= self._entries[-1].index
+        """The entry at this index is here, and the term of the one before it is known."""
+        return bool(self._entries) and self._before[0] < index <= self._entries[-1].index
 
     def since(self, index: int) -> Sequence[Entry]:
-        return self._entries[index - self._entries[0].index :]
+        return self._entries[index - self._before[0] - 1 :]
 
     def term_at(self, index: int) -> int:
-        if not self._entries or not self._entries[0].index <= index <= self._entries[-1].index:
-            return -1
-        return self._entries[index - self._entries[0].index].term
-
-    def add(self, entries: Iterable[Entry], sending: bool) -> None:
-        """Those that a snapshot takes the place of. `sending`: an older one is on its way to somebody, who
-        wants what comes after it."""
+        """-1 where it is not known."""
+        if index == self._before[0]:
+            return self._before[1]
+        return self._entries[index - self._before[0] - 1].term if self.covers(index) else -1
+
+    def add(self, base: Snapshot, entries: Iterable[Entry], sending: bool) -> None:
+        """Entries after this snapshot, which another takes the place of. `sending`: an older one is on its
+        way to somebody, who wants what comes after it."""
+        if not self._entries:
+            self._before = (base.index, base.term)
         for entry in entries:
-            if len(entry.data) > TAIL_ENTRY:
-                self._entries, self._size = [], 0
-                continue
             self._entries.append(entry)
             self._size += len(entry.data)
-        most, gone = TAIL_SENDING if sending else TAIL, 0
-        while self._size > most:
-            self._size -= len(self._entries[gone].data)
+            if len(entry.data) > TAIL_ENTRY:
+                self._drop(len(self._entries))
+        most, gone, size = TAIL_SENDING if sending else TAIL, 0, self._size
+        while size > most:
+            size -= len(self._entries[gone].data)
             gone += 1
-        del self._entries[:gone]
+        self._drop(gone)
+
+    def _drop(self, count: int) -> None:
+        if count:
+            last = self._entries[count - 1]
+            self._before = (last.index, last.term)
+            self._size -= sum(len(entry.data) for entry in self._entries[:count])
+            del self._entries[:count]
 
 
 def offer(now: float, transfers: Iterable[Transfer], base: Snapshot, tail: Tail) -> Transfer:
