--- /dev/null
+++ b/tests/measure_snapshots.py
@@ -0,0 +1,161 @@
+"""How long each step of a snapshot holds the loop: `python -m tests.measure_snapshots [ROUTES TENANTS]`. Wall
+clock and processor, the longest of each kind, with an lmdb folder here; and catching up over 2 Mbit/s."""
+
+from __future__ import annotations
+
+import gc
+import json
+import random
+import sys
+import tempfile
+import time
+import zlib
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from playhouse.promptbook import codec
+from playhouse.promptbook.machine import Machine, founded
+from playhouse.promptbook.messages import Entry, InstallSnapshot, KeepEntries, Kept, Member, Snapshot, Step
+from playhouse.promptbook.snapshot import Transfer, messages
+from playhouse.promptbook.store import Store
+from playhouse.promptbook.upkeep import Upkeep, uncollected
+from playhouse.script.state import Command, State, Verb
+from tests.test_playhouse_catching_up import away
+
+ME, OTHER = Member("a:1", "x"), Member("b:1", "y")
+held: dict[str, list[tuple[float, float]]] = {}
+
+
+@contextmanager
+def step(name: str) -> Iterator[None]:
+    wall, cpu = time.perf_counter(), time.thread_time()
+    yield
+    held.setdefault(name, []).append((time.perf_counter() - wall, time.thread_time() - cpu))
+
+
+def order(routes: int, tenants: int) -> dict[str, Any]:
+    rng = random.Random(1)
+    backends = [{"name": f"s{n}", "warmup": "4s", "warmupPerS": 5} for n in range(routes // 30 + 1)]
+    return {
+        "gen": 1, "parent": 0, "backends": backends, "limits": {"idleTimeout": "5s"},
+        "routes": [
+            {"name": f"r{n}", "host": f"h{n % 900}.example", "pathPrefix": f"/p{n}/", "kind": "idempotent",
+             "backend": f"s{n // 30}", "deadline": "30s", "tries": 2}
+            for n in range(routes)
+        ],
+        "tenants": [
+            {"name": f"t{n}", "apiKeys": [f"{rng.getrandbits(64):016x}"], "prio": n % 3, "ratePerS": n % 50,
+             "burst": 20}
+            for n in range(tenants)
+        ],
+    }  # fmt: skip
+
+
+class Side:
+    """A member with its disk, taken on step by step."""
+
+    def __init__(self, folder: Path, me: Member, kept: Kept, log: list[Entry]) -> None:
+        self.store = Store(folder)
+        self.store.begin(me.disk, kept)
+        self.store.write([KeepEntries(1, tuple(log))])
+        self.machine = Machine(me, Kept(1, "", kept.snapshot, log), 0.0, random.Random(1))
+        self.machine.commit_index, self.state = len(log), State()
+        self.upkeep = Upkeep(self.store, self.machine, self.do, lambda: 0.0)
+        self.received: Snapshot | None = None
+
+    def do(self, made: Step) -> None:
+        self.store.write(made.writes)
+        self.received = made.received or self.received
+        if made.restored:
+            self.state = self.upkeep.read
+
+    def run(self, name: str) -> None:
+        more = True
+        while more:
+            with step(name):
+                more = self.upkeep.step()
+
+
+def snapshots(folder: Path, state: State) -> None:
+    log = [Entry(n, 1, b"x" * 400) for n in range(1, 129)]
+    leader = Side(folder / "a", ME, Kept(snapshot=Snapshot(0, 0, (ME, OTHER))), log)
+    with step("make: begin"):
+        leader.upkeep.make(state.raw(), 128)
+    leader.run("make: encode, stage, point, sweep")
+    made = leader.machine.base
+    print(f"snapshot: {len(made.state)} bytes")
+    other = Side(folder / "b", OTHER, founded(()), [])
+    out, now = Transfer(made, 0.0), 0.0
+    while other.received is None:
+        now += 0.001
+        with step("send: cut two parts"):
+            parts = [codec.message_out(m).SerializeToString() for m in messages(1, ME, out, now, beat=True)]
+        for data in parts:
+            with step("receive: take a part, on disk"):
+                message = codec.message_in(codec.pb.LogMessage.FromString(data))
+                assert isinstance(message, InstallSnapshot)
+                other.do(other.machine.received(now, message))
+                out.replied(now, made.index, len(other.machine.incoming._data))
+    with step("install: begin"):
+        other.upkeep.install(other.received)
+    other.run("install: read, point, sweep")
+    assert other.state == state and other.machine.base == made
+    for side in (leader, other):
+        side.store.close()
+        with step("start: load and read, before the loop"):
+            assert State.read(Store(folder / ("a" if side is leader else "b")).load().snapshot.state) == state
+
+
+def changes(state: State, first: dict[str, Any]) -> Command:
+    whole = Command(Verb.REPLACE, "d", first)
+    kinds: dict[str, Callable[[], Any]] = {
+        "command: encode a whole configuration": whole.out,
+        "command: decode it": lambda: Command.read(data),
+        "command: apply it": lambda: state.apply(whole),
+        "told: encode it for ingresses": state.told,
+        "command: apply an update of one tenant": lambda: state.apply(
+            Command(Verb.UPDATE, "u", {"gen": 2, "parent": 1, "upsert": {"tenants": [first["tenants"][0]]}})
+        ),
+    }
+    data = whole.out()
+    for name, work in kinds.items():
+        with step(name), uncollected():
+            work()
+    return whole
+
+
+def main() -> None:
+    routes, tenants = [int(n) for n in sys.argv[1:3]] or [12_000, 160_000]
+    state, first = State(), order(routes, tenants)
+    gc.collect()
+    gc.freeze()
+    changes(state, first)
+    with step("before: the whole state at once, as format 1"):
+        zlib.compress(json.dumps(state.raw(), separators=(",", ":")).encode(), 6)
+    with tempfile.TemporaryDirectory(dir=".") as folder:
+        snapshots(Path(folder), state)
+    print(f"{'':48} {'steps':>6} {'longest':>9} {'most cpu':>9} {'over 20':>7} {'in all':>8}")
+    for name, found in held.items():
+        longest, most = max(wall for wall, _ in found), max(cpu for _, cpu in found)
+        over = sum(1 for wall, _ in found if wall > 0.02)
+        print(
+            f"{name:48} {len(found):6} {longest * 1e3:6.1f} ms {most * 1e3:6.1f} ms {over:7}"
+            f" {sum(wall for wall, _ in found):6.2f} s"
+        )
+    for kind in ("the log", "a snapshot"):
+        took, worst = [], 0.0
+        for seed in range(10, 15):
+            world, _, one = away(seed)
+            if kind == "a snapshot":
+                world.wipe(one)
+            world.start(one)
+            took.append(world.under_load(60.0, until=lambda w=world, o=one: w.caught_up(o)))
+            worst = max(worst, world.behind)
+        print(f"1000 changes away, 2 Mbit/s, by {kind}: {min(took):.1f} to {max(took):.1f} s virtual; "
+              f"a beat waits {worst * 1e3:.0f} ms at the most")  # fmt: skip
+
+
+if __name__ == "__main__":
+    main()
