--- a/playhouse/promptbook/codec.py
+++ b/playhouse/promptbook/codec.py
@@ -10,23 +10,32 @@
     Entry,
     InstallSnapshot,
     Join,
+    Leave,
     Member,
     Message,
     RequestVote,
     Snapshot,
     SnapshotHead,
     SnapshotReply,
+    TimeoutNow,
     VoteReply,
 )
 from playhouse.wings import cues_pb2 as pb
 
 
 def _members_out(members: Iterable[Member]) -> list[pb.Member]:
-    return [pb.Member(door=m.door, disk=m.disk) for m in members]
+    return [
+        pb.Member(door=m.door, disk=m.disk, zone=m.zone, region=m.region, learner=m.learner) for m in members
+    ]
+
+
+def _member(made: pb.Member) -> Member:
+    return Member(made.door, made.disk, made.zone, made.region, made.learner)
 
 
 def _members_in(members: Iterable[pb.Member]) -> tuple[Member, ...]:
-    return tuple(Member(m.door, m.disk) for m in members)
+    """Those of an older format tell neither place nor role: voters at places not known."""
+    return tuple(_member(m) for m in members)
 
 
 def _entry_pb(entry: Entry) -> pb.Entry:
@@ -79,16 +88,18 @@
 
 
 def message_out(message: Message) -> pb.LogMessage:
-    made = pb.LogMessage(
-        term=message.term, sender=pb.Member(door=message.sender.door, disk=message.sender.disk)
-    )
+    sender = message.sender
+    made = pb.LogMessage(term=message.term, sender=pb.Member(door=sender.door, disk=sender.disk))
+    if isinstance(message, Join | Leave):  # the others are sent often: whom they come from is enough
+        made.sender.zone, made.sender.region = sender.zone, sender.region
     match message:
         case RequestVote():
             made.request_vote.CopyFrom(
                 pb.RequestVote(
-                    pre_vote=message.pre_vote, last_index=message.last_index, last_term=message.last_term
+                    pre_vote=message.pre_vote, last_index=message.last_index, last_term=message.last_term,
+                    transfer=message.transfer,
                 )
-            )
+            )  # fmt: skip
         case VoteReply():
             made.vote_reply.CopyFrom(pb.VoteReply(pre_vote=message.pre_vote, granted=message.granted))
         case AppendEntries():
@@ -112,16 +123,20 @@
             )
         case Join():
             made.join.SetInParent()
+        case Leave():
+            made.leave.SetInParent()
+        case TimeoutNow():
+            made.timeout_now.SetInParent()
     return made
 
 
 def message_in(made: pb.LogMessage) -> Message:
     """Raises ValueError for one that says nothing."""
-    term, sender = made.term, Member(made.sender.door, made.sender.disk)
+    term, sender = made.term, _member(made.sender)
     match made.WhichOneof("what"):
         case "request_vote":
             c = made.request_vote
-            return RequestVote(term, sender, c.pre_vote, c.last_index, c.last_term)
+            return RequestVote(term, sender, c.pre_vote, c.last_index, c.last_term, c.transfer)
         case "vote_reply":
             return VoteReply(term, sender, made.vote_reply.pre_vote, made.vote_reply.granted)
         case "append_entries":
@@ -140,4 +155,8 @@
             return SnapshotReply(term, sender, r.index, r.wanted, r.sent)
         case "join":
             return Join(term, sender)
+        case "leave":
+            return Leave(term, sender)
+        case "timeout_now":
+            return TimeoutNow(term, sender)
     raise ValueError("a message that says nothing")
--- a/tests/test_playhouse_catching_up.py
+++ b/tests/test_playhouse_catching_up.py
@@ -7,10 +7,11 @@
 
 import pytest
 
-from playhouse.promptbook import codec, machine
-from playhouse.promptbook.machine import Machine, Role
+from playhouse.promptbook import codec, compaction
+from playhouse.promptbook.machine import Machine
 from playhouse.promptbook.messages import AppendEntries, InstallSnapshot, Message, Step
-from playhouse.promptbook.snapshot import PART, WINDOW
+from playhouse.promptbook.replica import Role
+from playhouse.promptbook.snapshot import PART, WINDOW, Incoming
 from tests.test_playhouse_promptbook import SEEDS, World
 
 RATE = 250_000  # bytes a second: 2 Mbit/s
@@ -211,20 +212,20 @@
     """Each newer snapshot takes the place of the one being sent; all of it is sent at once, as it was
     before; what was received is forgotten with each new leader."""
     if planted == "renewed":
-        monkeypatch.setattr(machine, "still_serves", lambda t, now, base, tail: t.snapshot is base)
+        monkeypatch.setattr(compaction, "still_serves", lambda t, now, base, tail: t.snapshot is base)
         seen = test_snapshots_renewed_faster_than_they_are_sent_do_not_keep_it_out
     elif planted == "whole":
         monkeypatch.setattr("playhouse.promptbook.snapshot.WINDOW", 100_000)
         seen = test_who_is_sent_a_snapshot_keeps_the_leader_that_needs_it
     else:
-        take = machine.Incoming.take
+        take = Incoming.take
 
-        def forgets(self: machine.Incoming, message: InstallSnapshot) -> object:
+        def forgets(self: Incoming, message: InstallSnapshot) -> object:
             if message.term != self._term:
                 self.head = None
             return take(self, message)
 
-        monkeypatch.setattr(machine.Incoming, "take", forgets)
+        monkeypatch.setattr(Incoming, "take", forgets)
         seen = test_it_goes_on_where_it_was_after_a_cut_a_restart_and_a_change_of_the_leader
     said = {"renewed": "did not come", "whole": "the duty was lost", "no resume": "it began anew"}
     with pytest.raises(AssertionError, match=said[planted]):
