--- a/playhouse/promptbook/codec.py
+++ b/playhouse/promptbook/codec.py
@@ -10,21 +10,32 @@
     Entry,
     InstallSnapshot,
     Join,
+    Leave,
     Member,
     Message,
     RequestVote,
     Snapshot,
+    SnapshotHead,
+    SnapshotReply,
+    TimeoutNow,
     VoteReply,
 )
 from playhouse.wings import cues_pb2 as pb
 
 
 def _members_out(members: Iterable[Member]) -> list[pb.Member]:
-    return [pb.Member(door=m.door, disk=m.disk) for m in members]
+    return [
+        pb.Member(door=m.door, disk=m.disk, zone=m.zone, region=m.region, learner=m.learner) for m in members
+    ]
+
+
+def _member(made: pb.Member) -> Member:
+    return Member(made.door, made.disk, made.zone, made.region, made.learner)
 
 
 def _members_in(members: Iterable[pb.Member]) -> tuple[Member, ...]:
-    return tuple(Member(m.door, m.disk) for m in members)
+    """Those of an older format tell neither place nor role: voters at places not known."""
+    return tuple(_member(m) for m in members)
 
 
 def _entry_pb(entry: Entry) -> pb.Entry:
@@ -50,37 +61,45 @@
     return _entry_of(pb.Entry.FromString(data))
 
 
-def _install_snapshot(snapshot: Snapshot, sent: int = 0) -> pb.InstallSnapshot:
-    members = _members_out(snapshot.members)
+def _head_pb(head: SnapshotHead) -> pb.InstallSnapshot:
     return pb.InstallSnapshot(
-        index=snapshot.index, at_term=snapshot.term, members=members, state=snapshot.state, sent=sent
-    )
+        index=head.index, at_term=head.term, members=_members_out(head.members), size=head.size,
+        digest=head.digest,
+    )  # fmt: skip
 
 
-def _snapshot(made: pb.InstallSnapshot) -> Snapshot:
-    return Snapshot(made.index, made.at_term, _members_in(made.members), made.state)
+def _head_of(made: pb.InstallSnapshot) -> SnapshotHead:
+    return SnapshotHead(made.index, made.at_term, _members_in(made.members), made.size, made.digest)
 
 
-def snapshot_out(snapshot: Snapshot) -> bytes:
-    data: bytes = _install_snapshot(snapshot).SerializeToString()
+def head_out(head: SnapshotHead) -> bytes:
+    data: bytes = _head_pb(head).SerializeToString()
     return data
 
 
-def snapshot_in(data: bytes) -> Snapshot:
-    return _snapshot(pb.InstallSnapshot.FromString(data))
+def head_in(data: bytes) -> SnapshotHead:
+    return _head_of(pb.InstallSnapshot.FromString(data))
+
+
+def snapshot_in_format_1(data: bytes) -> Snapshot:
+    """Whole, as disks of that format hold it."""
+    made = pb.InstallSnapshot.FromString(data)
+    return Snapshot(made.index, made.at_term, _members_in(made.members), made.data)
 
 
 def message_out(message: Message) -> pb.LogMessage:
-    made = pb.LogMessage(
-        term=message.term, sender=pb.Member(door=message.sender.door, disk=message.sender.disk)
-    )
+    sender = message.sender
+    made = pb.LogMessage(term=message.term, sender=pb.Member(door=sender.door, disk=sender.disk))
+    if isinstance(message, Join | Leave):  # the others are sent often: whom they come from is enough
+        made.sender.zone, made.sender.region = sender.zone, sender.region
     match message:
         case RequestVote():
             made.request_vote.CopyFrom(
                 pb.RequestVote(
-                    pre_vote=message.pre_vote, last_index=message.last_index, last_term=message.last_term
+                    pre_vote=message.pre_vote, last_index=message.last_index, last_term=message.last_term,
+                    transfer=message.transfer,
                 )
-            )
+            )  # fmt: skip
         case VoteReply():
             made.vote_reply.CopyFrom(pb.VoteReply(pre_vote=message.pre_vote, granted=message.granted))
         case AppendEntries():
@@ -94,19 +113,30 @@
         case AppendReply():
             made.append_reply.CopyFrom(pb.AppendReply(ok=message.ok, match=message.match, sent=message.sent))
         case InstallSnapshot():
-            made.install_snapshot.CopyFrom(_install_snapshot(message.snapshot, message.sent))
+            part = _head_pb(message.head)
+            part.offset, part.data, part.checksum = message.offset, message.data, message.checksum
+            part.sent = message.sent
+            made.install_snapshot.CopyFrom(part)
+        case SnapshotReply():
+            made.snapshot_reply.CopyFrom(
+                pb.SnapshotReply(index=message.index, wanted=message.wanted, sent=message.sent)
+            )
         case Join():
             made.join.SetInParent()
+        case Leave():
+            made.leave.SetInParent()
+        case TimeoutNow():
+            made.timeout_now.SetInParent()
     return made
 
 
 def message_in(made: pb.LogMessage) -> Message:
     """Raises ValueError for one that says nothing."""
-    term, sender = made.term, Member(made.sender.door, made.sender.disk)
+    term, sender = made.term, _member(made.sender)
     match made.WhichOneof("what"):
         case "request_vote":
             c = made.request_vote
-            return RequestVote(term, sender, c.pre_vote, c.last_index, c.last_term)
+            return RequestVote(term, sender, c.pre_vote, c.last_index, c.last_term, c.transfer)
         case "vote_reply":
             return VoteReply(term, sender, made.vote_reply.pre_vote, made.vote_reply.granted)
         case "append_entries":
@@ -118,7 +148,15 @@
                 term, sender, made.append_reply.ok, made.append_reply.match, made.append_reply.sent
             )
         case "install_snapshot":
-            return InstallSnapshot(term, sender, _snapshot(made.install_snapshot), made.install_snapshot.sent)
+            p = made.install_snapshot
+            return InstallSnapshot(term, sender, _head_of(p), p.offset, p.data, p.checksum, p.sent)
+        case "snapshot_reply":
+            r = made.snapshot_reply
+            return SnapshotReply(term, sender, r.index, r.wanted, r.sent)
         case "join":
             return Join(term, sender)
+        case "leave":
+            return Leave(term, sender)
+        case "timeout_now":
+            return TimeoutNow(term, sender)
     raise ValueError("a message that says nothing")
--- a/playhouse/promptbook/messages.py
+++ b/playhouse/promptbook/messages.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class Member:
+    """A door and a disk: with another disk it is another member; not so with another place or role."""
+
     door: str  # host:port
     disk: str  # drawn anew for each disk
+    zone: str = field(default="", compare=False)  # empty: not told yet
+    region: str = field(default="", compare=False)
+    learner: bool = field(default=False, compare=False)  # is given the log, and counts in no majority
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,16 +22,37 @@
     index: int
     term: int
     data: bytes = b""
-    members: tuple[Member, ...] = ()  # of the core from here on, if any are named
+    members: tuple[Member, ...] = ()  # the configuration from here on, if any are named: voters, learners
     opens: bool = False  # the first of its term
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotHead:
+    """Which snapshot: members that made theirs at the same entry have the same one."""
+
+    index: int
+    term: int
+    members: tuple[Member, ...]
+    size: int  # bytes of the state
+    digest: bytes  # of the state
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     index: int = 0
     term: int = 0
     members: tuple[Member, ...] = ()
     state: bytes = b""
+    digest: bytes = field(default=b"", compare=False)  # of the state, where it is known already
+
+    @property
+    def head(self) -> SnapshotHead:
+        digest = self.digest or state_digest(self.state).digest()
+        return SnapshotHead(self.index, self.term, self.members, len(self.state), digest)
+
+
+def state_digest(state: bytes = b"") -> blake2b:
+    return blake2b(state, digest_size=16)
 
 
 @dataclass(slots=True)
@@ -36,6 +63,7 @@
     voted_for: str = ""  # the disk that this one's vote went to in that term
     snapshot: Snapshot = field(default_factory=Snapshot)
     entries: list[Entry] = field(default_factory=list)  # those after the snapshot
+    incoming: tuple[SnapshotHead, bytes] | None = None  # the first parts of one that is being received
 
 
 # What members say to one another.
@@ -48,6 +76,7 @@
     pre_vote: bool  # asks who would give their vote; nobody is bound by the answer
     last_index: int
     last_term: int
+    transfer: bool = False  # the leader of the term before asked for it, and has given its lease up
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,19 +109,54 @@
 
 @dataclass(frozen=True, slots=True)
 class InstallSnapshot:
+    """One part of a snapshot; without data, a beat to one that is being sent it."""
+
     term: int
     sender: Member
-    snapshot: Snapshot
+    head: SnapshotHead
+    offset: int  # of the data in the state
+    data: bytes
+    checksum: int  # of the data
+    sent: int  # the leader's clock, us: comes back with the answer
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotReply:
+    term: int
+    sender: Member
+    index: int  # of the snapshot
+    wanted: int  # all before this offset is on disk
     sent: int
 
 
 @dataclass(frozen=True, slots=True)
 class Join:
+    """Asks to be taken in as a learner; tells its place."""
+
     term: int
     sender: Member
 
 
-Message = RequestVote | VoteReply | AppendEntries | AppendReply | InstallSnapshot | Join
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """Is about to end: to be taken out, if another can step in."""
+
+    term: int
+    sender: Member
+
+
+@dataclass(frozen=True, slots=True)
+class TimeoutNow:
+    """The leader hands over: the receiver is to stand at once."""
+
+    term: int
+    sender: Member
+
+
+Message = (
+    RequestVote | VoteReply | AppendEntries | AppendReply | InstallSnapshot | SnapshotReply
+    | Join | Leave | TimeoutNow
+)  # fmt: skip
 
 
 # What a disk is to keep.
@@ -112,6 +176,16 @@
     entries: tuple[Entry, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class KeepPart:
+    """Part of a snapshot that is not in force yet; offset 0 begins anew."""
+
+    head: SnapshotHead
+    offset: int
+    data: bytes
+    received: bool  # from the leader; else made here
+
+
 @dataclass(frozen=True, slots=True)
 class KeepSnapshot:
     """In place of all entries up to its index; with `alone`, of all entries."""
@@ -120,12 +194,14 @@
     alone: bool
 
 
-Write = HardState | KeepEntries | KeepSnapshot
+Write = HardState | KeepEntries | KeepPart | KeepSnapshot
 
 
 @dataclass(slots=True)
 class Step:
     writes: list[Write] = field(default_factory=list)
     sends: list[tuple[str, Message]] = field(default_factory=list)
+    received: Snapshot | None = None  # whole: once its state has been read, it is to be installed
     restored: Snapshot | None = None  # the state is to become this, before what is delivered
+    dropped: str = ""  # what came and was not taken, and why
     delivered: list[Entry] = field(default_factory=list)
