--- a/ironledge/lab/__main__.py
+++ b/ironledge/lab/__main__.py
@@ -1,14 +1,13 @@
 """`python -m ironledge.lab`: scenarios, runs, experiments, reports, the paper's experiment, the
 demonstration.
 
-Exit status: 0 done, 1 a run failed or `--fail-on` was met, 2 bad input (nothing was started), 130 Ctrl-C.
+Exit status: 0 done, 1 a run failed or `--fail-on` was met, 2 bad input (nothing was started), 130 Ctrl-C or
+SIGTERM.
 """
 
 from __future__ import annotations
 
-import asyncio
 import os
-import signal
 import sys
 from pathlib import Path
 from typing import Any
@@ -21,6 +20,7 @@
 from ironledge.lab import experiment, scenario
 from ironledge.lab.faults.cli import faults
 from ironledge.lab.play import Run, Variant, VariantError
+from ironledge.lab.stopping import heed_ctrl_c, ignore_stopping, run_until_stopped
 
 BAD, FAILED, STOPPED = 2, 1, 130
 
@@ -186,11 +186,7 @@
     from ironledge.lab.report import write_report
 
     async def all_runs() -> experiment.Progress:
-        """Ctrl-C and SIGTERM cancel: what runs is ended, what is finished stays."""
-        task = asyncio.current_task()
-        assert task
-        for number in (signal.SIGINT, signal.SIGTERM):
-            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        """Cancelled, what runs is ended, what is finished stays."""
         if not sys.stdout.isatty():
             return await experiment.carry_out(plan, lambda _: None)
         columns = (TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeElapsedColumn())
@@ -207,8 +203,8 @@
 
     base = plan.variants[0].text
     try:
-        progress = asyncio.run(all_runs())
-    except (asyncio.CancelledError, KeyboardInterrupt):
+        progress = run_until_stopped(all_runs())
+    except KeyboardInterrupt:
         rows = experiment.results(plan.folder)
         write_report(rows, base, plan.folder, plan.folder.name)
         _stop(f"stopped; {len(rows)} finished runs are kept in {plan.folder}", STOPPED)
@@ -325,6 +321,7 @@
 def entry() -> None:
     from ironledge.lab.live.host import LiveError
 
+    heed_ctrl_c()
     try:
         main.main(standalone_mode=False)
     except (scenario.ScenarioError, VariantError, experiment.ExperimentError) as error:
@@ -335,6 +332,7 @@
         error.show()
         sys.exit(BAD)
     except (click.Abort, KeyboardInterrupt):
+        ignore_stopping()
         _stop("stopped", STOPPED)
 
 
--- a/ironledge/lab/demo.py
+++ b/ironledge/lab/demo.py
@@ -3,7 +3,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import sys
 import tempfile
 from pathlib import Path
@@ -19,6 +18,7 @@
 from ironledge.lab.play import Run, result, write
 from ironledge.lab.report import write_report
 from ironledge.lab.scenario import SHIPPED, parse
+from ironledge.lab.stopping import run_until_stopped
 
 EVERY = 5  # s between lines where the output is no terminal
 
@@ -122,14 +122,14 @@
     if sys.stdout.isatty():
         with Screen(console=console, refresh_per_second=4, transient=True) as screen:
             options = Options(on_second=lambda seen: screen.update(watched.screen(seen)))
-            record = asyncio.run(play(drawn, text, folder, options))
+            record = run_until_stopped(play(drawn, text, folder, options))
     else:
 
         def say(seen: dict[str, Any]) -> None:
             if seen["at"] // SECOND % EVERY == 0:
                 print(watched.line(seen), flush=True)
 
-        record = asyncio.run(play(drawn, text, folder, Options(on_second=say)))
+        record = run_until_stopped(play(drawn, text, folder, Options(on_second=say)))
     verdict = judge(drawn, record, live=True)
     verdict.void = list(record.figures.get("void", []))
     run = Run(text, name, "module", "module", seed, "live", "")
--- a/ironledge/lab/faults/cli.py
+++ b/ironledge/lab/faults/cli.py
@@ -1,18 +1,16 @@
 """`faults`: what the lab's command line has of the fault lab.
 
-Exit status: 0 nothing broken, 1 something broken or undecided, 2 bad input (nothing was started), 130 Ctrl-C.
+Exit status: 0 nothing broken, 1 something broken or undecided, 2 bad input (nothing was started), 130 Ctrl-C
+or SIGTERM.
 """
 
 from __future__ import annotations
 
-import asyncio
 import itertools
 import shutil
-import signal
 import sys
-from collections.abc import Coroutine
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any
 
 import click
 from rich.console import Console
@@ -22,8 +20,8 @@
 from ironledge.lab.faults.judge import PROPERTIES
 from ironledge.lab.faults.plants import PLANTS
 from ironledge.lab.scenario import ScenarioError, parameters
+from ironledge.lab.stopping import run_until_stopped
 
-T = TypeVar("T")
 OUT = Path("lab-out/faults")
 plant_option = click.option("--plant", type=click.Choice(sorted(PLANTS)), help="a known defect to put in")
 
@@ -33,22 +31,6 @@
     """Several real processes, faults between them, and a judge of what they did together."""
 
 
-def _until_done(what: Coroutine[Any, Any, T]) -> T:
-    """Ctrl-C and SIGTERM cancel it, so that all it started is ended."""
-
-    async def run() -> T:
-        task = asyncio.current_task()
-        assert task
-        for number in (signal.SIGINT, signal.SIGTERM):
-            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
-        return await what
-
-    try:
-        return asyncio.run(run())
-    except asyncio.CancelledError:
-        raise click.Abort from None
-
-
 @faults.command("list")
 def list_() -> None:
     """The schedules that are shipped."""
@@ -92,7 +74,7 @@
     if plant:
         chosen.plant = plant
     folder = out or OUT / f"{chosen.name}-{seed}"
-    result = _until_done(host.play(chosen, seed, folder))
+    result = run_until_stopped(host.play(chosen, seed, folder))
     if as_json:
         click.echo(many.as_json(result, folder))
     else:
@@ -132,7 +114,7 @@
     numbers = iter(range(first, first + seeds)) if seeds else itertools.count(first)
     console = Console(stderr=True)
     with Status("starting", console=console) as status:
-        found = _until_done(
+        found = run_until_stopped(
             many.hunt(
                 name, numbers, minutes, jobs or many.default_jobs(), out, plant or "", stop_on or "",
                 lambda found: status.update(found.told()),
@@ -166,7 +148,9 @@
             faults = len(now.schedule.fault)
             status.update(f"{now.tried} tried; {faults} faults, failed {now.failed} of {now.of}")
 
-        found = _until_done(many.shrink(result, folder, jobs or many.default_jobs(), times, bound, progress))
+        found = run_until_stopped(
+            many.shrink(result, folder, jobs or many.default_jobs(), times, bound, progress)
+        )
     shutil.rmtree(folder / "tries", ignore_errors=True)
     click.echo(f"{path}: {len(found.schedule.fault)} of {len(result.schedule.fault)} faults, failed "
                f"{found.failed} times of {found.of}; {found.tried} schedules were tried")  # fmt: skip
@@ -202,6 +186,6 @@
     """What a relay with no fault on it adds to a round trip, and how much it carries."""
     from ironledge.lab.faults import cost as measure
 
-    for row in _until_done(measure.cost()):
+    for row in run_until_stopped(measure.cost()):
         trip = f"round trip {row.median_us:5.0f} us (99%: {row.p99_us:.0f})"
         click.echo(f"{row.way:8} {trip}, {row.mb_per_s:.0f} MB a second")
--- a/ironledge/lab/limits.py
+++ b/ironledge/lab/limits.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
 import resource
 import tempfile
@@ -19,6 +18,7 @@
 from ironledge.lab.policies import maker
 from ironledge.lab.scenario import Scenario, parse
 from ironledge.lab.simulate import simulate
+from ironledge.lab.stopping import run_until_stopped
 
 WHOLE = 0.99  # share of the requests that has to be answered in time at a rate that counts as carried
 PROMPT_MS = 20.0  # 99th percentile of the loader's lateness up to which it keeps its times
@@ -82,7 +82,7 @@
     found: list[Carried] = []
     rate = start
     while len(found) < 16:
-        found.append(asyncio.run(_at(rate, loaders, null, checkout)))
+        found.append(run_until_stopped(_at(rate, loaders, null, checkout)))
         if not found[-1].good:
             break
         rate *= 1.3
--- a/ironledge/lab/play.py
+++ b/ironledge/lab/play.py
@@ -177,17 +177,17 @@
 
 
 def _live(run: Run) -> tuple[Day, Record]:
-    import asyncio
     import tempfile
 
     from ironledge.lab.live.host import Options, play
+    from ironledge.lab.stopping import run_until_stopped
 
     if run.policy != "module":
         raise VariantError(f"{run.policy!r} runs in virtual time alone: live, the program itself runs")
     made = drawn(run)
     options = Options(loaders=run.loaders, checkout=Path(run.checkout) if run.checkout else None)
     folder = Path(tempfile.mkdtemp(prefix="lab-"))
-    return made, asyncio.run(play(made, run.scenario, folder, options))
+    return made, run_until_stopped(play(made, run.scenario, folder, options))
 
 
 def main() -> int:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -345,7 +345,7 @@
     return found
 
 
-def started(folder: Path, length: int) -> subprocess.Popen[str]:
+def started(folder: Path, length: int, **more: Any) -> subprocess.Popen[str]:
     text = (
         SHORT.split("[[trouble]]")[0]
         .replace("length_s = 8", f"length_s = {length}")
@@ -360,6 +360,7 @@
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
         text=True,
+        **more,
     )
 
 
