--- a/playhouse/promptbook/membership.py
+++ b/playhouse/promptbook/membership.py
@@ -78,8 +78,8 @@
             self._take_in(now, step)
 
     def _take_in(self, now: float, step: Step) -> None:
-        """The next change, if there is one; one at a time, and none before this term's first entry."""
-        if not self._opened or not self._is_settled() or self._handed or self.leaving:
+        """The next change, if there is one."""
+        if not self._may_change():
             return
         members = self._next_members(now)
         if [astuple(m) for m in members] == [astuple(m) for m in self._members]:
@@ -89,6 +89,10 @@
         for member in gone:  # another disk stands at its door
             self.peers.pop(member.disk, None)
 
+    def _may_change(self) -> bool:
+        """One at a time, and none before this term's first entry is decided."""
+        return self._opened and self._is_settled() and not self._handed and not self.leaving
+
     def _next_members(self, now: float) -> tuple[Member, ...]:
         times, peers = self.times, self.peers
         here = {m.disk: m for m in self._members}
--- a/playhouse/promptbook/voters.py
+++ b/playhouse/promptbook/voters.py
@@ -11,7 +11,7 @@
 
 LEAST = 5  # voters, where there are as many: one more may be lost while the first one's place is taken
 MOST = 9  # a change waits for a majority of them
-SWAPS = 2  # at once, for the sake of the spread alone
+SWAPS = 2  # at once, for the sake of the spread
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +55,12 @@
     return (region if tolerance.regions else 0, zone, region, member.door)
 
 
+def _pairs(voters: Sequence[Member]) -> int:
+    """How many share a zone, and how many a region."""
+    counts = (*Counter(map(_zone, voters)).values(), *Counter(map(_region, voters)).values())
+    return sum(n * (n - 1) // 2 for n in counts)
+
+
 def spread(members: Iterable[Member], count: int, tolerance: Tolerance) -> list[Member]:
     """So many of them, in as many places as there are."""
     left, found = list(members), list[Member]()
@@ -66,14 +72,15 @@
 
 
 def wanted(members: Collection[Member], tolerance: Tolerance) -> int:
-    """How many voters there are to be: the smallest odd number that bears it, or what comes nearest."""
-    least = max(2 * tolerance.nodes + 1, LEAST)
-    for count in range(min(least, len(members) - 1 + len(members) % 2), min(MOST, len(members)) + 1, 2):
-        if count % 2 and not shortfall(spread(members, count, tolerance), (), tolerance):
+    """How many voters there are to be, an odd number: LEAST or more if that bears the tolerance, else fewer
+    that do, else what the number of members gives."""
+    needed = 2 * tolerance.nodes + 1
+    least, most = max(needed, LEAST), max(1, len(members) - 1 + len(members) % 2)
+    more, fewer = range(min(least, most), min(MOST, most) + 1, 2), range(least - 2, needed - 1, -2)
+    for count in [*more, *fewer]:
+        if count <= most and not shortfall(spread(members, count, tolerance), (), tolerance):
             return count
-    if len(members) < 3:
-        return len(members)
-    return min(least, len(members) - 1 + len(members) % 2)
+    return min(least, most)
 
 
 def next_voters(
@@ -94,12 +101,11 @@
         return shortfall(voters, away, tolerance)
 
     def swapped(out: Member) -> list[Member] | None:
-        """The best learner in the place of that one, if that is no worse."""
+        """The best learner in the place of that one."""
         rest = [m for m in now if m != out]
         if not spare:
             return None
-        one = min(spare, key=lambda m: (lacks([*rest, m]), _crowd(m, rest, tolerance)))
-        return [*rest, one] if lacks([*rest, one]) <= lacks(now) else None
+        return [*rest, min(spare, key=lambda m: (lacks([*rest, m]), _crowd(m, rest, tolerance)))]
 
     def take(voters: list[Member]) -> None:
         nonlocal now
@@ -113,14 +119,15 @@
         rest = [m for m in now if m != one]
         if rest and (lacks(rest) < lacks(now) or len(now) > count):
             take(rest)
-    while len(now) < count and len(spare) >= (pair := 2 - (len(now) + 1) % 2):
-        more = list(now)
-        for _ in range(pair):
-            free = [m for m in spare if m not in more]
+    if len(now) < count:
+        more, free = list(now), list(spare)
+        while free and len(more) < count:
             more.append(min(free, key=lambda m: _crowd(m, more, tolerance)))
-        if lacks(more) > lacks(now):
-            break
-        take(more)
+            free.remove(more[-1])
+        if len(more) % 2 == 0:
+            more.pop()
+        if len(more) > len(now) and lacks(more) <= lacks(now):
+            take(more)
     if len(now) > count > 2:
         fewer = list(now)
         while len(fewer) > count:
@@ -132,8 +139,9 @@
         if lacks(fewer) <= lacks(now):
             take(fewer)
     for _ in range(SWAPS):
-        options = [o for m in now if m.disk != keep and (o := swapped(m)) and lacks(o) < lacks(now)]
-        if not options:
+        options = [o for m in now if m.disk != keep and (o := swapped(m))]
+        best = min(options, key=lambda o: (lacks(o), _pairs(o)), default=now)
+        if (lacks(best), _pairs(best)) >= (lacks(now), _pairs(now)):
             break
-        take(min(options, key=lacks))
+        take(best)
     return frozenset(m.disk for m in now)
--- a/tests/test_playhouse_states.py
+++ b/tests/test_playhouse_states.py
@@ -1,5 +1,6 @@
-"""Orders in which three core machines can hear one another, with a change of term, a proposal, a crash and a
-wiped disk at any step: no two orders, and nothing that was delivered is ever missing."""
+"""Orders in which core machines can hear one another, with a change of term, a proposal, a crash and a wiped
+disk at any step, and with a change of the configuration at any step: no two leaders of a term, no two orders,
+and nothing that was delivered is ever missing."""
 
 from __future__ import annotations
 
@@ -15,6 +16,7 @@
 from playhouse.promptbook.machine import Machine, Role, founded, founder
 from playhouse.promptbook.messages import (
     AppendReply,
+    KeepEntries,
     Kept,
     Member,
     Message,
@@ -24,6 +26,7 @@
 DOORS = ("a", "b", "c")
 FULL = 2  # messages on one way; more are lost, which a network may do
 STATES, WALKS = 8_000, 4_000  # looked at
+CHANGES = 1_000  # walks with changes of the configuration, which take longer
 
 
 class Half:
@@ -41,11 +44,11 @@
     ways: dict[tuple[str, str], tuple[Message, ...]] = field(default_factory=dict)
     order: dict[int, tuple[int, bytes]] = field(default_factory=dict)
     left: dict[str, int] = field(default_factory=dict)
+    leaders: dict[int, str] = field(default_factory=dict)  # by term: a disk
 
     def key(self) -> Any:
         seen = []
-        for door in DOORS:
-            m = self.machines[door]
+        for m in self.machines.values():
             peers = tuple(sorted((d, p.next, p.match, p.out_at >= 0) for d, p in m.peers.items()))
             votes = tuple(sorted(m._votes)) if m.role in (Role.PRE_CANDIDATE, Role.CANDIDATE) else ()
             log = tuple((e.index, e.term, e.data, e.members) for e in m.log)
@@ -70,6 +73,11 @@
         queue = state.ways.get((door, to), ())
         if len(queue) < FULL:
             state.ways[door, to] = (*queue, message)
+    if machine.role is Role.LEADER:
+        changes = [e for w in step.writes if isinstance(w, KeepEntries) for e in w.entries if e.members]
+        first = next((e.index for e in machine.log if e.opens and e.term == machine.term), 0)
+        assert not changes or first <= machine.commit_index, "a change too early"
+        assert state.leaders.setdefault(machine.term, machine.me.disk) == machine.me.disk, "two leaders"
     for entry in step.delivered:
         known = state.order.setdefault(entry.index, (entry.term, entry.data))
         assert known == (entry.term, entry.data), "two orders"
@@ -145,10 +153,21 @@
         return deed
 
     found += [hear(way) for way, queue in state.ways.items() if queue]
-    for door in DOORS:
-        machine = state.machines[door]
+    def silent(door: str, other: str) -> Deed:
+        """The leader has heard nothing of another for long, and looks who is to vote."""
+
+        def deed(state: State) -> None:
+            step, machine = Step(), state.machines[door]
+            state.left["silent"] -= 1
+            machine.peers[other].acked, machine.peers[other].since = float("-inf"), -100.0
+            machine._take_in(1.0, step)
+            do(state, door, step)
+
+        return deed
+
+    for door, machine in state.machines.items():
         quiet = not any(queue for (sender, _), queue in state.ways.items() if sender == door)
-        if state.left["term"] and machine.is_member() and machine.role is not Role.LEADER:
+        if state.left["term"] and machine.may_stand() and machine.role is not Role.LEADER:
             found.append(request_vote(door))
         if not machine.is_member() and quiet:
             found.append(join(door))
@@ -156,6 +175,8 @@
             found.append(say(door))
         if machine.role is Role.LEADER and quiet:
             found.append(beat(door))
+        if state.left["silent"] and machine.role is Role.LEADER:
+            found += [silent(door, d) for d, p in machine.peers.items() if p.member in machine.voters]
         found += [end(door, what) for what in ("crash", "wipe") if state.left[what]]
     return found
 
@@ -165,11 +186,27 @@
     members = [founder(door) for door in DOORS]
     disks = {door: founded(members) for door in DOORS}
     machines = {d: begin(made, founder(d), copy.deepcopy(disks[d])) for d in DOORS}
-    state = State(machines, disks, {}, {}, {"term": 1, "say": 0, "crash": 0, "wipe": 0})
+    state = State(machines, disks, {}, {}, {"term": 1, "say": 0, "crash": 0, "wipe": 0, "silent": 0})
     deeds(made, state)[0](state)
     while any(state.ways.values()):
         deeds(made, state)[0](state)
-    state.left = {"term": 1, "say": 1, "crash": 1, "wipe": 1}
+    state.left = {"term": 1, "say": 1, "crash": 1, "wipe": 1, "silent": 0}
+    return state
+
+
+def with_learner(made: type[Machine]) -> State:
+    """D has joined and holds all that there is: if a voter is silent, it steps in. With E there would be five
+    voters."""
+    state = opened(made)
+    for door in ("d", "e"):
+        state.disks[door] = founded(())
+        state.machines[door] = begin(made, Member(door, "new"), founded(()))
+    do(state, "d", state.machines["d"].tick(1.0))
+    while ahead := [way for way, queue in state.ways.items() if queue]:
+        message, state.ways[ahead[0]] = state.ways[ahead[0]][0], state.ways[ahead[0]][1:]
+        do(state, ahead[0][1], state.machines[ahead[0][1]].received(1.0, message))
+    assert [m.door for m in state.machines["a"].members if m.learner] == ["d"]
+    state.left = {"term": 3, "say": 2, "crash": 2, "wipe": 1, "silent": 2}
     return state
 
 
@@ -188,14 +225,15 @@
     return len(seen)
 
 
-def walk(made: type[Machine], seed: int, length: int = 60) -> None:
+def walk(made: type[Machine], seed: int, length: int = 60, first: Callable[..., State] = opened) -> State:
     """One long way through the states."""
-    rng, state = random.Random(seed), opened(made)
-    state.left["term"] = 2
+    rng, state = random.Random(seed), first(made)
+    state.left["term"] = max(2, state.left["term"])
     for _ in range(length):
         if not (ahead := deeds(made, state)):
-            return
+            break
         rng.choice(ahead)(state)
+    return state
 
 
 def test_no_short_way_leads_to_two_orders() -> None:
@@ -207,6 +245,17 @@
         walk(Machine, seed)
 
 
+def test_a_change_of_the_configuration_bears_a_crash_and_a_wipe_at_each_step() -> None:
+    changed = grown = 0
+    for seed in range(CHANGES):
+        state = walk(Machine, seed, 100, with_learner)
+        decided = [m for m in state.machines.values() if m.commit_index >= m._members_at > 0]
+        doors = {tuple(v.door for v in m.voters) for m in decided}
+        changed += any("d" in some for some in doors)
+        grown += ("a", "b", "c", "d", "e") in doors
+    assert changed > CHANGES / 8 and grown > CHANGES / 40, (changed, grown)
+
+
 class AckEarly(Machine):
     def _held(self, index: int, among: tuple[Member, ...]) -> bool:
         return True
@@ -238,6 +287,51 @@
 
 @pytest.mark.parametrize("planted", [AckEarly, AnyDisk, Forgets])
 def test_planted_defects_are_seen(planted: type[Machine]) -> None:
-    with pytest.raises(AssertionError, match="two orders"):
+    with pytest.raises(AssertionError, match=r"two (orders|leaders)"):
         for seed in range(WALKS):
             walk(planted, seed)
+
+
+class LearnersAck(Machine):
+    """Whoever has an entry on disk counts for its majority."""
+
+    def _held(self, index: int, among: tuple[Member, ...]) -> bool:
+        return 1 + sum(p.match >= index for p in self.peers.values()) > len(among) // 2
+
+
+class LearnersVote(Machine):
+    """All are asked, and all votes count."""
+
+    def _electors(self) -> tuple[Member, ...]:
+        return tuple(m for m in self.members if m != self.me)
+
+    def _majority(self, says: Callable[[Member], bool]) -> bool:
+        return sum(map(says, self.members)) > len(self.voters) // 2
+
+
+class NewMajorityOnly(Machine):
+    def _quorums(self) -> tuple[tuple[Member, ...], ...]:
+        return (self._voters,)
+
+
+class TwoAtOnce(Machine):
+    """The next change does not wait for the one before."""
+
+    def _may_change(self) -> bool:
+        return self._opened
+
+
+class TooEarly(Machine):
+    """Nor does it wait for the first entry of the term."""
+
+    def _may_change(self) -> bool:
+        return self._is_settled()
+
+
+@pytest.mark.parametrize(
+    "planted", [AckEarly, AnyDisk, LearnersAck, LearnersVote, NewMajorityOnly, TwoAtOnce, TooEarly]
+)
+def test_defects_of_a_change_are_seen(planted: type[Machine]) -> None:
+    with pytest.raises(AssertionError, match=r"two orders|two leaders|too early"):
+        for seed in range(CHANGES):
+            walk(planted, seed, 100, with_learner)
