--- a/playhouse/promptbook/voters.py
+++ b/playhouse/promptbook/voters.py
@@ -77,7 +77,8 @@
     needed = 2 * tolerance.nodes + 1
     least, most = max(needed, LEAST), max(1, len(members) - 1 + len(members) % 2)
     more, fewer = range(min(least, most), min(MOST, most) + 1, 2), range(least - 2, needed - 1, -2)
-    for count in [*more, *fewer]:
+    counts: list[int] = [*more, *fewer]
+    for count in counts:
         if count <= most and not shortfall(spread(members, count, tolerance), (), tolerance):
             return count
     return min(least, most)
