--- a/tests/test_playhouse_promptbook.py
+++ b/tests/test_playhouse_promptbook.py
@@ -473,13 +473,15 @@
     store = Store(tmp_path)
     state = State()
     assert state.apply(Command(Verb.REPLACE, "d", content | {"parent": 0}))
-    store.begin("x", Kept(2, "x", Snapshot(3, 1, (Member("a:1", "x"),), state.out())))
+    members = (Member("a:1", "x"), Member("b:1", "y", "zone", "region", learner=True))
+    store.begin("x", Kept(2, "x", Snapshot(3, 1, members, state.out())))
     store.write([KeepEntries(4, (Entry(4, 2, Command(Verb.EVACUATE, zone="z").out()),))])
     store.close()
     before = (tmp_path / "promptbook/data.mdb").read_bytes()
     shown = CommandTester(Look())
     assert shown.execute(str(tmp_path)) == 0
     told = shown.io.fetch_output()
+    assert "voters: a:1 (x)\nlearners: b:1 (y)" in told
     assert "disk x; term 2" in told and "gen 5, version 2, evacuated ['z']" in told
     assert shown.execute(f"{tmp_path} --config") == 0 and json.loads(shown.io.fetch_output()) == content
     assert (tmp_path / "promptbook/data.mdb").read_bytes() == before
