--- a/playhouse/promptbook/membership.py
+++ b/playhouse/promptbook/membership.py
@@ -115,7 +115,12 @@
                 here[disk] = replace(member, zone=told.zone, region=told.region)
         fit = {d for d in here if d in peers and now - peers[d].level_at < times.fit}
         lost = {d for d in here if silent.get(d, 0.0) > times.silent}
-        votes = next_voters(tuple(here.values()), fit, lost, leaving, self.me.disk, self.tolerance)
+        votes = frozenset(m.disk for m in self._voters)
+        places = tuple((m.disk, m.zone, m.region, m.learner) for m in here.values())
+        if (seen := (places, fit, lost, leaving, self.tolerance)) != self._left_as_it_is:
+            chosen = next_voters(tuple(here.values()), fit, lost, leaving, self.me.disk, self.tolerance)
+            self._left_as_it_is = seen if chosen == votes else None
+            votes = chosen
         members = (replace(m, learner=d not in votes) for d, m in here.items())
         return tuple(sorted(m for m in members if not (m.learner and m.disk in leaving)))
 
--- a/playhouse/promptbook/replica.py
+++ b/playhouse/promptbook/replica.py
@@ -88,6 +88,7 @@
         self._voters: tuple[Member, ...] = ()
         self._voters_before: tuple[Member, ...] = ()
         self._places: dict[str, Member] = {me.disk: me}  # by disk, as it was told
+        self._left_as_it_is: object = None  # what the choice of voters came from, when nothing was to change
         self._votes: set[str] = set()
         self._opened = False  # an entry of the term that this one holds was delivered
         self._handed_at = float("-inf")  # when another was last asked to take this term's place
