--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -99,10 +99,15 @@
         self.lost_word = False  # it broke under a request of which nothing had been answered
         self.dead = self.passing = False  # passing: an answer goes on to the client in parts
         self.astray = False  # it has brought an answer that belongs to another request
+        self.answered = b""  # id of the request that it answered last
         self.heard_at = math.inf  # while it does, when the last part came
         self._hold: asyncio.TimerHandle | None = None
 
     def send(self, exchange: Exchange) -> None:
+        if exchange.flow and exchange.flow.id and exchange.flow.id == self.answered:
+            self.drop()  # a second answer to the attempt before, still on its way, would count for this one
+            self.pool.ask(exchange)
+            return
         data = exchange.data if isinstance(exchange.data, bytes) else exchange.data()
         if data is None:  # what was true when it was begun holds no longer: not a byte has gone
             self.pool.rest(self, True)
@@ -156,7 +161,10 @@
 
     def data_received(self, data: bytes) -> None:
         self.pool.heard_at = self.pool.now()
-        super().data_received(data)
+        if self.exchange is None:  # nobody has asked: the rest of it would come under the next request
+            self.drop()
+        else:
+            super().data_received(data)
 
     def headed(self, message: Message) -> None:
         """An answer of unknown length may be short, and can be asked for again until some of it goes on; it
@@ -172,8 +180,8 @@
 
     def opened(self, message: Message) -> None:
         exchange, answer = self.exchange, self._answer(message)
-        if answer.outcome is Outcome.MOOT:  # another request's
-            self._gone()
+        if answer.outcome is Outcome.MOOT:  # another request's: it passes by
+            self.astray = True
         elif answer.outcome is not Outcome.OK or exchange is None or exchange.flow is None:
             self._settle(exchange, answer)
         elif exchange.flow.opened(answer):
@@ -210,14 +218,14 @@
         if (100 <= message.status < 200 or answer.outcome is Outcome.MOOT) and exchange:
             self.astray = self.astray or answer.outcome is Outcome.MOOT
             return
-        self.exchange = None
+        self.exchange, self.answered = None, exchange.flow.id if exchange and exchange.flow else b""
         if kept := KEPT.search(message.headers.get(b"keep-alive", b"")):
             self.pool.kept(int(kept[1]))
-        # Answered before it had all been read, or more said than was asked for.
+        # Answered before it had all been read, or more said than was asked for: a part of a message, what is
+        # none, or whole ones read along with this, which the next request would get for its answer.
         unsound = self.transport.get_write_buffer_size() > 0 or self._begun or self._lost_framing
-        unsound = unsound or self.astray or (exchange is not None and not exchange.written)
-        if not self.dead:
-            self.pool.rest(self, exchange is not None and message.keep_alive and not unsound)
+        unsound = unsound or bool(self._hooks) or self.astray or not (exchange and exchange.written)
+        self.pool.rest(self, message.keep_alive and not unsound)
         if exchange:
             exchange.end(answer)
 
@@ -226,7 +234,10 @@
         another request's."""
         if judge := self.pool.judge:
             asked = self.exchange.data if self.exchange else b""
-            return judge(message, asked if isinstance(asked, bytes) else b"")
+            answer = judge(message, asked if isinstance(asked, bytes) else b"")
+            if answer.outcome is Outcome.ERROR and message.status >= 200:
+                self.astray = True  # nothing shows whose it is: its own answer may yet come
+            return answer
         headers, status = message.headers, message.status
         load = headers.get(b"server-load", b"")
         if self.keep_fields and status not in (502, 503, 504):
@@ -378,7 +389,7 @@
                     sock.close()
             elif not (up and wanted):  # it came up just as its time was over: its end is counted once
                 link.drop()
-            if up and wanted and link:
+            if up and wanted and link and not link.dead:
                 self._do(self.pool.dialled(self.now(), dial, link))
             elif wanted:
                 self._do(self.pool.failed(self.now(), dial, refused))
@@ -392,10 +403,12 @@
     # Connections rest and end.
 
     def rest(self, link: Link, reusable: bool) -> None:
-        if link in self.busy:
-            self._do(self.pool.freed(self.now(), link, reusable and link.address == self.address))
-        else:  # it spoke though nobody had asked
-            link.drop()
+        if link.dead:
+            return
+        reusable = reusable and link.address == self.address
+        if reusable and self.pool.waiting:  # it goes on to them as it is, so it is looked at now
+            reusable = link.stands()
+        self._do(self.pool.freed(self.now(), link, reusable))
 
     def left(self, link: Link, under_request: bool) -> None:
         """Its socket is closed, by whichever side."""
--- a/playhouse/promptbook/store.py
+++ b/playhouse/promptbook/store.py
@@ -92,6 +92,15 @@
 
     # Reading.
 
+    def system(self) -> str:
+        """The name of the system that it belongs to; nothing until that is known."""
+        with self._env.begin(self._meta) as look:
+            return (look.get(b"system") or b"").decode()
+
+    def name_system(self, name: str) -> None:
+        with self._env.begin(write=True) as change:
+            change.put(b"system", name.encode(), db=self._meta)
+
     def load(self) -> Kept:
         """Raises StoreError."""
         try:
