--- a/playhouse/callboard/collector.py
+++ b/playhouse/callboard/collector.py
@@ -11,18 +11,20 @@
 
 
 class Collector:
+    """Times are seconds on this process's clock."""
+
     def __init__(self, settings: Settings, board: Board, roll: Roll) -> None:
         self._settings, self._board, self._roll = settings, board, roll
-        self._beats: dict[str, int] = {}  # seq by server, not told yet
+        self._beats: dict[str, tuple[int, float]] = {}  # by server: seq, and when it came; not told for sure
 
     def nearer(self, body: bytes) -> dict[str, str]:
         """Where a server's later beats are to go, if that is not here: they are the most of what crosses
-        zones."""
+        zones. Only those that the leader has heard of late are named."""
         zone = json.loads(body)["details"]["zone"]
         region = self._settings.zones.get(zone, "")
         if zone == self._settings.zone:
             return {}
-        cores = [h.node for h in self._roll.leases.values() if h.node.kind == "core" and h.node.ctl]
+        cores = [n for n in self._roll.here() if n.kind == "core" and n.ctl]
         near = [n for n in cores if n.zone == zone]
         if not near and region != self._settings.region:
             near = [n for n in cores if n.region == region]
@@ -39,10 +41,17 @@
             return False
         if not known.plain(seen):
             return False
-        self._beats[id] = max(seen.seq, self._beats.get(id, 0))
+        self._beats[id] = max((seen.seq, now), self._beats.get(id, (0, now)))
         return True
 
-    def report(self) -> pb.Beats | None:
-        """What is to be told to the leader; from then on it counts as told."""
-        beats, self._beats = self._beats, {}
-        return pb.Beats(id=list(beats), seq=list(beats.values())) if beats else None
+    def report(self, now: float) -> pb.Beats:
+        """What is to be told to the leader."""
+        self._beats = {id: beat for id, beat in self._beats.items() if id in self._board.servers}
+        ages = [round((now - came) * 1000) for _, came in self._beats.values()]
+        return pb.Beats(id=list(self._beats), seq=[seq for seq, _ in self._beats.values()], age_ms=ages)
+
+    def told(self, beats: pb.Beats) -> None:
+        """A leader has answered that it has heard this."""
+        for id, seq in zip(beats.id, beats.seq, strict=True):
+            if id in self._beats and self._beats[id][0] <= seq:
+                del self._beats[id]
--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -5,8 +5,6 @@
 
 import asyncio
 import contextlib
-import json
-import os
 import random
 from dataclasses import dataclass
 from typing import Any
@@ -16,7 +14,6 @@
 from playhouse.company.roll import Roll
 from playhouse.errors import Code, SystemFailure
 from playhouse.events import Event, note
-from playhouse.foyer.lookup import lookup
 from playhouse.promptbook import codec
 from playhouse.promptbook.machine import Machine, founded, founder
 from playhouse.promptbook.messages import (
@@ -24,12 +21,15 @@
     Step,
 )
 from playhouse.promptbook.store import Store
-from playhouse.script.state import Command, State, Verb
+from playhouse.reception import Reception
+from playhouse.script.state import Command, State
 from playhouse.settings import Settings, shown
-from playhouse.stagedoor.doors import Answer, Doors, told, wrong
-from playhouse.stagedoor.tree import CONTROL, FOYER, Wrong, match
+from playhouse.stagedoor.doors import Doors
+from playhouse.understudy.contact import ReadIndex
 from playhouse.understudy.desk import Desk
-from playhouse.understudy.duty import Duty, server_in
+from playhouse.understudy.duty import Duty
+from playhouse.understudy.enrolment import Enrolment
+from playhouse.understudy.follower import Follower
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.links import Wings
 from playhouse.wings.reach import Reach
@@ -38,10 +38,6 @@
 DECIDE = 3.0  # s for a majority to have a change on disk
 ENTRIES = 128  # in the log, after which a snapshot takes their place ...
 BYTES = 4 * 1024 * 1024  # ... or so many bytes of them
-PASS_ON = 2.5  # s for the leader to answer what is passed on to it
-ASK_WAIT = 1.0  # s that the leader may keep an ask for news
-REPORT = 0.6  # beats between reports of those that said nothing new
-STRIKE = 10.0  # s between looks for ingresses that hold no lease any longer
 
 
 @dataclass(slots=True)
@@ -61,22 +57,21 @@
         self._doors = [shown(settings.core_door(seed)) for seed in settings.seeds]
         disk, kept = self._begin(shown(own))
         self.me = Member(shown(own), disk)
-        self.machine = Machine(self.me, kept, self.now(), random.Random(), doors=self._doors)
+        rng = random.Random(random.getrandbits(64))
+        self.machine = Machine(self.me, kept, self.now(), rng, doors=self._doors)
         self.state = State.read(kept.snapshot.state)
         self.board, self.roll = Board(), Roll()
         self.duty: Duty | None = None
         self._pending: dict[int, Pending] = {}
         self._news = asyncio.Event()
-        self._seen: tuple[str, int, int] = ("", 0, 0)  # epoch, servers, nodes
-        self._collector = Collector(settings, self.board, self.roll)
-        self._life = f"{os.getpid():x}{random.getrandbits(40):x}"
         self.reach = Reach(self.wings, self._cores, self._peers)
-        self._web = [Doors(self._take, self._was_read), Doors(self._foyer)]
+        self._read_index, self._enrolment, self.desk = ReadIndex(self), Enrolment(self), Desk(self)
+        collector = Collector(settings, self.board, self.roll)
+        self.follower = Follower(self, collector)
+        self.reception = Reception(self, self.follower, collector)
+        self._web = [Doors(self.reception.control, self.reception.was_read), Doors(self.reception.foyer)]
         self._tasks: list[asyncio.Task[Any]] = []
-        self.desk = Desk(self)
         self._known_members: tuple[Member, ...] = ()
-        self._joining: set[str] = set()
-        self._striking: set[str] = set()  # no lease is granted to these until it is known what became of that
 
     def _begin(self, own: str) -> tuple[str, Any]:
         """An empty disk is given a name. Only at the first start of all is it that of a founder: any other
@@ -113,7 +108,8 @@
             if name in listen:
                 await doors.listen(listen[name])
         self._tasks = [
-            self._loop.create_task(work()) for work in (self._ticks, self._asks, self._reports, self._strike)
+            self._loop.create_task(work())
+            for work in (self._ticks, self.follower.asks, self.follower.reports, self._enrolment.strike)
         ]
 
     async def stop(self) -> None:
@@ -152,7 +148,10 @@
                 applied = self.state.apply(Command.read(entry.data))
             pending = self._pending.pop(entry.index, None)
             if pending and not pending.future.done():
-                pending.future.set_result(applied and pending.term == entry.term)
+                if pending.term == entry.term:
+                    pending.future.set_result(applied)
+                else:  # another's stands in its place; the same call may have come there by another way
+                    pending.future.set_exception(SystemFailure(Code.SILENT, "another leader came first"))
             if applied:
                 if self.duty:
                     self.duty.follow(self.state)
@@ -163,6 +162,17 @@
             self._known_members = self.machine.members
             note(Event.MEMBERS, "%s", " ".join(m.door for m in self._known_members))
         self._look_at_duty()
+        self._read_index.look()
+        for pending in self._pending.values():
+            over = pending.term != self.machine.term or self.machine.leader != self.me
+            if over and not pending.future.done():
+                pending.future.set_exception(SystemFailure(Code.SILENT, "the term is over"))
+
+    def carry_out(self, step: Step) -> None:
+        self._do(step)
+
+    def leads(self) -> bool:
+        return self.machine.leads(self.now())
 
     def _is_long(self) -> bool:
         log = self.machine.log
@@ -219,12 +229,6 @@
                 self._do(self.machine.received(self.now(), message))
             case "receipt" if self.duty:
                 self.duty.moves.read(envelope.receipt.zone, envelope.receipt.order)
-            case "beats" if self.duty:
-                now = self.now()
-                for id, seq in zip(envelope.beats.id, envelope.beats.seq, strict=False):
-                    seen = self.duty.board.servers.get(id)
-                    if seen and seen.state == "ready" and seq > seen.seq:
-                        seen.seq, seen.heard_at = seq, now
 
     async def _handle(self, envelope: pb.Envelope) -> pb.Envelope:
         try:
@@ -238,10 +242,15 @@
                     return pb.Envelope(leased=pb.Leased(left=left))
                 case "deal":
                     return pb.Envelope(dealt=self.held().deal(self.now(), envelope.deal))
+                case "beats":
+                    duty, now = self.held(), self.now()
+                    duty.beats(now, envelope.beats)
+                    await self.confirm(now, duty.term, at_once=False)
+                    return pb.Envelope()
                 case "order":
                     self.held()
                     order = envelope.order
-                    status, body = await self.desk.settle(order.method, order.path, order.body)
+                    status, body = await self.desk.settle(order.method, order.path, order.body, order.id)
                     return pb.Envelope(outcome=pb.Outcome(status=status, body=body))
         except SystemFailure as failure:
             if failure.code is not Code.NOT_LEADER:
@@ -254,7 +263,7 @@
     async def _ask(self, ask: pb.Ask) -> pb.Cue:
         duty, until = self.held(), self.now() + min(5.0, ask.wait_ms / 1000)
         if not ask.HasField("node") or ask.node.kind == "edge":
-            await self._enrol(ask.name or ask.node.name)
+            await self._enrolment.enrol(ask.name or ask.node.name)
             duty = self.held()
         if duty.asked(self.now(), ask):
             self.publish()
@@ -263,137 +272,24 @@
             duty = self.held()
         return self.held().cue(self.now(), ask, self.state)
 
-    async def _enrol(self, name: str) -> None:
-        """Who is to hold a lease is known to whoever may have the duty next. Raises SystemFailure."""
-        if name in self.state.edges and name not in self._striking:
-            return
-        self._joining.add(name)
-        await asyncio.sleep(0)  # those who come at the same time are taken in together
-        while name not in self.state.edges or name in self._striking:
-            if name in self._joining and name not in self._striking:
-                names, self._joining = tuple(sorted(self._joining)), set()
-                await self.decide(Command(Verb.ENROL, names=names))
-            else:
-                await asyncio.sleep(0.01)
-            self.held()
-
-    async def _strike(self) -> None:
-        """Those long gone are enrolled no longer."""
-        while True:
-            await asyncio.sleep(STRIKE * random.uniform(0.8, 1.2))
-            if self.duty:
-                gone = tuple(n for n in self.state.edges if n not in self.duty.roll.leases)
-                self._striking = set(gone)
-                with contextlib.suppress(SystemFailure):
-                    if gone:
-                        await self.decide(Command(Verb.ENROL, gone=gone))
-                        self._striking = set()
-
-    # News of the leader, for one that does not hold the duty.
-
-    def _node(self) -> pb.Node:
-        listen = self.settings.listen
-        ctl = shown(listen["ctl"]) if "ctl" in listen else ""
-        return pb.Node(
-            name=self.settings.name, life=self._life, door=self.me.door, zone=self.settings.zone,
-            region=self.settings.region, kind="core", ready=True, ctl=ctl,
-        )  # fmt: skip
-
-    async def _asks(self) -> None:
-        while True:
-            if self.duty:
-                await asyncio.sleep(0.2)
-                continue
-            epoch, servers, nodes = self._seen
-            ask = pb.Ask(
-                node=self._node(), epoch=epoch, script=self.state.version, gen=self.state.gen,
-                servers=servers, nodes=nodes, wait_ms=round(ASK_WAIT * 1000),
-            )  # fmt: skip
-            try:
-                answer = await self.reach.call(pb.Envelope(ask=ask), 3.0, ASK_WAIT + 0.6)
-            except SystemFailure:
-                await asyncio.sleep(0.1)
-                continue
-            if self.duty is None and answer.WhichOneof("body") == "cue":
-                cue, now = answer.cue, self.now()
-                seen = [server_in(s, now) for s in cue.server]
-                if seen or cue.servers_whole:
-                    self.board.take(seen, cue.servers, cue.servers_whole)
-                self.roll.take(cue.node, cue.node_gone, cue.nodes_whole, now, cue.nodes)
-                for known in self.board.servers.values():
-                    known.heard_at = now
-                self._seen = (cue.epoch, cue.servers, cue.nodes)
-                if cue.script != self.state.version:  # its own log is behind: not asked for again at once
-                    await asyncio.sleep(0.05)
-
-    async def _reports(self) -> None:
-        """Beats that said nothing new are told of together."""
-        while True:
-            await asyncio.sleep(REPORT * self.settings.heartbeat * random.uniform(0.8, 1.2))
-            if (beats := self._collector.report()) and self.reach.hint and not self.duty:
-                self.wings.tell(self.reach.hint, pb.Envelope(beats=beats))
-
-    # Calls of servers and operators.
-
-    async def _foyer(self, method: str, target: str, body: bytes) -> Answer:
-        found = match(FOYER, method, target)
-        if isinstance(found, Wrong):
-            return wrong(found.status, found.why)
-        if found.call == "ready":
-            return told(200, {"ready": True})
-        return lookup(target, self.roll.here(), self.settings.bounds.ttl_max)
-
-    async def _take(self, method: str, target: str, body: bytes) -> Answer:
-        found = match(CONTROL, method, target)
-        if isinstance(found, Wrong):
-            return wrong(found.status, found.why)
-        if found.call == "ready":
-            return told(200, {"ready": True})
-        if found.call != "beat":
-            return await self._pass(method, target, body)
-        if self.duty is None and self._collector.plain(found.args["id"], body, self.now()):
-            return told(200, self._collector.nearer(body))
-        status, answer = await self._pass(method, target, body)
-        return told(200, self._collector.nearer(body)) if status == 200 else (status, answer)
-
-    async def _pass(self, method: str, target: str, body: bytes) -> Answer:
-        """Settled here if the duty is held here, else by its leader."""
-        if self.duty and self.machine.leads(self.now()):
-            try:
-                return await self.desk.settle(method, target, body)
-            except SystemFailure as failure:
-                return wrong(503, str(failure))
-        order = pb.Order(method=method, path=target, body=body)
-        try:
-            answer = await self.reach.call(pb.Envelope(order=order), PASS_ON, PASS_ON)
-        except SystemFailure as failure:
-            return wrong(503, str(failure))
-        return answer.outcome.status, answer.outcome.body
-
-    def _was_read(self, method: str, target: str, answer: Answer) -> None:
-        """Who gave an order for a zone has its answer: the same call is another order from now on."""
-        found = match(CONTROL, method, target)
-        if isinstance(found, Wrong) or found.call not in ("evacuate", "take back") or answer[0] != 200:
-            return
-        receipt = pb.Receipt(zone=found.args["zone"], order=json.loads(answer[1])["order"])
-        if self.duty:
-            self.duty.moves.read(receipt.zone, receipt.order)
-        elif self.reach.hint:
-            self.wings.tell(self.reach.hint, pb.Envelope(receipt=receipt))
-
     async def decide(self, command: Command) -> bool:
         """True once a majority has it on disk and it is in force; False if it is void. Raises SystemFailure
         where that is not known."""
         index, step = self.machine.propose(self.now(), command.out())
         if not index:
             raise SystemFailure(Code.NOT_LEADER)
-        future: asyncio.Future[bool] = self._loop.create_future()
-        self._pending[index] = Pending(self.machine.term, future)
+        pending = self._pending[index] = Pending(self.machine.term, self._loop.create_future())
         self._do(step)
         try:
             async with asyncio.timeout(DECIDE):
-                return await future
+                return await pending.future
         except TimeoutError:
             raise SystemFailure(Code.SILENT, "no majority has it yet") from None
         finally:
-            self._pending.pop(index, None)
+            if self._pending.get(index) is pending:
+                del self._pending[index]
+
+    async def confirm(self, called: float, term: int, decided: bool = False, at_once: bool = True) -> None:
+        """Until a majority has answered what was sent after `called`, in the term in which the state was
+        looked at; `decided`: and all that the log holds now is. Raises SystemFailure."""
+        await self._read_index.confirm(called, term, self.machine.last if decided else 0, at_once)
--- a/playhouse/promptbook/machine.py
+++ b/playhouse/promptbook/machine.py
@@ -129,11 +129,23 @@
 
     def lease_end(self, now: float) -> float:
         """Until when no other can hold a later term."""
+        return self.contact(now) + self.times.lease
+
+    def contact(self, now: float) -> float:
+        """The newest time of which it is sure that a majority has answered, in this term, what was sent at
+        it or after it: a read index rests on that."""
         acked = sorted(
             (now if m == self.me else self.peers[m.disk].acked if m.disk in self.peers else float("-inf"))
             for m in self._members
         )
-        return acked[(len(acked) - 1) // 2] + self.times.lease if acked else float("-inf")
+        return acked[(len(acked) - 1) // 2] if acked else float("-inf")
+
+    def hurry(self, now: float, apart: float) -> Step:
+        """A beat at once, if the last one was sent `apart` seconds ago or earlier."""
+        step = Step()
+        if self.role is Role.LEADER and now >= self._beat_at - self.times.beat + apart:
+            self._beat(now, step)
+        return step
 
     def wants_snapshot(self) -> bool:
         """Who the members are is decided, and only the log says so: after a start nobody would know that it
--- /dev/null
+++ b/playhouse/reception.py
@@ -0,0 +1,119 @@
+"""Calls of servers and operators as they come to a core machine: answered there, or passed on."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import Protocol
+
+from playhouse.callboard.collector import Collector
+from playhouse.company.roll import Roll
+from playhouse.errors import Code, SystemFailure
+from playhouse.foyer.lookup import lookup
+from playhouse.settings import Settings
+from playhouse.stagedoor.doors import Answer, told, wrong
+from playhouse.stagedoor.tree import CONTROL, FOYER, Wrong, match
+from playhouse.understudy.desk import Desk
+from playhouse.understudy.duty import Duty
+from playhouse.understudy.follower import Follower
+from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.links import Wings
+from playhouse.wings.reach import Reach
+
+PASS_ON = 0.95  # s for the leader to answer what is passed on to it: callers go elsewhere after one ...
+PASS_LARGE = 2.5  # ... or later with a body ...
+LARGE = 16 * 1024  # ... of so many bytes
+WAY = 0.4  # s for one way to the leader, where one is out of contact ...
+BEAT = 0.45  # ... and for a beat, by whatever way: its server has to get to another in time
+
+
+class Process(Protocol):
+    settings: Settings
+    roll: Roll
+    desk: Desk
+    wings: Wings
+    reach: Reach
+    duty: Duty | None
+
+    def now(self) -> float: ...
+    def leads(self) -> bool: ...
+
+
+class Reception:
+    def __init__(self, process: Process, follower: Follower, collector: Collector) -> None:
+        self._process, self._follower, self._collector = process, follower, collector
+
+    def ready(self) -> bool:
+        """A majority is behind it, or behind the leader that it is in contact with."""
+        process = self._process
+        return process.leads() if process.duty else self._follower.in_contact(process.now())
+
+    def _ready(self) -> Answer:
+        ready = self.ready()
+        return told(200 if ready else 503, {"ready": ready})
+
+    async def foyer(self, method: str, target: str, body: bytes) -> Answer:
+        """Calls of clients, at `dir`."""
+        found = match(FOYER, method, target)
+        if isinstance(found, Wrong):
+            return wrong(found.status, found.why)
+        if found.call == "ready":
+            return self._ready()
+        if not self.ready():
+            return wrong(503, "out of contact")
+        return lookup(target, self._process.roll.here(), self._process.settings.bounds.ttl_max)
+
+    async def control(self, method: str, target: str, body: bytes) -> Answer:
+        """Calls of servers and operators, at `ctl`."""
+        found = match(CONTROL, method, target)
+        if isinstance(found, Wrong):
+            return wrong(found.status, found.why)
+        if found.call == "ready":
+            return self._ready()
+        if found.call != "beat":
+            return await self._settle(method, target, body)
+        now = self._process.now()
+        plain = self._process.duty is None and self._follower.in_contact(now)
+        if plain and self._collector.plain(found.args["id"], body, now):
+            return told(200, self._nearer(body))
+        if self._process.duty is None and self._follower.is_cut_off(now):
+            return wrong(503, "out of contact")
+        status, answer = await self._settle(method, target, body, BEAT)
+        return told(200, self._nearer(body)) if status == 200 else (status, answer)
+
+    def _nearer(self, body: bytes) -> dict[str, str]:
+        return self._collector.nearer(body) if self.ready() else {}
+
+    async def _settle(self, method: str, target: str, body: bytes, most: float = PASS_ON) -> Answer:
+        """Settled here if the duty is held here, else by its leader. Passing it on after it was settled here
+        in vain does no harm: it has an id, and configurations are known by what they are."""
+        process, came, id = self._process, self._process.now(), f"{random.getrandbits(64):016x}"
+        if process.duty and process.leads():
+            try:
+                return await process.desk.settle(method, target, body, id)
+            except SystemFailure as failure:
+                if failure.code is not Code.NOT_LEADER:
+                    return wrong(503, str(failure))
+        order = pb.Order(method=method, path=target, body=body, id=id)
+        within = came + PASS_ON - process.now()
+        if self._follower.in_contact(process.now()):
+            patience = within = within if len(body) < LARGE else PASS_LARGE
+        else:
+            within, patience = min(most, within), WAY
+        try:
+            answer = await self._follower.call(pb.Envelope(order=order), within, patience)
+        except SystemFailure as failure:
+            return wrong(503, str(failure))
+        return answer.outcome.status, answer.outcome.body
+
+    def was_read(self, method: str, target: str, answer: Answer) -> None:
+        """Who gave an order for a zone has its answer: the same call is another order from now on."""
+        found = match(CONTROL, method, target)
+        if isinstance(found, Wrong) or found.call not in ("evacuate", "take back") or answer[0] != 200:
+            return
+        process = self._process
+        receipt = pb.Receipt(zone=found.args["zone"], order=json.loads(answer[1])["order"])
+        if process.duty:
+            process.duty.moves.read(receipt.zone, receipt.order)
+        elif process.reach.hint:
+            process.wings.tell(process.reach.hint, pb.Envelope(receipt=receipt))
--- a/playhouse/script/state.py
+++ b/playhouse/script/state.py
@@ -14,7 +14,9 @@
 
 from playhouse.script.check import TABLES
 
-KNOWN = 256  # accepted calls that are remembered, so that one sent again is known
+KNOWN = 20_000  # accepted calls that are remembered, so that one sent again is known: a day's changes
+CALLS = 4_096  # calls for zones that are
+REFUSED = -1  # in place of a gen: the call was refused, for good
 
 
 class Verb(Enum):
@@ -23,6 +25,7 @@
     EVACUATE = "evacuate"
     TAKE_BACK = "take back"
     ENROL = "enrol"
+    REFUSE = "refuse"
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,11 +36,12 @@
     zone: str = ""
     names: tuple[str, ...] = ()  # of ingresses that may hold leases from here on ...
     gone: tuple[str, ...] = ()  # ... and that hold none any longer
+    call: str = ""  # the id of a call for a zone, given where it came in
 
     def out(self) -> bytes:
         raw = {
             "verb": self.verb.value, "digest": self.digest, "order": self.order, "zone": self.zone,
-            "names": self.names, "gone": self.gone,
+            "names": self.names, "gone": self.gone, "call": self.call,
         }  # fmt: skip
         return zlib.compress(json.dumps(raw, separators=(",", ":")).encode(), 6)
 
@@ -51,6 +55,7 @@
             raw["zone"],
             tuple(raw["names"]),
             tuple(raw["gone"]),
+            raw.get("call", ""),
         )
 
 
@@ -77,6 +82,8 @@
     version: int = 0  # counts what was applied; rises at every change
     edges: list[str] = field(default_factory=list)  # ingresses that may hold leases, whoever has the duty
     known: dict[str, int] = field(default_factory=dict)  # digests of accepted calls, with their gen
+    forgotten: int = 0  # the newest gen of a call that was accepted and is not known any longer
+    calls: dict[str, str] = field(default_factory=dict)  # calls for zones, and the order that each belongs to
     # A gen, and its content as ingresses are told it.
     _told: tuple[int, bytes] = field(default=(-1, b""), compare=False, repr=False)
 
@@ -99,15 +106,21 @@
             case Verb.REPLACE | Verb.UPDATE:
                 if command.order["parent"] != self.gen or command.order["gen"] <= self.gen:
                     return False
+                if command.digest in self.known:  # it was refused: that holds
+                    return False
                 self.content = self.result(command)
                 self.gen = command.order["gen"]
-                self.known[command.digest] = self.gen
-                while len(self.known) > KNOWN:
-                    del self.known[next(iter(self.known))]
+                self._remember(command.digest, self.gen)
+            case Verb.REFUSE:
+                if command.digest not in self.known:
+                    self._remember(command.digest, REFUSED)
+                return False
             case Verb.ENROL:
                 self.edges = sorted({*self.edges, *command.names} - set(command.gone))
                 return False
             case Verb.EVACUATE | Verb.TAKE_BACK:
+                if not self._is_first(command):
+                    return False
                 before = self.evacuated.get(command.zone, 0)
                 orders = before + (1 if command.verb is Verb.EVACUATE else -1)
                 if self.moves.get(command.zone) == command.digest or orders < 0:
@@ -120,10 +133,32 @@
         self.version += 1
         return True
 
+    def _remember(self, digest: str, gen: int) -> None:
+        self.known[digest] = gen
+        while len(self.known) > KNOWN:
+            self.forgotten = max(self.forgotten, self.known.pop(next(iter(self.known))))
+
+    def may_be_forgotten(self, gen: int) -> bool:
+        """It can no longer be known whether a call that is not known, for this gen, was accepted."""
+        return gen <= self.forgotten
+
+    def _is_first(self, command: Command) -> bool:
+        """Of the calls and orders for a zone. An order has the name of its first call."""
+        if command.call in self.calls:
+            return False  # it came by another way as well
+        again = bool(command.call) and (not command.digest or command.digest in self.calls)
+        if command.call:
+            self.calls[command.call] = command.digest
+            self.calls.setdefault(command.digest, command.digest)
+            while len(self.calls) > CALLS:
+                del self.calls[next(iter(self.calls))]
+        return not again
+
     def out(self) -> bytes:
         raw = {
             "gen": self.gen, "content": self.content, "evacuated": self.evacuated, "version": self.version,
             "known": self.known, "edges": self.edges, "moves": self.moves,
+            "forgotten": self.forgotten, "calls": self.calls,
         }  # fmt: skip
         return zlib.compress(json.dumps(raw, separators=(",", ":")).encode(), 6)
 
@@ -132,7 +167,9 @@
         if not data:
             return cls()
         raw = json.loads(zlib.decompress(data))
+        # One that was stored before counted to 256, and did not say what it had forgotten.
+        before = min(raw["known"].values()) - 1 if len(raw["known"]) >= 256 else 0
         return cls(
             raw["gen"], raw["content"], raw["evacuated"], raw["moves"], raw["version"], raw["edges"],
-            raw["known"],
+            raw["known"], raw.get("forgotten", before), raw.get("calls", {}),
         )  # fmt: skip
--- /dev/null
+++ b/playhouse/understudy/contact.py
@@ -0,0 +1,110 @@
+"""The read index: an answer waits until a majority is known to have followed this leader after the call came.
+
+Why that is enough. A majority answered, in this term, what was sent after the call had come. Whoever holds a
+later term needs the vote of one of them, which was given after its answer, so after the call: when the call
+came, nobody held a later term, and all that had been decided by then was decided by this leader or before its
+first entry. Its state at any later moment holds all of that. Nothing is asked of clocks but that this
+process's own does not go back, and a freeze at any line only makes the call longer.
+
+A loop looks at its clock once a round. What was sent in the round of a call bears the call's time, and may
+have been sent before it, with a freeze between the two: so only what bears a later time counts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import Protocol
+
+from playhouse.errors import Code, SystemFailure
+from playhouse.promptbook.messages import Step
+
+PATIENCE = 0.6  # s for a majority to answer: a leader without one has time left to pass a call on
+SOON = 0.002  # s after which a beat is sent for those who wait: it is to bear a later time than the call ...
+APART = 0.01  # ... and so many at least after the last one
+
+
+class Log(Protocol):
+    """What is asked of the machine."""
+
+    term: int
+    commit_index: int
+
+    def leads(self, now: float) -> bool: ...
+    def contact(self, now: float) -> float: ...
+    def hurry(self, now: float, apart: float) -> Step: ...
+
+
+class Process(Protocol):
+    """Who carries steps out."""
+
+    @property
+    def machine(self) -> Log: ...
+    def now(self) -> float: ...
+    def carry_out(self, step: Step) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    called: float
+    term: int
+    index: int
+    future: asyncio.Future[None]
+
+
+class ReadIndex:
+    def __init__(self, process: Process) -> None:
+        self._process = process
+        self._waiting: set[_Waiting] = set()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def _is_met(self, called: float, term: int, index: int) -> bool:
+        log, now = self._process.machine, self._process.now()
+        if log.term != term:
+            raise SystemFailure(Code.NOT_LEADER)
+        return log.leads(now) and log.contact(now) > called and log.commit_index >= index
+
+    async def confirm(self, called: float, term: int, index: int = 0, at_once: bool = True) -> None:
+        """Until a majority has answered what was sent later than `called`, in the term in which the state was
+        looked at, and the log is decided up to `index`. `at_once`: a beat is sent for it, else the next one
+        is waited for. Raises SystemFailure: this one may hold the duty no longer."""
+        if self._is_met(called, term, index):
+            return
+        waiting = _Waiting(called, term, index, asyncio.get_running_loop().create_future())
+        self._waiting.add(waiting)
+        try:
+            if at_once:
+                self._hurry(SOON)
+            async with asyncio.timeout(PATIENCE):
+                await waiting.future
+        except TimeoutError:
+            raise SystemFailure(Code.NOT_LEADER, "no majority has answered") from None
+        finally:
+            self._waiting.discard(waiting)
+
+    def _hurry(self, within: float) -> None:
+        """One beat for all who wait."""
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(within, self._beat)
+
+    def _beat(self) -> None:
+        self._timer = None
+        process = self._process
+        if not self._waiting:
+            return
+        step = process.machine.hurry(process.now(), APART)
+        if step.sends:
+            process.carry_out(step)
+        else:
+            self._hurry(APART)
+
+    def look(self) -> None:
+        """After each step."""
+        for waiting in list(self._waiting):
+            if waiting.future.done():
+                continue
+            try:
+                if self._is_met(waiting.called, waiting.term, waiting.index):
+                    waiting.future.set_result(None)
+            except SystemFailure as failure:
+                waiting.future.set_exception(failure)
--- a/playhouse/understudy/desk.py
+++ b/playhouse/understudy/desk.py
@@ -1,6 +1,8 @@
 """What calls of servers and operators come to at the leader.
 
-One change is decided after the other; then all wait together until it is everywhere.
+One change is decided after the other; then all wait together until it is everywhere. Whatever is answered
+rests on contact with a majority after the call came (`understudy/contact.py`). A refusal is final: it is
+given only once all that this leader's log held is decided, for a reason that no later state takes back.
 """
 
 from __future__ import annotations
@@ -15,13 +17,15 @@
 from playhouse.errors import Code, SystemFailure
 from playhouse.events import Event, note
 from playhouse.script.check import content_looks, order_errors
-from playhouse.script.state import Command, State, Verb
+from playhouse.script.state import REFUSED, Command, State, Verb
 from playhouse.settings import Settings
 from playhouse.stagedoor.doors import Answer, told, wrong
 from playhouse.stagedoor.tree import CONTROL, Wrong, match
 from playhouse.understudy.duty import Duty
 
 TURNS = 64  # changes that wait for the one before
+PARENT = 0.2  # s for which an order waits for the version that it builds on: that may be under way
+UNREAD = object()
 
 Change = Callable[[], Awaitable[tuple[Answer, int]]]  # the answer, and the version that is to be everywhere
 
@@ -40,6 +44,10 @@
         """True once a majority has it on disk and it is in force; False if it is void. Raises SystemFailure
         where that is not known."""
 
+    async def confirm(self, called: float, term: int, decided: bool = False, at_once: bool = True) -> None:
+        """Until a majority has answered what was sent after `called`, in the term in which the state was
+        looked at; `decided`: and all that the log holds now is. Raises SystemFailure."""
+
     async def news(self, within: float) -> None:
         """Until something has changed, or so many seconds."""
 
@@ -53,45 +61,52 @@
         self._turn = asyncio.Lock()
         self._turns = 0
 
-    async def settle(self, method: str, target: str, body: bytes) -> Answer:
-        """Raises SystemFailure where the duty is not held, or no longer."""
+    async def settle(self, method: str, target: str, body: bytes, id: str = "") -> Answer:
+        """`id`: of the call, from where it came in. Raises SystemFailure where the duty is not held, or no
+        longer."""
         found = match(CONTROL, method, target)
         if isinstance(found, Wrong):
             return wrong(found.status, found.why)
         duty, now = self._leader.held(), self._leader.now()
         match found.call:
-            case "beat":
-                try:
-                    seen = read_beat(found.args["id"], json.loads(body), now)
-                except BeatError as error:
-                    return wrong(400, *error.errors)
-                except ValueError as error:
-                    return wrong(400, f"not JSON: {error}")
-                if duty.board.beat(seen):
-                    note(Event.SERVER_NEWS, "%s %s %s", seen.id, seen.service, seen.state)
-                    self._leader.publish()
-                return told(200, {})
-            case "end":
-                if duty.board.end(found.args["id"], now):
-                    note(Event.SERVER_NEWS, "%s gone", found.args["id"])
-                    self._leader.publish()
-                return told(200, {})
-            case "read":
-                return (
-                    told(200, self._leader.state.content)
-                    if self._leader.state.gen
-                    else wrong(404, "no configuration yet")
-                )
-            case "show":
-                return told(200, duty.show(now, self._leader.state) | self._leader.core_shown())
             case "replace" | "update":
                 verb = Verb.REPLACE if found.call == "replace" else Verb.UPDATE
-                return await self._in_turn(lambda: self._configure(verb, body))
+                return await self._configuration(verb, body)
             case "evacuate" | "take back":
                 verb = Verb.EVACUATE if found.call == "evacuate" else Verb.TAKE_BACK
-                return await self._ordered(verb, found.args["zone"])
+                return await self._ordered(verb, found.args["zone"], id)
+            case "beat" | "end":
+                answer = self._heard(duty, found.call, found.args["id"], body, now)
+                await self._leader.confirm(now, duty.term, at_once=False)
+                return answer
+        await self._leader.confirm(now, duty.term)
+        state = self._leader.state
+        match found.call:
+            case "read" if state.gen:
+                return told(200, state.content)
+            case "read":
+                return wrong(404, "no configuration yet")
+            case "show":
+                return told(200, duty.show(self._leader.now(), state) | self._leader.core_shown())
         return wrong(404, "no such call")
 
+    def _heard(self, duty: Duty, call: str, id: str, body: bytes, now: float) -> Answer:
+        if call == "end":
+            if duty.board.end(id, now):
+                note(Event.SERVER_NEWS, "%s gone", id)
+                self._leader.publish()
+            return told(200, {})
+        try:
+            seen = read_beat(id, json.loads(body), now)
+        except BeatError as error:
+            return wrong(400, *error.errors)
+        except ValueError as error:
+            return wrong(400, f"not JSON: {error}")
+        if duty.board.beat(seen):
+            note(Event.SERVER_NEWS, "%s %s %s", seen.id, seen.service, seen.state)
+            self._leader.publish()
+        return told(200, {})
+
     async def _in_turn(self, change: Change) -> Answer:
         """One change is decided after the other; then all wait together until it is everywhere."""
         if self._turns >= TURNS:
@@ -107,52 +122,118 @@
         done: Answer = answer
         return done
 
-    async def _configure(self, verb: Verb, body: bytes) -> tuple[Answer, int]:
-        self._leader.held()
+    async def _configuration(self, verb: Verb, body: bytes) -> Answer:
+        called = self._leader.now()
         digest = blake2b(verb.value.encode() + b" " + body, digest_size=16).hexdigest()
-        state = self._leader.state
-        if digest in state.known:
-            return told(200, {"gen": state.known[digest]}), state.version
-        try:
-            order = json.loads(body)
-        except ValueError as error:
-            return wrong(400, f"not JSON: {error}"), 0
-        errors = order_errors(order, verb is Verb.REPLACE, state.gen)
-        if isinstance(order, dict) and isinstance(order.get("parent"), int) and order["parent"] != state.gen:
-            return wrong(412, f"parent: {order['parent']} is not {state.gen}, which is in force", *errors), 0
-        command = Command(verb, digest, order)
-        if not errors:
-            for some in content_looks(state.result(command)):
-                errors += some
-                await asyncio.sleep(0)
-            self._leader.held()
-        if errors:
-            note(Event.CONFIG_REFUSED, "%s", "; ".join(errors[:5]))
-            return wrong(400, *errors), 0
-        if not await self._leader.decide(command):
-            return wrong(412, "another change came first"), 0
+        order: Any = UNREAD
+        if digest not in self._leader.state.known:
+            try:
+                order = json.loads(body)
+            except ValueError as error:
+                return await self._refused(called, wrong(400, f"not JSON: {error}"))
+            await self._parent_comes(order)
+        return await self._in_turn(lambda: self._configure(verb, digest, order, called))
+
+    async def _refused(self, called: float, answer: Answer) -> Answer:
+        await self._leader.confirm(called, self._leader.held().term)
+        return answer
+
+    async def _parent_comes(self, order: Any) -> None:
+        parent, until = order.get("parent") if isinstance(order, dict) else None, self._leader.now() + PARENT
+        while isinstance(parent, int) and self._leader.state.gen < parent and self._leader.now() < until:
+            await self._leader.news(until - self._leader.now())
+
+    async def _configure(self, verb: Verb, digest: str, order: Any, called: float) -> tuple[Answer, int]:
+        """Decides it, or finds out what became of it."""
+        while True:
+            term, state = self._leader.held().term, self._leader.state
+            if (known := state.known.get(digest)) == REFUSED:
+                return await self._refused(called, wrong(412, "it was refused before")), 0
+            if known is not None:
+                await self._leader.confirm(called, term)
+                return told(200, {"gen": known}), self._leader.state.version
+            if order is UNREAD:
+                raise SystemFailure(Code.STALE, "it was known, and is forgotten now")
+            judged_on = state.gen
+            refusal = await self._judge(verb, digest, order, state)
+            if refusal is None:
+                break
+            await self._leader.confirm(called, term, decided=True)
+            state = self._leader.state
+            if state.gen == judged_on and digest not in state.known:
+                note(Event.CONFIG_REFUSED, "%s", refusal[1].decode()[:300])
+                return refusal, 0
+        if not await self._leader.decide(Command(verb, digest, order)):
+            known = self._leader.state.known.get(digest, REFUSED)  # it may have stood in the log before
+            if known == REFUSED:
+                return wrong(412, "another change came first"), 0
+            return told(200, {"gen": known}), self._leader.state.version
         note(Event.CONFIG_TAKEN, "gen %d, version %d", self._leader.state.gen, self._leader.state.version)
         return told(200, {"gen": order["gen"]}), self._leader.state.version
 
-    async def _move(self, verb: Verb, zone: str, order: str) -> tuple[Answer, int]:
-        duty, orders = self._leader.held(), self._leader.state.evacuated.get(zone, 0)
-        begins = verb is Verb.EVACUATE
-        if order and self._leader.state.moves.get(zone) != order and (orders or begins):
-            if not begins and orders == 1:
-                duty.board.chill(zone, self._leader.now(), duty.warmups(self._leader.state))
-            await self._leader.decide(Command(verb, order, zone=zone))
+    async def _judge(self, verb: Verb, digest: str, order: Any, state: State) -> Answer | None:
+        """A refusal, or nothing. Raises SystemFailure where nothing can be said for sure."""
+        whole = verb is Verb.REPLACE
+        errors = order_errors(order, whole, 0)
+        if errors:
+            return wrong(400, *errors)  # whatever the state is
+        gen, parent, in_force = order["gen"], order["parent"], state.gen
+        if parent < gen and state.may_be_forgotten(gen):
+            if whole and (found := await self._content_errors(state.result(Command(verb, "", order)))):
+                return wrong(400, *found)
+            raise SystemFailure(Code.STALE, "so old that it is not known what became of it")
+        if parent > in_force:  # a state that has it may come: the refusal is to stand there as well
+            if await self._leader.decide(Command(Verb.REFUSE, digest)):
+                raise SystemFailure(Code.SILENT)
+            return wrong(412, f"parent: {parent} is not {in_force}, which is in force")
+        errors = order_errors(order, whole, in_force)
+        if parent != in_force:
+            return wrong(412, f"parent: {parent} is not {in_force}, which is in force", *errors)
+        if not errors:
+            errors = await self._content_errors(state.result(Command(verb, digest, order)))
+        return wrong(400, *errors) if errors else None
+
+    async def _content_errors(self, content: dict[str, Any]) -> list[str]:
+        errors = []
+        for some in content_looks(content):
+            errors += some
+            await asyncio.sleep(0)
+        self._leader.held()
+        return errors
+
+    # What was decided for a call needs no further contact: a majority took it in, in this term, since.
+
+    async def _move(self, verb: Verb, zone: str, order: str, call: str, called: float) -> tuple[Answer, int]:
+        duty, state = self._leader.held(), self._leader.state
+        orders, begins = state.evacuated.get(zone, 0), verb is Verb.EVACUATE
+        is_new = bool(order) and state.moves.get(zone) != order
+        if not call and not (is_new and (orders or begins)):
+            await self._leader.confirm(called, duty.term)
+            return self._moved(zone, order), state.version
+        if is_new and not begins and orders == 1:
+            duty.board.chill(zone, self._leader.now(), duty.warmups(state))
+        await self._leader.decide(Command(verb, order, zone=zone, call=call))
+        if is_new:
             orders = self._leader.state.evacuated.get(zone, 0)
             note(Event.ZONE_EVACUATED if begins else Event.ZONE_TAKEN_BACK, "%s, orders: %d", zone, orders)
-        return told(200, {"zone": zone, "order": order, "orders": orders}), self._leader.state.version
+        return self._moved(zone, order), self._leader.state.version
+
+    def _moved(self, zone: str, order: str) -> Answer:
+        orders = self._leader.state.evacuated.get(zone, 0)
+        return told(200, {"zone": zone, "order": order, "orders": orders})
 
-    async def _ordered(self, verb: Verb, zone: str) -> Answer:
+    async def _ordered(self, verb: Verb, zone: str, call: str) -> Answer:
+        duty, now, state = self._leader.held(), self._leader.now(), self._leader.state
         if zone not in self._leader.settings.zones:
-            return wrong(404, f"no zone {zone!r}")
-        duty = self._leader.held()
-        stands = (zone in self._leader.state.evacuated) == (verb is Verb.EVACUATE)
-        order = duty.moves.came(self._leader.now(), zone, verb.value, stands)
+            return await self._refused(now, wrong(404, f"no zone {zone!r}"))
+        if call in state.calls:  # it has come by another way
+            await self._leader.confirm(now, duty.term)
+            await self._everywhere(state.version)
+            return self._moved(zone, state.calls[call])
+        stands = (zone in state.evacuated) == (verb is Verb.EVACUATE)
+        order = duty.moves.came(now, zone, verb.value, stands, call)
         try:
-            return await self._in_turn(lambda: self._move(verb, zone, order))
+            return await self._in_turn(lambda: self._move(verb, zone, order, call, now))
         finally:
             duty.moves.over(zone, order)
 
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -20,6 +20,7 @@
 
 SETTLE = 2.5  # beats after a start from nothing, until which servers that are not known may yet be there
 WAIT = 1.0  # s, at the most, for which one that was dealt nothing is told to wait
+UNDER_WAY = 1.0  # s that beats usually take to get here, told together
 COUNTED = 20.0  # s that an ingress counts where shares are parted, after it was last here
 
 
@@ -130,6 +131,14 @@
         seen = self.board.servers.get(of)
         return starts(self._bounds, self._warm_per_s.get(seen.service, 0.0)) if seen else None
 
+    def beats(self, now: float, beats: pb.Beats) -> None:
+        """Of servers that said nothing new to one that does not lead, so many ms ago."""
+        for number, (id, seq) in enumerate(zip(beats.id, beats.seq, strict=False)):
+            seen = self.board.servers.get(id)
+            if seen and seen.state == "ready" and seq > seen.seq:
+                age = beats.age_ms[number] / 1000 if number < len(beats.age_ms) else 0.0
+                seen.seq, seen.heard_at = seq, max(seen.heard_at, now - max(0.0, age - UNDER_WAY))
+
     def asked(self, now: float, ask: pb.Ask) -> bool:
         """True if it is news to others. Raises SystemFailure where who asks is not known."""
         if not ask.HasField("node"):
--- /dev/null
+++ b/playhouse/understudy/follower.py
@@ -0,0 +1,130 @@
+"""What a core machine that does not lead hears of the leader, and whether it is in contact with it.
+
+In contact is: the leader, with a majority behind it, has answered something that was sent from here less than
+`CONTACT` of a server's beat ago. So whoever is cut off, in either direction, confirms one beat of a server's
+after the cut at most, and that one is told as soon as there is a way.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+from typing import Protocol
+
+from playhouse.callboard.board import Board
+from playhouse.callboard.collector import Collector
+from playhouse.company.roll import Roll
+from playhouse.errors import SystemFailure
+from playhouse.script.state import State
+from playhouse.settings import Settings, shown
+from playhouse.understudy.duty import Duty, server_in
+from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.reach import Reach
+
+CONTACT = 2 / 3  # of a server's beat, or ...
+CONTACT_MOST = 1.0  # ... s, if that is less: under the beat that a server may take to call elsewhere
+REPORT = 0.5  # of that, between reports: with the way there and the answer it is renewed in time
+REPORT_WAIT = 0.7  # s for the leader's answer, after which the next goes by another way
+AGAIN = 0.5  # s that a failure speaks for what comes after it
+ASK_WAIT = 1.0  # s that the leader may keep an ask for news
+
+
+class Process(Protocol):
+    settings: Settings
+    state: State
+    board: Board
+    roll: Roll
+    reach: Reach
+    duty: Duty | None
+
+    def now(self) -> float: ...
+
+
+class Follower:
+    """Times are seconds on this process's clock."""
+
+    def __init__(self, process: Process, collector: Collector) -> None:
+        self._process, self._collector = process, collector
+        self._life = f"{os.getpid():x}{random.getrandbits(40):x}"
+        self._seen: tuple[str, int, int] = ("", 0, 0)  # epoch, servers, nodes
+        self._answered = float("-inf")  # when the newest was sent that the leader has answered
+        self._failed = float("-inf")  # when a call was last given up
+
+    def span(self) -> float:
+        return min(CONTACT_MOST, CONTACT * self._process.settings.heartbeat)
+
+    def in_contact(self, now: float) -> bool:
+        return now - self._answered < self.span()
+
+    def is_cut_off(self, now: float) -> bool:
+        """Out of contact, and a call to the leader was given up so lately that it need not be tried again."""
+        return not self.in_contact(now) and now - self._failed < AGAIN
+
+    async def call(self, envelope: pb.Envelope, within: float, patience: float) -> pb.Envelope:
+        """The leader's answer. Raises SystemFailure."""
+        sent = self._process.now()
+        try:
+            answer = await self._process.reach.call(envelope, within, patience)
+        except SystemFailure:
+            self._failed = self._process.now()
+            raise
+        self._answered = max(self._answered, sent)
+        return answer
+
+    def _node(self) -> pb.Node:
+        settings = self._process.settings
+        ctl = shown(settings.listen["ctl"]) if "ctl" in settings.listen else ""
+        return pb.Node(
+            name=settings.name, life=self._life, door=shown((settings.ip, settings.own_port)),
+            zone=settings.zone, region=settings.region, kind="core", ready=True, ctl=ctl,
+        )  # fmt: skip
+
+    async def asks(self) -> None:
+        """News, for good."""
+        process = self._process
+        while True:
+            if process.duty:
+                await asyncio.sleep(0.2)
+                continue
+            epoch, servers, nodes = self._seen
+            ask = pb.Ask(
+                node=self._node(), epoch=epoch, script=process.state.version, gen=process.state.gen,
+                servers=servers, nodes=nodes, wait_ms=round(ASK_WAIT * 1000),
+            )  # fmt: skip
+            try:
+                answer = await self.call(pb.Envelope(ask=ask), 3.0, ASK_WAIT + 0.6)
+            except SystemFailure:
+                await asyncio.sleep(0.1)
+                continue
+            if process.duty is None and answer.WhichOneof("body") == "cue":
+                self._take(answer.cue)
+                if answer.cue.script != process.state.version:  # its own log is behind: not at once again
+                    await asyncio.sleep(0.05)
+
+    def _take(self, cue: pb.Cue) -> None:
+        process, now = self._process, self._process.now()
+        seen = [server_in(s, now) for s in cue.server]
+        if seen or cue.servers_whole:
+            process.board.take(seen, cue.servers, cue.servers_whole)
+        process.roll.take(cue.node, cue.node_gone, cue.nodes_whole, now, cue.nodes)
+        for known in process.board.servers.values():
+            known.heard_at = now
+        self._seen = (cue.epoch, cue.servers, cue.nodes)
+
+    async def reports(self) -> None:
+        """Beats that said nothing new are told of together, for good. What was not answered is kept, and
+        told again to whoever leads then. With nothing to tell, the answer alone is what counts."""
+        process = self._process
+        while True:
+            await asyncio.sleep(REPORT * self.span() * random.uniform(0.8, 1.2))
+            beats = self._collector.report(process.now())
+            if process.duty:
+                process.duty.beats(process.now(), beats)
+                self._collector.told(beats)
+                continue
+            try:
+                await self.call(pb.Envelope(beats=beats), REPORT_WAIT, REPORT_WAIT)
+            except SystemFailure:
+                continue
+            self._collector.told(beats)
--- /dev/null
+++ b/tests/serving_world.py
@@ -0,0 +1,359 @@
+"""Several core machines in one process, in virtual time, over a net whose every way can be cut: no sleeping,
+no sockets, and disks that a machine keeps over a start."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import random
+import selectors
+from collections.abc import Callable, Coroutine
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, ClassVar
+
+import playhouse.core
+from playhouse.core import Core
+from playhouse.errors import Code, SystemFailure
+from playhouse.promptbook.messages import HardState, KeepEntries, KeepSnapshot, Kept, Write
+from playhouse.settings import Door, checked, shown
+from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.reach import Reach
+
+WAY = 0.02  # s between two machines
+ZONES = {f"z{n}": f"r{n % 3}" for n in range(1, 6)}
+
+
+class _Selector(selectors.SelectSelector):
+    """Nothing is waited for: time goes on to the next timer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+
+    def select(self, timeout: float | None = None) -> Any:
+        if timeout is None:
+            raise RuntimeError("all wait, and nothing is due")
+        self.now += max(0.0, timeout)
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self._virtual = _Selector()
+        super().__init__(self._virtual)
+
+    def time(self) -> float:
+        return self._virtual.now
+
+
+def play(main: Coroutine[Any, Any, None]) -> None:
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(main)
+    finally:
+        tasks = asyncio.all_tasks(loop)
+        for task in tasks:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        loop.close()
+
+
+class MemoryStore:
+    """What was written, by folder."""
+
+    disks: ClassVar[dict[Path, tuple[str, Kept]]] = {}
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+
+    def disk(self) -> str:
+        return self.disks.get(self.folder, ("", None))[0]
+
+    def begin(self, disk: str, kept: Kept) -> None:
+        self.disks[self.folder] = disk, kept
+
+    def load(self) -> Kept:
+        return copy.copy(self.disks[self.folder][1])
+
+    def write(self, writes: list[Write]) -> None:
+        kept = self.disks[self.folder][1]
+        for write in writes:
+            match write:
+                case HardState(term, voted_for):
+                    kept.term, kept.voted_for = term, voted_for
+                case KeepEntries(first, entries):
+                    kept.entries = [*(e for e in kept.entries if e.index < first), *entries]
+                case KeepSnapshot(snapshot, alone):
+                    kept.snapshot = snapshot
+                    kept.entries = [e for e in kept.entries if not alone and e.index > snapshot.index]
+
+    def close(self) -> None:
+        pass
+
+
+@dataclass
+class Net:
+    """Ways by the ends' hosts. What is on a way that is cut is lost, in that direction only."""
+
+    ends: dict[str, Wings] = field(default_factory=dict)
+    cut: set[tuple[str, str]] = field(default_factory=set)
+    late: dict[str, float] = field(default_factory=dict)  # by the kind of body: so many s more, on each way
+    twice: bool = False  # every order passed on comes once more, later
+    frozen: set[str] = field(default_factory=set)  # hosts: what is for them waits, what they say is not said
+    held: list[tuple[str, str, pb.Envelope]] = field(default_factory=list)  # for those
+    loses: Callable[[pb.Envelope, str], bool] = lambda envelope, receiver: False
+    steps: int = 0  # messages that have come
+    at_step: Callable[[int], None] = lambda step: None
+
+    def go(self, sender: str, receiver: str, envelope: pb.Envelope) -> None:
+        if sender.partition(":")[0] in self.frozen or self.loses(envelope, receiver):
+            return
+        made = pb.Envelope()
+        made.CopyFrom(envelope)
+        loop, kind = asyncio.get_running_loop(), envelope.WhichOneof("body") or ""
+        loop.call_later(WAY + self.late.get(kind, 0.0), self._come, sender, receiver, made)
+        if self.twice and kind == "order" and not envelope.answer:
+            loop.call_later(0.7, self._come, sender, receiver, made)
+
+    def _come(self, sender: str, receiver: str, envelope: pb.Envelope) -> None:
+        ways = (sender.partition(":")[0], receiver.partition(":")[0])
+        if ways in self.cut or receiver not in self.ends:
+            return
+        if ways[1] in self.frozen:
+            self.held.append((sender, receiver, envelope))
+            return
+        self.steps += 1
+        self.at_step(self.steps)
+        self.ends[receiver].came(sender, envelope)
+
+
+class Wings:
+    """In place of the connections: the same calls, over the net."""
+
+    latest = Net()
+
+    def __init__(self, own: Door, hear: Any, handle: Any) -> None:
+        self.own, self._hear, self._handle = shown(own), hear, handle
+        self._loop, self._next = asyncio.get_running_loop(), 0
+        self._calls: dict[int, asyncio.Future[pb.Envelope]] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.net = self.latest
+        self.net.ends[self.own] = self
+
+    def now(self) -> float:
+        return self._loop.time()
+
+    async def listen(self) -> None:
+        pass
+
+    def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+    def came(self, sender: str, envelope: pb.Envelope) -> None:
+        if envelope.answer:
+            future = self._calls.get(envelope.call)
+            if future and not future.done():
+                future.set_result(envelope)
+        elif envelope.call:
+            task = self._loop.create_task(self._answer(sender, envelope))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        else:
+            self._hear(envelope)
+
+    async def _answer(self, sender: str, envelope: pb.Envelope) -> None:
+        call = envelope.call
+        try:
+            if envelope.pass_to and envelope.pass_to != self.own:
+                door, envelope.pass_to = envelope.pass_to, ""
+                answer = await self.call(door, envelope, 2.0)
+            else:
+                answer = await self._handle(envelope)
+        except SystemFailure as failure:
+            answer = pb.Envelope(fault=failure.code)
+        answer.call, answer.answer = call, True
+        self.net.go(self.own, sender, answer)
+
+    def tell(self, door: str, envelope: pb.Envelope) -> None:
+        self.net.go(self.own, door, envelope)
+
+    async def call(self, door: str, envelope: pb.Envelope, within: float) -> pb.Envelope:
+        self._next += 1
+        number = envelope.call = self._next
+        future = self._calls[number] = self._loop.create_future()
+        self.net.go(self.own, door, envelope)
+        try:
+            async with asyncio.timeout(within):
+                answer = await future
+        except TimeoutError:
+            raise SystemFailure(Code.SILENT, door) from None
+        finally:
+            del self._calls[number]
+        if answer.fault and answer.fault != Code.NOT_LEADER:
+            raise SystemFailure(Code(answer.fault), door)
+        return answer
+
+
+class Doors:
+    """Calls come straight in."""
+
+    def __init__(self, *takes: Any) -> None: ...
+    async def listen(self, at: Door) -> None: ...
+    def stop(self) -> None: ...
+
+
+class Ingress:
+    """Asks for news as an ingress does, and passes calls on; serves by what it was last told."""
+
+    def __init__(self, world: World, number: int) -> None:
+        self.name, self.host = f"edge-{number}", f"10.0.1.{number}"
+        self.wings = Wings((self.host, 7601), lambda envelope: None, self._refuse)
+        self.reach = Reach(self.wings, lambda: world.doors, lambda: [])  # type: ignore[arg-type]
+        self.script = self.gen = 0
+        self.zone = list(ZONES)[number % len(ZONES)]
+
+    async def _refuse(self, envelope: pb.Envelope) -> pb.Envelope:
+        raise SystemFailure(Code.REFUSED)
+
+    async def ask(self) -> None:
+        while True:
+            node = pb.Node(
+                name=self.name, life="1", door=f"{self.host}:7601", http=f"{self.host}:80", zone=self.zone,
+                region=ZONES[self.zone], kind="edge", ready=True,
+            )  # fmt: skip
+            ask = pb.Ask(node=node, script=self.script, gen=self.gen, wait_ms=250)
+            try:
+                cue = (await self.reach.call(pb.Envelope(ask=ask), 2.0, 0.6)).cue
+            except SystemFailure:
+                await asyncio.sleep(0.1)
+                continue
+            if cue.script >= self.script:
+                self.script, self.gen = cue.script, cue.gen
+            await asyncio.sleep(0.01)
+
+
+class World:
+    """`core` machines 10.0.0.1 and on, each in a zone of its own, and two ingresses."""
+
+    def __init__(self, folder: Path, cores: int = 5, heartbeat: str = "1500ms") -> None:
+        self.folder, self.heartbeat = folder, heartbeat
+        self.net = Wings.latest = Net()
+        MemoryStore.disks = {}
+        self.hosts = [f"10.0.0.{n}" for n in range(1, cores + 1)]
+        self.doors = [f"{host}:7600" for host in self.hosts]
+        self.cores: dict[str, Core] = {}
+        self.ingresses: list[Ingress] = []
+        self.starts = 0
+        self._calls: set[asyncio.Task[tuple[int, bytes]]] = set()
+
+    async def begin(self) -> None:
+        for host in self.hosts:
+            await self.start(host)
+        self.ingresses = [Ingress(self, n) for n in (1, 2)]
+        self.asks = [asyncio.get_running_loop().create_task(i.ask()) for i in self.ingresses]
+        await self.until(lambda: self.leader() is not None)
+
+    def settings(self, host: str) -> dict[str, Any]:
+        number = self.hosts.index(host)
+        return {
+            "self": {
+                "hostname": f"core-{number + 1}", "role": "core", "serves": ["ctl", "dir"], "ip": host,
+                "zone": list(ZONES)[number], "region": ZONES[list(ZONES)[number]],
+                "bootstrap": self.starts < len(self.hosts), "stateDir": str(self.folder / host),
+                "limits": {"memMb": 300, "nofile": 1024},
+            },
+            "network": {
+                "listen": {"ctl": f"{host}:8200", "dir": f"{host}:8201"}, "portRange": [7600, 7607],
+                "peers": [f"{h}:8200" for h in self.hosts], "zones": ZONES,
+            },
+            "infra": {"heartbeat": self.heartbeat},
+            "sla": {"slo": {"ack": "6000ms"}},
+        }  # fmt: skip
+
+    async def start(self, host: str) -> Core:
+        core = self.cores[host] = Core(checked(self.settings(host)))
+        self.starts += 1
+        await core.start()
+        return core
+
+    async def crash(self, host: str) -> None:
+        core = self.cores.pop(host)
+        self.net.ends.pop(f"{host}:7600")
+        for task in core._tasks:
+            task.cancel()
+        core.wings.stop()
+
+    def leader(self) -> Core | None:
+        return next((c for c in self.cores.values() if c.duty and c.leads()), None)
+
+    async def until(self, what: Any, within: float = 30.0) -> None:
+        async with asyncio.timeout(within):
+            while not what():
+                await asyncio.sleep(0.01)
+
+    # Ways.
+
+    def part(self, one: str, others: list[str], there: bool = True, back: bool = True) -> None:
+        """From `one` to the others, and from them to it."""
+        self.net.cut |= {(one, other) for other in others if there}
+        self.net.cut |= {(other, one) for other in others if back}
+
+    def heal(self) -> None:
+        self.net.cut.clear()
+
+    def freeze(self, host: str) -> None:
+        """Its clock stands: it finds itself at the line where it was, with what it had checked."""
+        core = self.cores[host]
+        now = core.now()
+        core.now = lambda: now  # type: ignore[method-assign]
+        self.net.frozen.add(host)
+
+    def thaw(self, host: str) -> None:
+        del self.cores[host].now  # type: ignore[method-assign]
+        self.net.frozen.discard(host)
+        held, self.net.held = self.net.held, []
+        for sender, receiver, envelope in held:
+            self.net._come(sender, receiver, envelope)
+
+    # Calls.
+
+    async def call(self, host: str, method: str, call: str, body: bytes = b"") -> tuple[int, Any]:
+        """It goes on there when nobody waits for it any longer."""
+        work = self.cores[host].reception.control(method, f"/-/{call}", body)
+        task = asyncio.get_running_loop().create_task(work)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+        status, answer = await asyncio.shield(task)
+        return status, json.loads(answer)
+
+    async def beat(self, host: str, id: str, seq: int, zone: str = "z1", state: str = "ready") -> int:
+        raw = {
+            "addr": "10.9.0.1:80", "details": {"backend": "s1", "gen": "v1", "zone": zone, "capacity": 2},
+            "status": {"state": state, "seq": seq, "warmupLeft": "0ms"},
+        }  # fmt: skip
+        body = json.dumps(raw).encode()
+        with suppress(TimeoutError):  # a server waits so long
+            async with asyncio.timeout(1.0):
+                return (await self.call(host, "POST", f"Instances.Heartbeat/{id}", body))[0]
+        return 0
+
+
+def configuration(gen: int, parent: int, **fields: Any) -> bytes:
+    made = {
+        "gen": gen, "parent": parent,
+        "routes": [
+            {"name": "r1", "host": "a.example", "pathPrefix": "/r1/", "kind": "idempotent", "backend": "s1"}
+        ],
+        "backends": [{"name": "s1"}], "tenants": [{"name": f"t{random.getrandbits(40):x}", "apiKeys": ["k"]}],
+    }  # fmt: skip
+    return json.dumps(made | fields).encode()
+
+
+def in_memory(monkeypatch: Any) -> None:
+    monkeypatch.setattr(playhouse.core, "Wings", Wings)
+    monkeypatch.setattr(playhouse.core, "Store", MemoryStore)
+    monkeypatch.setattr(playhouse.core, "Doors", Doors)
