--- a/playhouse/script/state.py
+++ b/playhouse/script/state.py
@@ -82,11 +82,15 @@
     version: int = 0  # counts what was applied; rises at every change
     edges: list[str] = field(default_factory=list)  # ingresses that may hold leases, whoever has the duty
     known: dict[str, int] = field(default_factory=dict)  # digests of accepted calls, with their gen
-    forgotten: int = 0  # the newest gen of a call that was accepted and is not known any longer
+    forgotten: int = -1  # the newest gen of a call that was accepted and is not known any longer
     calls: dict[str, str] = field(default_factory=dict)  # calls for zones, and the order that each belongs to
     # A gen, and its content as ingresses are told it.
     _told: tuple[int, bytes] = field(default=(-1, b""), compare=False, repr=False)
 
+    def __post_init__(self) -> None:
+        if self.forgotten < 0:  # stored when 256 were known, and not what was forgotten
+            self.forgotten = min(self.known.values()) - 1 if len(self.known) >= 256 else 0
+
     def result(self, command: Command) -> dict[str, Any]:
         """The configuration that a Replace or Update would bring about."""
         if command.verb is Verb.UPDATE:
@@ -167,9 +171,7 @@
         if not data:
             return cls()
         raw = json.loads(zlib.decompress(data))
-        # One that was stored before counted to 256, and did not say what it had forgotten.
-        before = min(raw["known"].values()) - 1 if len(raw["known"]) >= 256 else 0
         return cls(
             raw["gen"], raw["content"], raw["evacuated"], raw["moves"], raw["version"], raw["edges"],
-            raw["known"], raw.get("forgotten", before), raw.get("calls", {}),
+            raw["known"], raw.get("forgotten", -1), raw.get("calls", {}),
         )  # fmt: skip
