--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -22,7 +22,7 @@
 )
 from playhouse.promptbook.store import Store
 from playhouse.reception import Reception
-from playhouse.script.state import Command, State
+from playhouse.script.state import Command, State, Verb
 from playhouse.settings import Settings, shown
 from playhouse.stagedoor.doors import Doors
 from playhouse.understudy.contact import ReadIndex
@@ -71,6 +71,8 @@
         self.reception = Reception(self, self.follower, collector)
         self._web = [Doors(self.reception.control, self.reception.was_read), Doors(self.reception.foyer)]
         self._tasks: list[asyncio.Task[Any]] = []
+        self.wings.system = self._store.system() or self.state.system
+        self._named_in = 0  # the term in which this one has drawn the system's name
         self._known_members: tuple[Member, ...] = ()
 
     def _begin(self, own: str) -> tuple[str, Any]:
@@ -130,6 +132,7 @@
                 self._do(self.machine.tick(self.now()))
                 if self.duty and self.duty.tick(self.now()):
                     self.publish()
+                self._draw_name()
             except Exception as error:
                 note(Event.FAILED, "tick: %r", error)
                 raise
@@ -161,6 +164,7 @@
         if self.machine.members != self._known_members:
             self._known_members = self.machine.members
             note(Event.MEMBERS, "%s", " ".join(m.door for m in self._known_members))
+        self._look_at_name()
         self._look_at_duty()
         self._read_index.look()
         for pending in self._pending.values():
@@ -168,6 +172,19 @@
             if over and not pending.future.done():
                 pending.future.set_exception(SystemFailure(Code.SILENT, "the term is over"))
 
+    def _look_at_name(self) -> None:
+        """What the log says is the system's name, from the first entry on that says one."""
+        if (name := self.state.system) and name != self.wings.system:
+            self._store.name_system(name)
+            self.wings.name_system(name)
+
+    def _draw_name(self) -> None:
+        if not self.state.system and self.duty and self._named_in != self.duty.term:
+            self._named_in = self.duty.term
+            name = self.wings.system or f"{random.SystemRandom().getrandbits(64):016x}"
+            _, step = self.machine.propose(self.now(), Command(Verb.NAME, digest=name).out())
+            self._do(step)
+
     def carry_out(self, step: Step) -> None:
         self._do(step)
 
@@ -180,6 +197,8 @@
 
     def _look_at_duty(self) -> None:
         now, leads = self.now(), self.machine.leads(self.now())
+        if self.machine.leader:
+            self.wings.fence.admits(self.machine.term)
         if leads and (self.duty is None or self.duty.term != self.machine.term):
             ever = self.machine.base.index > 0 or any(
                 e.opens and e.term < self.machine.term for e in self.machine.log
@@ -211,9 +230,10 @@
         members = [[m.door, m.disk] for m in self.machine.members]
         return {"leader": self.me.door, "members": members}
 
-    def held(self) -> Duty:
-        """The duty, if it is held now, whatever was held when this call began."""
-        if self.duty is None or not self.machine.leads(self.now()):
+    def held(self, term: int = 0) -> Duty:
+        """The duty, if it is held now, whatever was held when this call began, and if nobody has heard of a
+        later term."""
+        if self.duty is None or not self.machine.leads(self.now()) or self.duty.term < term:
             raise SystemFailure(Code.NOT_LEADER)
         return self.duty
 
@@ -227,31 +247,27 @@
                 except ValueError:
                     return
                 self._do(self.machine.received(self.now(), message))
-            case "receipt" if self.duty:
+            case "receipt" if self.duty and self.duty.term == envelope.term:
                 self.duty.moves.read(envelope.receipt.zone, envelope.receipt.order)
 
     async def _handle(self, envelope: pb.Envelope) -> pb.Envelope:
         try:
             match envelope.WhichOneof("body"):
                 case "ask":
-                    return pb.Envelope(cue=await self._ask(envelope.ask))
-                case "lease":
-                    left = self.held().lease(self.now(), envelope.lease)
-                    if left is None:
-                        raise SystemFailure(Code.REFUSED)
-                    return pb.Envelope(leased=pb.Leased(left=left))
-                case "deal":
-                    return pb.Envelope(dealt=self.held().deal(self.now(), envelope.deal))
+                    self.held(envelope.term)
+                    cue = await self._ask(envelope.ask)
+                    return pb.Envelope(cue=cue, term=self.held().term)
+                case "lease" | "deal":
+                    return self.held(envelope.term).units(self.now(), envelope)
                 case "beats":
-                    duty, now = self.held(), self.now()
+                    duty, now = self.held(envelope.term), self.now()
                     duty.beats(now, envelope.beats)
                     await self.confirm(now, duty.term, at_once=False)
-                    return pb.Envelope()
+                    return pb.Envelope(term=duty.term)
                 case "order":
-                    self.held()
-                    order = envelope.order
+                    term, order = self.held(envelope.term).term, envelope.order
                     status, body = await self.desk.settle(order.method, order.path, order.body, order.id)
-                    return pb.Envelope(outcome=pb.Outcome(status=status, body=body))
+                    return pb.Envelope(outcome=pb.Outcome(status=status, body=body), term=term)
         except SystemFailure as failure:
             if failure.code is not Code.NOT_LEADER:
                 raise
--- a/playhouse/script/state.py
+++ b/playhouse/script/state.py
@@ -26,12 +26,13 @@
     TAKE_BACK = "take back"
     ENROL = "enrol"
     REFUSE = "refuse"
+    NAME = "name"
 
 
 @dataclass(frozen=True, slots=True)
 class Command:
     verb: Verb
-    digest: str = ""  # of the call as it came, or the order that it belongs to
+    digest: str = ""  # of the call as it came, or the order that it belongs to, or the system's name
     order: dict[str, Any] = field(default_factory=dict)
     zone: str = ""
     names: tuple[str, ...] = ()  # of ingresses that may hold leases from here on ...
@@ -84,6 +85,7 @@
     known: dict[str, int] = field(default_factory=dict)  # digests of accepted calls, with their gen
     forgotten: int = -1  # the newest gen of a call that was accepted and is not known any longer
     calls: dict[str, str] = field(default_factory=dict)  # calls for zones, and the order that each belongs to
+    system: str = ""  # its name: the first that was drawn
     # A gen, and its content as ingresses are told it.
     _told: tuple[int, bytes] = field(default=(-1, b""), compare=False, repr=False)
 
@@ -122,6 +124,9 @@
             case Verb.ENROL:
                 self.edges = sorted({*self.edges, *command.names} - set(command.gone))
                 return False
+            case Verb.NAME:
+                self.system = self.system or command.digest
+                return False
             case Verb.EVACUATE | Verb.TAKE_BACK:
                 if not self._is_first(command):
                     return False
@@ -162,7 +167,7 @@
         raw = {
             "gen": self.gen, "content": self.content, "evacuated": self.evacuated, "version": self.version,
             "known": self.known, "edges": self.edges, "moves": self.moves,
-            "forgotten": self.forgotten, "calls": self.calls,
+            "forgotten": self.forgotten, "calls": self.calls, "system": self.system,
         }  # fmt: skip
         return zlib.compress(json.dumps(raw, separators=(",", ":")).encode(), 6)
 
@@ -173,5 +178,5 @@
         raw = json.loads(zlib.decompress(data))
         return cls(
             raw["gen"], raw["content"], raw["evacuated"], raw["moves"], raw["version"], raw["edges"],
-            raw["known"], raw.get("forgotten", -1), raw.get("calls", {}),
+            raw["known"], raw.get("forgotten", -1), raw.get("calls", {}), raw.get("system", ""),
         )  # fmt: skip
--- a/playhouse/understudy/contact.py
+++ b/playhouse/understudy/contact.py
@@ -97,6 +97,7 @@
             process.carry_out(step)
         else:
             self._hurry(APART)
+            self.look()
 
     def look(self) -> None:
         """After each step."""
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -20,6 +20,7 @@
 from playhouse.promptbook.messages import HardState, KeepEntries, KeepSnapshot, Kept, Write
 from playhouse.settings import Door, checked, shown
 from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.kinds import Fence
 from playhouse.wings.reach import Reach
 
 WAY = 0.02  # s between two machines
@@ -78,6 +79,12 @@
     def load(self) -> Kept:
         return copy.copy(self.disks[self.folder][1])
 
+    def system(self) -> str:
+        return ""
+
+    def name_system(self, name: str) -> None:
+        pass
+
     def write(self, writes: list[Write]) -> None:
         kept = self.disks[self.folder][1]
         for write in writes:
@@ -140,7 +147,8 @@
         self._loop, self._next = asyncio.get_running_loop(), 0
         self._calls: dict[int, asyncio.Future[pb.Envelope]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
-        self.net = self.latest
+        self.net, self.fence, self.counts = self.latest, Fence(), dict[str, int]()
+        self.life, self.system = f"{random.getrandbits(48):x}", ""
         self.net.ends[self.own] = self
 
     def now(self) -> float:
@@ -178,6 +186,12 @@
         answer.call, answer.answer = call, True
         self.net.go(self.own, sender, answer)
 
+    def name_system(self, name: str) -> None:
+        self.system = name
+
+    def outdated(self, envelope: pb.Envelope, door: str) -> bool:
+        return not envelope.fault and not self.fence.admits(envelope.term)
+
     def tell(self, door: str, envelope: pb.Envelope) -> None:
         self.net.go(self.own, door, envelope)
 
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -11,34 +11,9 @@
 import pytest_asyncio
 
 from ironledge.interface import Outcome
-from ironledge.net.backends import Backends, Server
+from ironledge.net.backends import Server
 from ironledge.net.engine import Answer, Flow
-from ironledge.net.sockets import Sockets
-from tests.net_helpers import HOST, OK, PeerServer, answers, entry
-
-REQUEST = b"GET /read HTTP/1.1\r\nHost: a\r\n\r\n"
-
-
-class Fleet:
-    """One backend behind the real pools."""
-
-    def __init__(self, server: PeerServer, idle_us: int = 10_000_000) -> None:
-        self.server, self.sockets = server, Sockets(1024)
-        self.backends = Backends(self.sockets, idle_us, 250_000)
-        self.list()
-
-    def list(self, status: str = "up", port: int = 0, since_ms: int = 0) -> None:
-        self.backends.know(entry("s-1", port or self.server.port, status, since_ms), 1)
-        self.backends.settle([1] if status == "removed" else [])
-
-    def send(self, data: bytes = REQUEST) -> asyncio.Future[Answer]:
-        done: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        self.exchange = self.backends.send(1, data, done.set_result)
-        return done
-
-    async def outcome(self) -> Outcome:
-        async with asyncio.timeout(10):
-            return (await self.send()).outcome
+from tests.net_helpers import ASKED, HOST, OK, Fleet, PeerServer, answers
 
 
 @pytest_asyncio.fixture
@@ -281,7 +256,7 @@
     pool.top = 2.0
     flow = Flow(None, lambda answer: True, lambda data: None, patience=0.08)
     done: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-    fleet.backends.send(1, REQUEST, done.set_result, flow)
+    fleet.backends.send(1, ASKED, done.set_result, flow)
     async with asyncio.timeout(10):
         assert (await done).outcome is Outcome.MOOT
     assert len(fleet.server.peers) == 2 and not any(h.done() for h in held)
@@ -305,6 +280,24 @@
     assert (fleet.sockets.open, fleet.sockets.servers) == (0, 0)
 
 
+async def test_a_link_that_ended_as_it_came_up_is_handed_to_nobody(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It would be busy for good. It may be read from before its dial is told that it is up."""
+    loop = asyncio.get_running_loop()
+    made = loop.create_connection
+
+    async def ended(*args: Any, **more: Any) -> Any:
+        transport, link = await made(*args, **more)
+        link.data_received(b"HTTP/1.1 408 Late\r\n\r\n")
+        return transport, link
+
+    monkeypatch.setattr(Server, "now", staticmethod(loop.time))
+    monkeypatch.setattr("ironledge.net.backends.asyncio.get_running_loop", lambda: Late(loop, ended))
+    assert await fleet.outcome() is Outcome.CONNECT_FAILED
+    assert (fleet.backends._pools[1].pool.open(), fleet.sockets.open) == (0, 0)
+
+
 class Late:
     """The loop, but for one call."""
 
