--- a/playhouse/reception.py
+++ b/playhouse/reception.py
@@ -17,7 +17,6 @@
 from playhouse.understudy.duty import Duty
 from playhouse.understudy.follower import Follower
 from playhouse.wings import cues_pb2 as pb
-from playhouse.wings.links import Wings
 from playhouse.wings.reach import Reach
 
 PASS_ON = 0.95  # s for the leader to answer what is passed on to it: callers go elsewhere after one ...
@@ -31,7 +30,6 @@
     settings: Settings
     roll: Roll
     desk: Desk
-    wings: Wings
     reach: Reach
     duty: Duty | None
 
@@ -116,4 +114,4 @@
         if process.duty:
             process.duty.moves.read(receipt.zone, receipt.order)
         elif process.reach.hint:
-            process.wings.tell(process.reach.hint, pb.Envelope(receipt=receipt))
+            process.reach.tell(pb.Envelope(receipt=receipt))
--- a/playhouse/script/state.py
+++ b/playhouse/script/state.py
@@ -26,12 +26,13 @@
     TAKE_BACK = "take back"
     ENROL = "enrol"
     REFUSE = "refuse"
+    NAME = "name"
 
 
 @dataclass(frozen=True, slots=True)
 class Command:
     verb: Verb
-    digest: str = ""  # of the call as it came, or the order that it belongs to
+    digest: str = ""  # of the call as it came, or the order that it belongs to, or the system's name
     order: dict[str, Any] = field(default_factory=dict)
     zone: str = ""
     names: tuple[str, ...] = ()  # of ingresses that may hold leases from here on ...
@@ -82,11 +83,16 @@
     version: int = 0  # counts what was applied; rises at every change
     edges: list[str] = field(default_factory=list)  # ingresses that may hold leases, whoever has the duty
     known: dict[str, int] = field(default_factory=dict)  # digests of accepted calls, with their gen
-    forgotten: int = 0  # the newest gen of a call that was accepted and is not known any longer
+    forgotten: int = -1  # the newest gen of a call that was accepted and is not known any longer
     calls: dict[str, str] = field(default_factory=dict)  # calls for zones, and the order that each belongs to
+    system: str = ""  # its name: the first that was drawn
     # A gen, and its content as ingresses are told it.
     _told: tuple[int, bytes] = field(default=(-1, b""), compare=False, repr=False)
 
+    def __post_init__(self) -> None:
+        if self.forgotten < 0:  # stored when 256 were known, and not what was forgotten
+            self.forgotten = min(self.known.values()) - 1 if len(self.known) >= 256 else 0
+
     def result(self, command: Command) -> dict[str, Any]:
         """The configuration that a Replace or Update would bring about."""
         if command.verb is Verb.UPDATE:
@@ -118,6 +124,9 @@
             case Verb.ENROL:
                 self.edges = sorted({*self.edges, *command.names} - set(command.gone))
                 return False
+            case Verb.NAME:
+                self.system = self.system or command.digest
+                return False
             case Verb.EVACUATE | Verb.TAKE_BACK:
                 if not self._is_first(command):
                     return False
@@ -158,7 +167,7 @@
         raw = {
             "gen": self.gen, "content": self.content, "evacuated": self.evacuated, "version": self.version,
             "known": self.known, "edges": self.edges, "moves": self.moves,
-            "forgotten": self.forgotten, "calls": self.calls,
+            "forgotten": self.forgotten, "calls": self.calls, "system": self.system,
         }  # fmt: skip
         return zlib.compress(json.dumps(raw, separators=(",", ":")).encode(), 6)
 
@@ -167,9 +176,7 @@
         if not data:
             return cls()
         raw = json.loads(zlib.decompress(data))
-        # One that was stored before counted to 256, and did not say what it had forgotten.
-        before = min(raw["known"].values()) - 1 if len(raw["known"]) >= 256 else 0
         return cls(
             raw["gen"], raw["content"], raw["evacuated"], raw["moves"], raw["version"], raw["edges"],
-            raw["known"], raw.get("forgotten", before), raw.get("calls", {}),
+            raw["known"], raw.get("forgotten", -1), raw.get("calls", {}), raw.get("system", ""),
         )  # fmt: skip
--- a/playhouse/understudy/follower.py
+++ b/playhouse/understudy/follower.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 from typing import Protocol
 
@@ -20,6 +19,7 @@
 from playhouse.settings import Settings, shown
 from playhouse.understudy.duty import Duty, server_in
 from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.links import Wings
 from playhouse.wings.reach import Reach
 
 CONTACT = 2 / 3  # of a server's beat, or ...
@@ -35,6 +35,7 @@
     state: State
     board: Board
     roll: Roll
+    wings: Wings
     reach: Reach
     duty: Duty | None
 
@@ -46,7 +47,6 @@
 
     def __init__(self, process: Process, collector: Collector) -> None:
         self._process, self._collector = process, collector
-        self._life = f"{os.getpid():x}{random.getrandbits(40):x}"
         self._seen: tuple[str, int, int] = ("", 0, 0)  # epoch, servers, nodes
         self._answered = float("-inf")  # when the newest was sent that the leader has answered
         self._failed = float("-inf")  # when a call was last given up
@@ -76,7 +76,7 @@
         settings = self._process.settings
         ctl = shown(settings.listen["ctl"]) if "ctl" in settings.listen else ""
         return pb.Node(
-            name=settings.name, life=self._life, door=shown((settings.ip, settings.own_port)),
+            name=settings.name, life=self._process.wings.life, door=shown((settings.ip, settings.own_port)),
             zone=settings.zone, region=settings.region, kind="core", ready=True, ctl=ctl,
         )  # fmt: skip
 
