--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -17,7 +17,7 @@
 import playhouse.core
 from playhouse.core import Core
 from playhouse.errors import Code, SystemFailure
-from playhouse.promptbook.messages import HardState, KeepEntries, KeepSnapshot, Kept, Write
+from playhouse.promptbook.messages import HardState, KeepEntries, KeepPart, KeepSnapshot, Kept, Write
 from playhouse.settings import Door, checked, shown
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.kinds import Fence
@@ -93,10 +93,18 @@
                     kept.term, kept.voted_for = term, voted_for
                 case KeepEntries(first, entries):
                     kept.entries = [*(e for e in kept.entries if e.index < first), *entries]
+                case KeepPart():
+                    pass  # a state this small is one part, and is put there whole
                 case KeepSnapshot(snapshot, alone):
                     kept.snapshot = snapshot
                     kept.entries = [e for e in kept.entries if not alone and e.index > snapshot.index]
 
+    def sweep(self) -> bool:
+        return False
+
+    def drop_made(self) -> None:
+        pass
+
     def close(self) -> None:
         pass
 
