--- a/playhouse/promptbook/machine.py
+++ b/playhouse/promptbook/machine.py
@@ -123,6 +123,13 @@
         for peer in self.peers.values():
             self._send(now, step, peer)
 
+    def hurry(self, now: float, apart: float) -> Step:
+        """A beat at once, if the last one was sent `apart` seconds ago or earlier."""
+        step = Step()
+        if self.role is Role.LEADER and now >= self._beat_at - self.times.beat + apart:
+            self._beat(now, step)
+        return step
+
     def _send(self, now: float, step: Step, peer: Progress) -> None:
         sent = int(now * 1e6)
         if peer.next <= self.base.index and not self.tail.covers(peer.next):
