--- a/playhouse/rehearsal/plants.py
+++ b/playhouse/rehearsal/plants.py
@@ -43,16 +43,16 @@
 
 def going_back() -> None:
     """News of an older version is taken as well."""
-    from playhouse.stage.house import House
+    from playhouse.stage.news import News
 
-    apply = House._apply
+    take = News.take
 
-    def older(self: House, cue: Any, asked: float) -> None:
-        epoch, _, servers, nodes, gen = self._seen
-        self._seen = (epoch, 0, servers, nodes, gen)
-        apply(self, cue, asked)
+    def older(self: News, *args: Any) -> Any:
+        epoch, _, servers, nodes, gen = self.seen
+        self.seen = (epoch, 0, servers, nodes, gen)
+        return take(self, *args)
 
-    House._apply = older  # type: ignore[method-assign]
+    News.take = older  # type: ignore[method-assign, assignment]
 
 
 def unkept_lease() -> None:
--- /dev/null
+++ b/playhouse/stage/news.py
@@ -0,0 +1,132 @@
+"""What an ingress was told by the core's leader, and the lease by which it may serve by it.
+
+A plain object without I/O; times are seconds on the ingress's steady clock, but for `cold_until` (us, the
+engine's).
+"""
+
+from __future__ import annotations
+
+import json
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from playhouse.company.roll import LOST, hold
+from playhouse.script.playbill import Playbill
+from playhouse.settings import DRIFT
+from playhouse.wings import cues_pb2 as pb
+
+
+@dataclass(slots=True)
+class Known:
+    server: pb.Server
+    cold_until: int  # us
+
+
+@dataclass(slots=True)
+class Changed:
+    """What a cue has changed."""
+
+    bill: bool = False
+    servers: bool = False
+    place: bool = False
+
+
+class News:
+    def __init__(self, now: float, cores: Iterable[str]) -> None:
+        self.bill = Playbill({})
+        self.servers: dict[str, Known] = {}
+        self.nodes: dict[str, pb.Node] = {}  # those here, by name
+        self.cores = list(cores)  # doors of every one ever told of
+        self.evacuated: frozenset[str] = frozenset()
+        self.lease_end = self.heard_at = float("-inf")
+        self.settled = False  # in this life it has been told of all servers that there were
+        self.edges = 0  # ingresses that shares are parted over; 0: never told, so none may be spent
+        self.seen: tuple[str, int, int, int, int] = ("", 0, 0, 0, 0)  # epoch, script, servers, nodes, gen
+        self._counting, self._began = False, now
+        self._told: tuple[str, pb.Node] | None = None  # what the leader knows of it, and in which epoch
+        self._clock = (0, 0.0)  # what the newest cue said of the leader's, in ms, and when it came
+
+    # What is known.
+
+    def may_serve(self, now: float) -> bool:
+        return now < self.lease_end
+
+    def in_touch(self, now: float) -> bool:
+        """The counter counts, and heard of this ingress so lately that it knows it does not spend by
+        itself."""
+        return self._counting and now < self.heard_at + hold(self.edges) + LOST
+
+    def stands(self, server: str, service: str) -> bool:
+        known = self.servers.get(server)
+        if known is None or known.server.state != "ready" or known.server.service != service:
+            return False
+        return known.server.zone not in self.evacuated
+
+    def peers(self, own: str) -> list[str]:
+        return [n.door for n in self.nodes.values() if n.kind == "edge" and n.door != own]
+
+    def know_cores(self, doors: Iterable[str]) -> None:
+        for door in doors:
+            if door not in self.cores:
+                self.cores.append(door)
+
+    # Asking, and being told.
+
+    def ask(self, node: pb.Node, now: float, wait: float) -> pb.Ask:
+        """For what is news, which the leader may keep for `wait` s while there is none."""
+        epoch, script, servers, nodes, gen = self.seen
+        ask = pb.Ask(
+            epoch=epoch, script=script, gen=gen, servers=servers, nodes=nodes, wait_ms=round(wait * 1000),
+            counting=self._counting, clock_ms=self._clock_ms(now),
+            idle_ms=0 if self.edges else round((now - self._began) * 1000),
+        )  # fmt: skip
+        if (epoch, node) == self._told:
+            ask.name, ask.life = node.name, node.life
+        else:
+            ask.node.CopyFrom(node)
+        return ask
+
+    def unanswered(self) -> None:
+        self._told = None
+
+    def _clock_ms(self, now: float) -> int:
+        """On the leader's clock, or behind it."""
+        said, came = self._clock
+        return int(said + (now - came) * 1000 * (1 - DRIFT)) if said else 0
+
+    def take(self, cue: pb.Cue, node: pb.Node, asked: float, now: float, us: int) -> Changed | None:
+        """`asked`: when, and by which `node`; `us`: the engine's clock now. None: it says nothing new enough,
+        as nothing goes back within a life."""
+        if cue.script < self.seen[1]:
+            return None
+        if cue.has_script:
+            self.evacuated = frozenset(cue.evacuated)
+        if cue.has_content:
+            self.bill = Playbill(json.loads(zlib.decompress(cue.content)) if cue.content else {})
+        if cue.servers_whole:
+            self.servers = {}
+        for server in cue.server:
+            self._know_server(server, us)
+        if cue.nodes_whole:
+            self.nodes = {}
+        for name in cue.node_gone:
+            self.nodes.pop(name, None)
+        self.nodes.update((n.name, n) for n in cue.node)
+        self.know_cores(n.door for n in cue.node if n.kind == "core")
+        self._counting, self.settled = cue.counting, self.settled or cue.settled
+        self.edges = cue.share_of if cue.counting else max(self.edges, cue.share_of)
+        self.seen, self._told = (cue.epoch, cue.script, cue.servers, cue.nodes, cue.gen), (cue.epoch, node)
+        self.heard_at, self._clock = now, (cue.clock_ms, now)
+        self.lease_end = asked + cue.lease_ms / 1000 * (1 - DRIFT)
+        return Changed(
+            cue.has_content,
+            bool(cue.server) or cue.servers_whole or cue.has_script,
+            bool(cue.node) or bool(cue.node_gone) or cue.nodes_whole or cue.has_content,
+        )
+
+    def _know_server(self, server: pb.Server, us: int) -> None:
+        if server.state == "gone":
+            self.servers.pop(server.id, None)
+        else:
+            self.servers[server.id] = Known(server, us + server.cold_ms * 1000 if server.cold_ms else 0)
--- /dev/null
+++ b/playhouse/stage/units.py
@@ -0,0 +1,74 @@
+"""Units of quotas, further tries and starts at cold servers: asked of the leader of the duty as requests need
+them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from ironledge import interface as it
+from ironledge.interface import Outcome
+from ironledge.net.engine import Answered
+from playhouse.errors import Code, SystemFailure
+from playhouse.settings import DRIFT
+from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.reach import Reach
+
+LEASE_WAIT, LEASE_PATIENCE = 0.5, 0.2  # s for the counter's answer over all tries, and for one
+DEAL_WAIT = 0.2  # s for units to be dealt
+DENIED = 200_000  # us for which no unit is asked for where nobody answered
+LEASE_PAUSE = 0.03  # s before it is asked again where it said no
+
+Denied = Callable[[tuple[it.Unit, ...], int, int], None]  # which, now, and until when
+
+
+class Units:
+    """The engine's lessor and dealer. Nothing of a call that nobody answered is used: copies of it may have
+    been granted, and lapse."""
+
+    def __init__(
+        self, reach: Reach, now: Callable[[], int], in_touch: Callable[[], bool],
+        name: Callable[[str, int], str], tenant: Callable[[int], str], denied: Denied,
+    ) -> None:  # fmt: skip
+        """`now`: us; `name`, `tenant`: of a unit's and a customer's number."""
+        self._reach, self._now, self._in_touch = reach, now, in_touch
+        self._name, self._tenant, self._denied = name, tenant, denied
+        self.calls: set[asyncio.Task[None]] = set()  # under way
+
+    def _keep(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.calls.add(task)
+        task.add_done_callback(self.calls.discard)
+
+    def deal(self, units: tuple[it.Unit, ...], dealt: Callable[[int], None]) -> None:
+        self._keep(self._deal(units, dealt))
+
+    async def _deal(self, units: tuple[it.Unit, ...], dealt: Callable[[int], None]) -> None:
+        asked, until, wait = self._now(), 0, DENIED
+        deal = pb.Deal(whole=[f"{kind}/{self._name(kind, number)}" for kind, number in units])
+        try:
+            if self._in_touch():
+                answer = (await self._reach.call(pb.Envelope(deal=deal), DEAL_WAIT, DEAL_WAIT)).dealt
+                until = asked + round(answer.life_ms * 1000 * (1 - DRIFT)) if answer.all else 0
+                wait = answer.wait_ms * 1000
+        except SystemFailure:
+            pass
+        if not until:
+            now = self._now()
+            self._denied(units, now, now + wait)
+        dealt(until)
+
+    def lease(self, customer: int, amount: float, told: float, answered: Answered) -> None:
+        self._keep(self._lease(self._tenant(customer), amount, told, answered))
+
+    async def _lease(self, tenant: str, amount: float, told: float, answered: Answered) -> None:
+        asked = pb.Lease(tenant=tenant, amount=amount, told=told)
+        try:
+            answer = await self._reach.call(pb.Envelope(lease=asked), LEASE_WAIT, LEASE_PATIENCE)
+        except SystemFailure as failure:
+            if failure.code not in (Code.SILENT, Code.UNREACHABLE):
+                await asyncio.sleep(LEASE_PAUSE)
+            answered(Outcome.RESET, 0.0)  # asked anew while there is time, or spent without the counter
+            return
+        answered(Outcome.OK, 0.0, answer.leased.left)
--- a/tests/test_playhouse_house.py
+++ b/tests/test_playhouse_house.py
@@ -34,13 +34,13 @@
     for last, settled in (({"j": "s2"}, False), ({}, True)):
         house = House(checked(SETTINGS))
         now = house._loop.time()
-        house._apply(cue("1~", {}, has_content=True, content=script), now)
+        house._apply(cue("1~", {}, has_content=True, content=script), house._node(), now)
         assert not house.ready() and not house._node().ready
-        house._apply(cue("1~", {"i": "s1"}), now)
+        house._apply(cue("1~", {"i": "s1"}), house._node(), now)
         assert not house.ready() and not house._node().ready
-        house._apply(cue("1" if settled else "1~", last, settled=settled), now)
+        house._apply(cue("1" if settled else "1~", last, settled=settled), house._node(), now)
         assert house.ready() and house._node().ready
-        house._apply(cue("2~", {}), now)  # a later leader, who has not heard of all yet
+        house._apply(cue("2~", {}), house._node(), now)  # a later leader, who has not heard of all yet
         assert house.ready()
         house.backends.stop()
 
@@ -49,7 +49,7 @@
     house = House(checked(SETTINGS))
     script = zlib.compress(json.dumps(content()).encode())
     told = cue("1", {"i": "s1"}, has_content=True, content=script, counting=True, settled=True)
-    house._apply(told, house._loop.time())
+    house._apply(told, house._node(), house._loop.time())
     asked, dealt = list[pb.Deal](), list[int]()
     answers: list[pb.Dealt | None] = [
         pb.Dealt(all=True, life_ms=300), pb.Dealt(wait_ms=700), None, pb.Dealt(all=True, life_ms=300),
@@ -65,13 +65,13 @@
     units = ((FURTHER, house.service("s1")), (STARTS, 1))
     began = house.clock.now()
     for _ in range(3):
-        house.deal(units, dealt.append)
-        await asyncio.gather(*house._calls)
+        house.units.deal(units, dealt.append)
+        await asyncio.gather(*house.units.calls)
     assert [list(deal.whole) for deal in asked] == [["further/s1", "starts/i"]] * 3
     assert began < dealt[0] <= house.clock.now() + 300_000 and dealt[1:] == [0, 0]
     assert house.rows.is_denied(units[0], began + 150_000)
-    house.heard_at = float("-inf")  # out of touch: nothing is asked for
-    house.deal(units, dealt.append)
-    await asyncio.gather(*house._calls)
+    house.news.heard_at = float("-inf")  # out of touch: nothing is asked for
+    house.units.deal(units, dealt.append)
+    await asyncio.gather(*house.units.calls)
     assert len(asked) == 3 and dealt[3] == 0
     house.backends.stop()
