--- a/playhouse/company/roll.py
+++ b/playhouse/company/roll.py
@@ -16,8 +16,9 @@
 HOLD = 0.25  # s that an ask may be kept while there is no news, or ...
 HOLD_EACH = 0.015  # ... so many for each ingress, if that is more
 HEARD = 0.25  # s beyond that after which an ingress may be out of touch, as far as its leader can tell ...
-FRESH = 0.1  # s between an ask and its coming within which it counts as made when it came: under LOST - HEARD
-LOST = 0.4  # ... and after which it is, as it sees it itself
+FRESH = 0.05  # s between an ask and its coming within which it counts as made when it came
+PROMPT = 0.05  # s from a cue to the next ask within which that says that who asks is in touch
+LOST = 0.4  # ... and after which it is, as it sees it itself: over HEARD + FRESH + PROMPT, with a margin
 
 
 def hold(edges: int) -> float:
--- a/playhouse/stage/news.py
+++ b/playhouse/stage/news.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from playhouse.company.roll import LOST, hold
+from playhouse.company.roll import LOST, PROMPT, hold
 from playhouse.script.playbill import Playbill
 from playhouse.settings import DRIFT
 from playhouse.wings import cues_pb2 as pb
@@ -78,7 +78,7 @@
         epoch, script, servers, nodes, gen = self.seen
         ask = pb.Ask(
             epoch=epoch, script=script, gen=gen, servers=servers, nodes=nodes, wait_ms=round(wait * 1000),
-            counting=self._counting, clock_ms=self._clock_ms(now),
+            counting=self._counting and now - self.heard_at <= PROMPT, clock_ms=self._clock_ms(now),
             idle_ms=0 if self.edges else round((now - self._began) * 1000),
         )  # fmt: skip
         if (epoch, node) == self._told:
--- a/tests/test_playhouse_frames.py
+++ b/tests/test_playhouse_frames.py
@@ -17,12 +17,14 @@
 
 from playhouse.boxoffice.purse import starts
 from playhouse.callboard.board import Board, Seen
+from playhouse.company import roll
 from playhouse.company.roll import LEASE, LOST, Roll
 from playhouse.core import Core
 from playhouse.errors import Code, SystemFailure
 from playhouse.events import Event
 from playhouse.script.state import Command, State, Verb
 from playhouse.settings import Bounds, checked
+from playhouse.stage.news import News
 from playhouse.understudy import repeats
 from playhouse.understudy.duty import Duty
 from playhouse.wings import cues_pb2 as pb
@@ -532,7 +534,7 @@
     assert not held.counting  # it has not heard yet that this term counts
     asks(made, 100.3, 290)
     assert held.counting and held.asked_at == 100.3
-    asks(made, 100.35, 290)  # the same one by another way, soon
+    asks(made, 100.32, 290)  # the same one by another way, soon
     asks(made, 101.0, 700)
     assert held.asked_at == 100.7 and not made.roll.in_touch(100.7 + 0.25 + LOST, held, 1)
     for now, clock, epoch in ((101.1, 290, "3"), (101.1, 0, ""), (110.0, 900, "3")):
@@ -543,6 +545,19 @@
     assert made.roll.leases["e"].node.life == "2" and made.roll.leases["e"].lease_end <= 101.2 + LEASE
 
 
+def test_an_ask_says_that_it_counts_only_where_its_sender_has_just_heard_a_cue() -> None:
+    """One that is sent again after a silence would count as in touch while its sender no longer is."""
+    assert roll.HEARD + roll.FRESH + roll.PROMPT < LOST
+    news, node = News(0.0, []), pb.Node(name="e", life="1")
+    news.take(pb.Cue(epoch="3", counting=True, clock_ms=5000, lease_ms=4500), node, 9.9, 10.0, 0)
+    prompt, late = news.ask(node, 10.01, 0.25), news.ask(node, 10.3, 0.25)
+    assert prompt.counting and not late.counting and news.in_touch(10.3)
+    assert prompt.name == "e" and not prompt.HasField("node")
+    assert 5000 < prompt.clock_ms <= 5010 and 5290 <= late.clock_ms < 5300  # never ahead
+    assert news.take(pb.Cue(epoch="3", script=1), node, 11.0, 11.0, 0)
+    assert news.take(pb.Cue(epoch="3", lease_ms=9000), node, 12.0, 12.0, 0) is None and news.heard_at == 11.0
+
+
 def test_a_fence_never_goes_back() -> None:
     rng, fence, newest = random.Random(4), Fence(), 0
     for _ in range(500):
--- a/tests/test_playhouse_units.py
+++ b/tests/test_playhouse_units.py
@@ -97,7 +97,8 @@
         asked, answered = self.now, [False]
         idle = 0 if edge.edges else int((asked - edge.began) * 1000)
         lag = self.rng.uniform(0.001, 0.03)
-        epoch, counting, (said, came) = edge.epoch, edge.counting, edge.clock
+        epoch, (said, came) = edge.epoch, edge.clock
+        counting = edge.counting and (self.now - edge.heard_at) * edge.rate <= roll.PROMPT
         clock = int(said + (asked - came) * 1000 * 0.98 / edge.rate) if said else 0
 
         def arrive(again: bool = False) -> None:
