--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -212,7 +212,8 @@
     def _look_at_name(self) -> None:
         """What the log says is the system's name, from the first entry on that says one."""
         if (name := self.state.system) and name != self.wings.system:
-            self._store.name_system(name)
+            with contextlib.suppress(StoreError):  # a later life learns it from whom it dials, and the log
+                self._store.name_system(name)
             self.wings.name_system(name)
 
     def _draw_name(self) -> None:
--- a/playhouse/promptbook/store.py
+++ b/playhouse/promptbook/store.py
@@ -98,8 +98,12 @@
             return (look.get(b"system") or b"").decode()
 
     def name_system(self, name: str) -> None:
-        with self._env.begin(write=True) as change:
-            change.put(b"system", name.encode(), db=self._meta)
+        """Raises StoreError, and nothing is changed."""
+        try:
+            with self._env.begin(write=True) as change:
+                change.put(b"system", name.encode(), db=self._meta)
+        except lmdb.Error as error:
+            raise StoreError(f"cannot be written: {error!r}") from error
 
     def load(self) -> Kept:
         """Raises StoreError."""
--- a/tests/test_playhouse_frames.py
+++ b/tests/test_playhouse_frames.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any, cast
 
+import lmdb
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -431,6 +432,23 @@
     return made.duty.term
 
 
+async def test_a_full_disk_does_not_keep_a_core_from_its_systems_name(tmp_path: Path) -> None:
+    made = await core(tmp_path)
+    env = made._store._env
+
+    class Full:
+        def begin(self, *args: Any, **fields: Any) -> Any:
+            raise lmdb.DiskError("no room")
+
+    made.state.system = HERE
+    cast(Any, made._store)._env = Full()
+    made._look_at_name()
+    assert made.wings.system == HERE
+    cast(Any, made._store)._env = env
+    assert made._store.system() == ""
+    made._store.close()
+
+
 async def test_the_leader_takes_no_call_meant_for_another_term_and_keeps_the_systems_name(
     tmp_path: Path,
 ) -> None:
