--- a/tests/test_playhouse_frames.py
+++ b/tests/test_playhouse_frames.py
@@ -554,7 +554,7 @@
     assert held.counting and held.asked_at == 100.3
     asks(made, 100.32, 290)  # the same one by another way, soon
     asks(made, 101.0, 700)
-    assert held.asked_at == 100.7 and not made.roll.in_touch(100.7 + 0.25 + LOST, held, 1)
+    assert held.asked_at == 100.7 and made.roll.silent(100.7 + 0.25 + LOST, 1) == 1
     for now, clock, epoch in ((101.1, 290, "3"), (101.1, 0, ""), (110.0, 900, "3")):
         with pytest.raises(SystemFailure) as stale:
             asks(made, now, clock, epoch)
