--- a/playhouse/promptbook/membership.py
+++ b/playhouse/promptbook/membership.py
@@ -78,8 +78,8 @@
             self._take_in(now, step)
 
     def _take_in(self, now: float, step: Step) -> None:
-        """The next change, if there is one; one at a time, and none before this term's first entry."""
-        if not self._opened or not self._is_settled() or self._handed or self.leaving:
+        """The next change, if there is one."""
+        if not self._may_change():
             return
         members = self._next_members(now)
         if [astuple(m) for m in members] == [astuple(m) for m in self._members]:
@@ -89,6 +89,10 @@
         for member in gone:  # another disk stands at its door
             self.peers.pop(member.disk, None)
 
+    def _may_change(self) -> bool:
+        """One at a time, and none before this term's first entry is decided."""
+        return self._opened and self._is_settled() and not self._handed and not self.leaving
+
     def _next_members(self, now: float) -> tuple[Member, ...]:
         times, peers = self.times, self.peers
         here = {m.disk: m for m in self._members}
@@ -111,7 +115,12 @@
                 here[disk] = replace(member, zone=told.zone, region=told.region)
         fit = {d for d in here if d in peers and now - peers[d].level_at < times.fit}
         lost = {d for d in here if silent.get(d, 0.0) > times.silent}
-        votes = next_voters(tuple(here.values()), fit, lost, leaving, self.me.disk, self.tolerance)
+        votes = frozenset(m.disk for m in self._voters)
+        places = tuple((m.disk, m.zone, m.region, m.learner) for m in here.values())
+        if (seen := (places, fit, lost, leaving, self.tolerance)) != self._left_as_it_is:
+            chosen = next_voters(tuple(here.values()), fit, lost, leaving, self.me.disk, self.tolerance)
+            self._left_as_it_is = seen if chosen == votes else None
+            votes = chosen
         members = (replace(m, learner=d not in votes) for d, m in here.items())
         return tuple(sorted(m for m in members if not (m.learner and m.disk in leaving)))
 
