--- a/playhouse/company/roll.py
+++ b/playhouse/company/roll.py
@@ -14,13 +14,17 @@
 LEASE = 4.5  # s: shorter than `ack`, as an acknowledgement waits for those silent to have stopped
 MISSED = 0.8  # s without a word after which clients are no longer sent there
 HOLD = 0.25  # s that an ask may be kept while there is no news, or ...
-HOLD_EACH = 0.015  # ... so many for each ingress, if that is more
+HOLD_EACH = 0.015  # ... so many for each ingress, if that is more, up to ...
+HOLD_MOST = 1.0  # ... this: two in a row, an answer that is waited for and the search for another leader
+# take less than a lease. Beyond HOLD_MOST / HOLD_EACH ingresses the leader pays in asks a second.
+ASK_LAG = 0.35  # s beyond the hold that an answer is waited for
 HEARD = 0.25  # s beyond that after which an ingress may be out of touch, as far as its leader can tell ...
 LOST = 0.4  # ... and after which it is, as it sees it itself
 
 
 def hold(edges: int) -> float:
-    return max(HOLD, HOLD_EACH * edges)
+    """s that an ask may be kept, with so many ingresses: `edges / hold(edges)` asks a second."""
+    return min(HOLD_MOST, max(HOLD, HOLD_EACH * edges))
 
 
 @dataclass(slots=True)
@@ -42,7 +46,7 @@
     def __init__(self) -> None:
         self.leases: dict[str, NodeLease] = {}  # by name
         self.number = 0  # rises with every change of who is here
-        self._changed: dict[str, int] = {}  # by name, of those no longer known as well
+        self._changed: dict[str, int] = {}  # by name, of those no longer known as well; the newest last
 
     def _change(self, name: str) -> None:
         self.number += 1
@@ -89,13 +93,14 @@
                 del self.leases[name]
         return self.number != before
 
-    def in_touch(self, now: float, held: NodeLease, edges: int) -> bool:
-        return held.counting and now - held.asked_at <= hold(edges) + HEARD
-
     def silent(self, now: float, edges: int) -> int:
         """Ingresses that may serve, and may be out of touch with the counter."""
-        here = [h for h in self.leases.values() if h.node.kind == "edge" and h.lease_end >= now]
-        return sum(1 for h in here if not self.in_touch(now, h, edges))
+        since = now - hold(edges) - HEARD
+        return sum(
+            1
+            for h in self.leases.values()
+            if not (h.counting and h.asked_at >= since) and h.lease_end >= now and h.node.kind == "edge"
+        )
 
     def idle(self, now: float) -> float:
         """s in which nobody at all has spent a unit, of all who held leases when the duty began."""
@@ -107,8 +112,11 @@
 
     def all_heard(self, now: float) -> bool:
         """Whoever may hold a lease has asked since the duty began."""
-        here = [h for h in self.leases.values() if h.node.kind == "edge" and h.lease_end >= now]
-        return all(h.asked_at > float("-inf") for h in here)
+        return all(
+            h.asked_at > float("-inf")
+            for h in self.leases.values()
+            if h.node.kind == "edge" and h.lease_end >= now
+        )
 
     def answered(self, now: float, name: str) -> None:
         if held := self.leases.get(name):
@@ -125,7 +133,11 @@
 
     def since(self, number: int) -> tuple[list[pb.Node], list[str]]:
         """Who is here, and who no longer, of those that changed since."""
-        names = [n for n, at in self._changed.items() if at > number]
+        names = []
+        for name, at in reversed(self._changed.items()):
+            if at <= number:
+                break
+            names.append(name)
         here = [h.node for n in names if (h := self.leases.get(n)) and h.here]
         return here, [n for n in names if n not in self.leases or not self.leases[n].here]
 
--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -24,14 +24,16 @@
     Step,
 )
 from playhouse.promptbook.store import Store
-from playhouse.script.state import Command, State, Verb
+from playhouse.script.state import Command, State
 from playhouse.settings import Settings, shown
 from playhouse.stagedoor.doors import Answer, Doors, told, wrong
 from playhouse.stagedoor.tree import CONTROL, FOYER, Wrong, match
 from playhouse.understudy.desk import Desk
 from playhouse.understudy.duty import Duty, server_in
+from playhouse.understudy.prompter import Prompter
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.links import Wings
+from playhouse.wings.lists import unpack
 from playhouse.wings.reach import Reach
 
 TICK = 0.05  # s
@@ -41,7 +43,6 @@
 PASS_ON = 2.5  # s for the leader to answer what is passed on to it
 ASK_WAIT = 1.0  # s that the leader may keep an ask for news
 REPORT = 0.6  # beats between reports of those that said nothing new
-STRIKE = 10.0  # s between looks for ingresses that hold no lease any longer
 
 
 @dataclass(slots=True)
@@ -73,10 +74,8 @@
         self.reach = Reach(self.wings, self._cores, self._peers)
         self._web = [Doors(self._take, self._was_read), Doors(self._foyer)]
         self._tasks: list[asyncio.Task[Any]] = []
-        self.desk = Desk(self)
+        self.desk, self.prompter = Desk(self), Prompter(self)
         self._known_members: tuple[Member, ...] = ()
-        self._joining: set[str] = set()
-        self._striking: set[str] = set()  # no lease is granted to these until it is known what became of that
 
     def _begin(self, own: str) -> tuple[str, Any]:
         """An empty disk is given a name. Only at the first start of all is it that of a founder: any other
@@ -113,7 +112,8 @@
             if name in listen:
                 await doors.listen(listen[name])
         self._tasks = [
-            self._loop.create_task(work()) for work in (self._ticks, self._asks, self._reports, self._strike)
+            self._loop.create_task(work())
+            for work in (self._ticks, self._asks, self._reports, self.prompter.run, self.prompter.strike)
         ]
 
     async def stop(self) -> None:
@@ -189,6 +189,7 @@
     def publish(self) -> None:
         news, self._news = self._news, asyncio.Event()
         news.set()
+        self.prompter.wake()
 
     async def news(self, within: float) -> None:
         """Until something has changed, or so many seconds."""
@@ -230,7 +231,7 @@
         try:
             match envelope.WhichOneof("body"):
                 case "ask":
-                    return pb.Envelope(cue=await self._ask(envelope.ask))
+                    return pb.Envelope(cue=await self.prompter.ask(envelope.ask))
                 case "lease":
                     left = self.held().lease(self.now(), envelope.lease)
                     if left is None:
@@ -251,44 +252,6 @@
             return pb.Envelope(fault=Code.NOT_LEADER, pass_to=hint)
         raise SystemFailure(Code.REFUSED, "not known here")
 
-    async def _ask(self, ask: pb.Ask) -> pb.Cue:
-        duty, until = self.held(), self.now() + min(5.0, ask.wait_ms / 1000)
-        if not ask.HasField("node") or ask.node.kind == "edge":
-            await self._enrol(ask.name or ask.node.name)
-            duty = self.held()
-        if duty.asked(self.now(), ask):
-            self.publish()
-        while not duty.has_news(self.now(), ask, self.state) and self.now() < until:
-            await self.news(until - self.now())
-            duty = self.held()
-        return self.held().cue(self.now(), ask, self.state)
-
-    async def _enrol(self, name: str) -> None:
-        """Who is to hold a lease is known to whoever may have the duty next. Raises SystemFailure."""
-        if name in self.state.edges and name not in self._striking:
-            return
-        self._joining.add(name)
-        await asyncio.sleep(0)  # those who come at the same time are taken in together
-        while name not in self.state.edges or name in self._striking:
-            if name in self._joining and name not in self._striking:
-                names, self._joining = tuple(sorted(self._joining)), set()
-                await self.decide(Command(Verb.ENROL, names=names))
-            else:
-                await asyncio.sleep(0.01)
-            self.held()
-
-    async def _strike(self) -> None:
-        """Those long gone are enrolled no longer."""
-        while True:
-            await asyncio.sleep(STRIKE * random.uniform(0.8, 1.2))
-            if self.duty:
-                gone = tuple(n for n in self.state.edges if n not in self.duty.roll.leases)
-                self._striking = set(gone)
-                with contextlib.suppress(SystemFailure):
-                    if gone:
-                        await self.decide(Command(Verb.ENROL, gone=gone))
-                        self._striking = set()
-
     # News of the leader, for one that does not hold the duty.
 
     def _node(self) -> pb.Node:
@@ -316,8 +279,9 @@
                 continue
             if self.duty is None and answer.WhichOneof("body") == "cue":
                 cue, now = answer.cue, self.now()
+                unpack(cue)
                 seen = [server_in(s, now) for s in cue.server]
-                if seen or cue.servers_whole:
+                if cue.servers != servers or cue.servers_whole:
                     self.board.take(seen, cue.servers, cue.servers_whole)
                 self.roll.take(cue.node, cue.node_gone, cue.nodes_whole, now, cue.nodes)
                 for known in self.board.servers.values():
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -21,7 +21,7 @@
 from ironledge.net.sockets import Sockets
 from playhouse.boxoffice.purse import FURTHER
 from playhouse.boxoffice.till import EXPIRY
-from playhouse.company.roll import LOST, hold
+from playhouse.company.roll import ASK_LAG, LOST, hold
 from playhouse.errors import Code, SystemFailure
 from playhouse.events import Event, note
 from playhouse.foyer.lookup import lookup
@@ -34,6 +34,7 @@
 from playhouse.stagedoor.tree import FOYER, READY, Wrong, match
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.links import Wings
+from playhouse.wings.lists import unpack
 from playhouse.wings.reach import Reach
 
 ASK_WITHIN = 3.0  # s for an answer over all tries
@@ -80,6 +81,7 @@
         self.reach = Reach(self.wings, lambda: self._cores, self._peers)
         self.bill = Playbill({})
         self.servers: dict[str, Known] = {}
+        self._told_of: set[str] = set()  # servers, in the term of the newest cue
         self.nodes: dict[str, pb.Node] = {}  # those here, by name
         self.evacuated: frozenset[str] = frozenset()
         self.lease_end = self.heard_at = float("-inf")
@@ -312,7 +314,7 @@
                 ask.node.CopyFrom(node)
             asked = self._loop.time()
             try:
-                answer = await self.reach.call(pb.Envelope(ask=ask), ASK_WITHIN, hold(self._edges) + 0.35)
+                answer = await self.reach.call(pb.Envelope(ask=ask), ASK_WITHIN, hold(self._edges) + ASK_LAG)
             except SystemFailure as failure:
                 self._told = None
                 if not self.may_serve():
@@ -332,6 +334,7 @@
     def _apply(self, cue: pb.Cue, asked: float) -> None:
         if cue.script < self._seen[1]:
             return  # from one that is behind: nothing goes back within a life
+        unpack(cue)
         now = self.clock.now()
         if cue.has_script:
             self.evacuated = frozenset(cue.evacuated)
@@ -339,6 +342,11 @@
             self._take_bill(Playbill(json.loads(zlib.decompress(cue.content)) if cue.content else {}))
         if cue.servers_whole:
             self.servers = {}
+        if cue.epoch.rstrip("~") != self._seen[0].rstrip("~"):
+            self._told_of = set()
+        self._told_of.update(server.id for server in cue.server)
+        if cue.rest_gone:
+            self.servers = {id: known for id, known in self.servers.items() if id in self._told_of}
         for server in cue.server:
             self._know_server(server, now)
         if cue.nodes_whole:
@@ -351,7 +359,7 @@
         self._edges = cue.share_of if cue.counting else max(self._edges, cue.share_of)
         if cue.node or cue.node_gone or cue.nodes_whole or cue.has_content:
             self._set_place()
-        if cue.server or cue.servers_whole or cue.has_script:
+        if cue.server or cue.servers_whole or cue.rest_gone or cue.has_script:
             self._list_servers()
         self._seen = (cue.epoch, cue.script, cue.servers, cue.nodes, cue.gen)
         self.heard_at = self._loop.time()
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -17,10 +17,13 @@
 from playhouse.settings import Bounds, seconds
 from playhouse.understudy.moves import Moves
 from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.lists import packed
 
 SETTLE = 2.5  # beats after a start from nothing, until which servers that are not known may yet be there
 WAIT = 1.0  # s, at the most, for which one that was dealt nothing is told to wait
 COUNTED = 20.0  # s that an ingress counts where shares are parted, after it was last here
+LOOK = 0.05  # s for which a look over all ingresses holds good: each costs their number
+PACKED = 0.2  # s for which lists that were packed hold good: so much longer a server counts as cold
 
 
 def server_out(seen: Seen, now: float) -> pb.Server:
@@ -52,6 +55,10 @@
         self._from_nothing = not board.servers
         self._bounds, self.counting = bounds, not ever
         self._shared: dict[str, float] = {}  # ingresses of late, and until when they count
+        self._shared_at, self._shared_of = float("-inf"), -1  # when that was looked at, and by which roll
+        self._looked_at = float("-inf")  # when it was counted who is out of touch
+        self._lists: dict[tuple[int, int], bytes] = {}  # by what those who ask have of servers and nodes
+        self._lists_of, self._lists_at = (-1, -1, False), float("-inf")
         for seen in board.servers.values():
             seen.heard_at = now
         roll.begin(now, edges)
@@ -80,10 +87,14 @@
 
     def tick(self, now: float) -> bool:
         """True if there is news."""
-        return self._count(now) | self._expire(now)
+        return self._count(now, anew=True) | self._expire(now)
 
-    def _count(self, now: float) -> bool:
-        """Begins to count once all who may spend without it have been heard, or their leases are over."""
+    def _count(self, now: float, anew: bool = False) -> bool:
+        """Begins to count once all who may spend without it have been heard, or their leases are over. True
+        if it begins now."""
+        if not anew and 0 <= now - self._looked_at < LOOK:
+            return False
+        self._looked_at = now
         edges = self.shared_by(now)
         if self.counting:
             self.till.silent(now, self.roll.silent(now, edges), edges)
@@ -105,10 +116,12 @@
 
     def shared_by(self, now: float) -> int:
         """Ingresses that static parts of a whole are counted over."""
-        for held in self.roll.leases.values():
-            if held.node.kind == "edge":
-                self._shared[held.node.name] = now + COUNTED
-        self._shared = {name: until for name, until in self._shared.items() if until > now}
+        if self._shared_of != self.roll.number or not 0 <= now - self._shared_at < LOOK:
+            self._shared_at, self._shared_of = now, self.roll.number
+            for held in self.roll.leases.values():
+                if held.node.kind == "edge":
+                    self._shared[held.node.name] = now + COUNTED
+            self._shared = {name: until for name, until in self._shared.items() if until > now}
         return max(1, len(self._shared))
 
     def lease(self, now: float, lease: pb.Lease) -> float | None:
@@ -137,12 +150,14 @@
             if known is None or known.node.life != ask.life or not known.node.door:
                 raise SystemFailure(Code.STALE)
             ask.node.CopyFrom(known.node)
+        known = self.roll.leases.get(ask.node.name)
+        first = known is None or known.asked_at == float("-inf")  # since the duty began
         news = self.roll.ask(now, ask.node, ask.script)
         held = self.roll.leases[ask.node.name]
         if held.idle_from == float("inf"):
             held.idle_from = now - ask.idle_ms / 1000
         held.current, held.counting = ask.servers == self.board.number, ask.counting and self.counting
-        news |= self._count(now)
+        news |= self._count(now, anew=first)
         return news
 
     def has_news(self, now: float, ask: pb.Ask, state: State) -> bool:
@@ -154,32 +169,54 @@
 
     def cue(self, now: float, ask: pb.Ask, state: State) -> pb.Cue:
         """The news for who asks, and its lease, which begins now."""
-        epoch = self.epoch(now)
-        known = ask.epoch == epoch
-        cue = pb.Cue(
-            epoch=epoch, lease_ms=round(LEASE * 1000), script=state.version, gen=state.gen,
-            servers=self.board.number, nodes=self.roll.number, share_of=self.shared_by(now),
-            counting=self.counting, settled=self.settled(now),
-        )  # fmt: skip
+        cue = self._answer(now, ask, self.epoch(now), state.version, state.gen)
+        cue.servers, cue.nodes = self.board.number, self.roll.number
+        cue.settled = self.settled(now)
         if ask.script != state.version:
             cue.evacuated.extend(state.evacuated)
             cue.has_script = True
             if ask.gen != state.gen:
                 cue.has_content = True
                 cue.content = state.told()
-        if not known or ask.servers != self.board.number:
-            seen = self.board.since(ask.servers if known else 0)
-            cue.servers_whole = not known and self.settled(now)
-            cue.server.extend(server_out(s, now) for s in seen if known or s.state != "gone" or s.ended)
-        if not known or ask.nodes != self.roll.number:
-            cue.nodes_whole = not known
-            here, gone = self.roll.since(ask.nodes) if known else (self.roll.here(), [])
-            cue.node.extend(here)
-            cue.node_gone.extend(gone)
+        of_term = ask.epoch in (cue.epoch, f"{self.term}~")
+        # Once all had time to say that they are there, an ingress need not be told again of those who were.
+        cue.rest_gone = of_term and ask.epoch != cue.epoch and ask.node.kind == "edge"
+        known = ask.epoch == cue.epoch or cue.rest_gone
+        cue.lists = self._packed(now, ask.servers if known else -1, ask.nodes if of_term else -1)
+        return cue
+
+    def renew(self, now: float, ask: pb.Ask) -> pb.Cue:
+        """What it knows stands, and its lease begins anew; news of servers, nodes and the configuration may
+        be kept for its next ask."""
+        cue = self._answer(now, ask, ask.epoch, ask.script, ask.gen)
+        cue.servers, cue.nodes = ask.servers, ask.nodes
+        return cue
+
+    def _answer(self, now: float, ask: pb.Ask, epoch: str, script: int, gen: int) -> pb.Cue:
         self.roll.answered(now, ask.node.name)
         if held := self.roll.leases.get(ask.node.name):
             held.idle_until = min(held.idle_until, now)
-        return cue
+        return pb.Cue(
+            epoch=epoch, lease_ms=round(LEASE * 1000), script=script, gen=gen,
+            share_of=self.shared_by(now), counting=self.counting,
+        )  # fmt: skip
+
+    def _packed(self, now: float, servers: int, nodes: int) -> bytes:
+        """Lists for all who have heard of servers and nodes up to these numbers; -1: of none in this term."""
+        of = (self.board.number, self.roll.number, self.settled(now))
+        if of != self._lists_of or not 0 <= now - self._lists_at < PACKED or len(self._lists) > 64:
+            self._lists, self._lists_of, self._lists_at = {}, of, now
+        if (servers, nodes) not in self._lists:
+            part = pb.Cue(servers_whole=servers < 0 and of[2], nodes_whole=nodes < 0)
+            seen = self.board.since(max(0, servers)) if servers != of[0] else []
+            seen = [s for s in seen if servers >= 0 or s.state != "gone" or s.ended]
+            part.server.extend(server_out(s, now) for s in seen)
+            if nodes != of[1]:
+                here, gone = self.roll.since(nodes) if nodes >= 0 else (self.roll.here(), [])
+                part.node.extend(here)
+                part.node_gone.extend(gone)
+            self._lists[servers, nodes] = packed(part)
+        return self._lists[servers, nodes]
 
     def show(self, now: float, state: State) -> dict[str, Any]:
         """For operators."""
--- a/playhouse/wings/links.py
+++ b/playhouse/wings/links.py
@@ -27,6 +27,8 @@
 DIAL = 0.3  # s for a connection to come up: what goes to a machine that is dark is not sent again for seconds
 PAUSE = (0.05, 0.4)  # s between dials of a door that fail: the first, the longest
 CALLERS = 1024  # calls of others that are worked on at once
+BACKLOG = 1024  # connections that wait to be taken: after a start all processes dial at once, and an opening
+# packet that is dropped is sent again after a second
 
 Handler = Callable[[pb.Envelope], Awaitable[pb.Envelope]]
 Hearer = Callable[[pb.Envelope], None]
@@ -129,7 +131,7 @@
         return self._loop.time()
 
     async def listen(self) -> None:
-        self._server = await self._loop.create_server(lambda: Frames(self), *self._at)
+        self._server = await self._loop.create_server(lambda: Frames(self), *self._at, backlog=BACKLOG)
 
     def stop(self) -> None:
         if self._server:
--- /dev/null
+++ b/playhouse/wings/lists.py
@@ -0,0 +1,33 @@
+"""Lists of servers and nodes inside a cue: encoded and packed once for all who are told the same."""
+
+from __future__ import annotations
+
+import zlib
+
+from google.protobuf.message import DecodeError
+
+from playhouse.wings import cues_pb2 as pb
+
+MOST = 64 * 1024 * 1024  # bytes of lists that are unpacked
+LEVEL = 1  # names and addresses look alike: more work saves little
+
+
+def packed(part: pb.Cue) -> bytes:
+    """`part` holds lists and nothing else."""
+    return zlib.compress(part.SerializeToString(), LEVEL) if part.ByteSize() else b""
+
+
+def unpack(cue: pb.Cue) -> None:
+    """Puts packed lists in their places. Raises ValueError where they are none."""
+    if not cue.lists:
+        return
+    packer = zlib.decompressobj()
+    try:
+        data = packer.decompress(cue.lists, MOST)
+        part = pb.Cue.FromString(data)
+    except (zlib.error, DecodeError) as error:
+        raise ValueError(f"packed lists: {error}") from None
+    if not packer.eof:
+        raise ValueError("packed lists: they end early, or are too large")
+    cue.ClearField("lists")
+    cue.MergeFrom(part)
