--- a/ironledge/account.py
+++ b/ironledge/account.py
@@ -75,6 +75,7 @@
     open: int = 0  # attempts out
     elsewhere: int = 0  # and those out from the process that this one takes over from
     strict: bool = False  # the counter takes into account how much may be spent without it at once
+    alone_since: int = 0  # of a strict one: since when it may spend its part; while it may not, now
     leased_at: int = 0  # when the newest lease was asked for
     waiting: list[Any] = field(default_factory=list)  # for the counter's answer
 
@@ -87,13 +88,21 @@
         if plan.rate:  # a store left alone for a window is full: nothing need be carried further
             self.window_us = max(SECOND, int(plan.burst / plan.rate * SECOND))
 
+    @property
+    def saves(self) -> bool:
+        """Its part grows while it is in touch as well."""
+        return not self.strict or max(self.spread, self.plan.rate * SHARE_SPAN) <= self.plan.saved_most
+
     def arrive(self, now: int, units: float, again: bool, retired: bool = False) -> None:
         """Shares refill, unless another process has them; the average fades."""
-        gone, self.demand_at, plan, part = (now - self.demand_at) / SECOND, now, self.plan, 1 / self.spread
+        before, self.demand_at, plan, part = self.demand_at, now, self.plan, 1 / self.spread
+        gone = (now - before) / SECOND
         fill = self.window_us / SECOND
         self.usual = self.usual * math.exp(-gone / fill) + (0.0 if again else units / fill)
         most = max(units, plan.rate * part * SHARE_SPAN if self.strict else plan.burst * part)  # one fits
-        self.share = min(most, self.share + plan.rate * part * gone)
+        if not self.saves and before < self.alone_since:
+            self.share, before = 0.0, self.alone_since
+        self.share = min(most, self.share + plan.rate * part * (now - before) / SECOND)
         self.unheard = max(0.0, self.unheard - plan.rate * part * gone)
         if retired:
             return
@@ -137,6 +146,7 @@
         self.unasked, self.speaks = 0, 1.0  # requests since the last call, and how many a call speaks for
         self.actions: list[it.Action] = []
         self.in_touch: Callable[[], bool] = lambda: True  # whether the counter is there
+        self.alone_since: Callable[[], int] = lambda: 0  # since when it is not; while it is, now
         self.follow(settings)
 
     def follow(self, settings: it.Settings) -> None:
--- a/ironledge/brain.py
+++ b/ironledge/brain.py
@@ -122,7 +122,9 @@
             if self.retired:  # this customer's ceiling is the other process's
                 account.ceiling = account.sure = 0.0
         if account.strict:
-            account.spread = max(1, event.spread)
+            account.spread, account.alone_since = max(1, event.spread), self.alone_since()
+            if event.customer not in self.accounts and not account.saves:
+                account.share = 0.0
         cls, self.accounts[event.customer] = s.classes[event.cls], account
         cut, end = self.span(cls, event.time_left)
         request = Request(event, cls, account, cut, end, s.limits)
--- a/ironledge/interface.py
+++ b/ironledge/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -77,6 +78,8 @@
     ceiling_rate: float = 0.0  # hard ceiling; 0: none
     ceiling_burst: float = 0.0
     ceiling_slack: float = 0.0
+    saved_most: float = math.inf  # units that all gateways together may have saved up while in touch with a
+    # strict counter; where they would be more, each begins to save once it has lost touch
 
 
 @dataclass(frozen=True, slots=True)
--- a/playhouse/boxoffice/till.py
+++ b/playhouse/boxoffice/till.py
@@ -7,9 +7,12 @@
     burst' + rate * (T + L) <= (rate * T + burst) * (1 + overrun) + slack
 
 An ingress that is out of touch spends at the quota's rate over the number of all ingresses, and has saved
-up `SHARE_SPAN` of that at the most: this is left out of the bound, and stores refill the slower the more
-ingresses may be out of touch. A new leader of the duty begins to count, with empty stores, once all who may
-spend so have been heard of.
+up `SHARE_SPAN` of that at the most, or one unit: this is left out of the bound, and stores refill the slower
+the more ingresses may be out of touch. Where a unit for each ingress would take over half of what the bound
+leaves (many ingresses, a small quota), nobody saves while in touch: each begins with nothing when it loses
+touch, and the room for one unit is left only for those that may be out of touch now. What such a one saves
+from then on is no more than what the store refills less. A new leader of the duty begins to count, with
+empty stores, once all who may spend so have been heard of.
 """
 
 from __future__ import annotations
@@ -22,13 +25,30 @@
 
 EXPIRY = 1.0  # s that an ingress may hold leased units
 MARGIN = 0.9  # of the room that the bound leaves
+SAVED = 0.5  # of it, that ingresses may have saved up; they reckon with less, as they hear late of others:
+SAVED_THERE = 0.45
+FEWEST = 9.0  # s for which a lower number of ingresses may still be in the minds of some
 
 
-def room(rate: float, burst: float, bounds: Bounds, edges: int) -> float:
-    """burst': the most a store may hold, in units."""
+def spare(rate: float, burst: float, bounds: Bounds) -> float:
+    """Units that the bound leaves for burst' and for what ingresses saved up."""
     window = bounds.quota_window
     bound = (rate * window + burst) * (1 + bounds.quota_overrun) + bounds.quota_slack
-    return max(1.0, min(burst, (bound - rate * (window + EXPIRY) - max(edges, rate * SHARE_SPAN)) * MARGIN))
+    return bound - rate * (window + EXPIRY)
+
+
+def saved_most(rate: float, burst: float, bounds: Bounds) -> float:
+    """Units that all ingresses together may have saved up while in touch, as an ingress reckons."""
+    return SAVED_THERE * spare(rate, burst, bounds)
+
+
+def room(rate: float, burst: float, bounds: Bounds, edges: int, fewest: int, silent: int) -> float:
+    """burst': the most a store may hold, in units. `fewest`: ingresses, as any of them may still think;
+    `silent`: those that may be out of touch."""
+    left, saved = spare(rate, burst, bounds), max(edges, rate * SHARE_SPAN)
+    if max(fewest, rate * SHARE_SPAN) > SAVED * left:
+        saved *= silent / max(1, edges)
+    return max(1.0, min(burst, (left - saved) * MARGIN))
 
 
 @dataclass(slots=True)
@@ -42,7 +62,8 @@
         """`ever`: somebody may have leased units before, who has paid from stores that nobody knows now.
         `idle`: s before now in which nobody spent anything: stores have refilled for so long."""
         self._idle = idle
-        self._bounds, self._ever, self._edges = bounds, ever, 1
+        self._bounds, self._ever, self._edges, self._silent = bounds, ever, 1, 1
+        self._fewest, self._fewest_at = 1, now
         self._at, self._part, self._time = now, 1.0, 0.0  # s of refill at the whole rate, since the beginning
         self._stores: dict[str, Store] = {}
         self._quotas: dict[str, tuple[float, float]] = {}
@@ -59,7 +80,9 @@
     def silent(self, now: float, count: int, edges: int) -> None:
         """So many of all ingresses may be out of touch from now on."""
         self._refilled(now)
-        self._edges, self._part = max(1, edges), max(0.0, 1 - count / max(1, edges))
+        self._edges, self._part, self._silent = max(1, edges), max(0.0, 1 - count / max(1, edges)), count
+        if edges <= self._fewest or now - self._fewest_at > FEWEST:
+            self._fewest, self._fewest_at = edges, now
 
     def _refilled(self, now: float) -> float:
         self._time += self._part * max(0.0, now - self._at)
@@ -72,7 +95,8 @@
         if tenant not in self._quotas or not (0 <= amount < 1e9 and 0 <= told < 1e9):
             return None
         rate, burst = self._quotas[tenant]
-        most, time = room(rate, burst, self._bounds, self._edges), self._refilled(now)
+        most = room(rate, burst, self._bounds, self._edges, self._fewest, self._silent)
+        time = self._refilled(now)
         store = self._stores.setdefault(
             tenant, Store(min(most, rate * self._idle) if self._ever else most, 0.0)
         )
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -20,7 +20,7 @@
 from ironledge.net.engine import Answered, Clock, Engine, Names
 from ironledge.net.sockets import Sockets
 from playhouse.boxoffice.purse import FURTHER
-from playhouse.boxoffice.till import EXPIRY
+from playhouse.boxoffice.till import EXPIRY, saved_most
 from playhouse.company.roll import HOLD_MOST, LOST, hold, patience
 from playhouse.errors import Code, SystemFailure
 from playhouse.events import Event, note
@@ -86,6 +86,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.lease_end = self.heard_at = float("-inf")
         self._counting = False
+        self._alone_at = self._loop.time()  # when it last lost touch otherwise than by hearing nothing
         self._settled = False  # in this life it has been told of all servers that there were
         self._seen: tuple[str, int, int, int, int] = ("", 0, 0, 0, 0)
         self._life = f"{random.getrandbits(40):x}"
@@ -109,7 +110,7 @@
         settings = self.settings
         first = self._settings_of(self.bill)
         self.gateway = Gateway(first, random.getrandbits(32), Rows)
-        self.gateway.in_touch = self.in_touch
+        self.gateway.in_touch, self.gateway.alone_since = self.in_touch, self._alone_since
         self.sockets = Sockets(settings.descriptors - 200)
         self.engine = Engine(self.gateway, first, Names(first, {}), self._loop, self.clock.now)
         self.engine.refusals = (429, 503)
@@ -131,7 +132,11 @@
 
     def _settings_of(self, bill: Playbill) -> it.Settings:
         plans = tuple(
-            it.Plan(t.name, t.rate, max(1.0, t.burst) if t.rate else 0.0) for t in bill.tenants.values()
+            it.Plan(
+                t.name, t.rate, max(1.0, t.burst) if t.rate else 0.0,
+                saved_most=saved_most(t.rate, t.burst, self.settings.bounds),
+            )
+            for t in bill.tenants.values()
         )
         limits = it.Limits(
             max_attempts=6,
@@ -236,6 +241,15 @@
         itself."""
         return self._counting and self._loop.time() < self.heard_at + hold(self._edges) + LOST
 
+    def _alone_since(self) -> int:
+        """us since when it may spend without the counter, or a little later; now, while it may not."""
+        now, at = self._loop.time(), self._alone_at
+        if self.in_touch():
+            at = now
+        elif self._counting:
+            at = max(at, self.heard_at + hold(self._edges) + LOST)
+        return self.clock.now() - round(max(0.0, now - at) * 1e6)
+
     def stands(self, server: str, service: str) -> bool:
         known = self.servers.get(server)
         if known is None or known.server.state != "ready" or known.server.service != service:
@@ -256,6 +270,8 @@
     def _lost(self, door: str) -> None:
         """The leader's connection has ended: there as well, or the leader has."""
         if door == self.reach.hint:
+            if self.in_touch():
+                self._alone_at = self._loop.time()
             self.heard_at = float("-inf")
 
     def _peers(self) -> list[str]:
@@ -356,6 +372,8 @@
             self.nodes.pop(name, None)
         self.nodes.update((n.name, n) for n in cue.node)
         self._know_cores(n.door for n in cue.node if n.kind == "core")
+        if self._counting and not cue.counting:
+            self._alone_at = self._loop.time()
         self._counting, self._settled = cue.counting, self._settled or cue.settled
         self._edges = cue.share_of if cue.counting else max(self._edges, cue.share_of)
         if cue.node or cue.node_gone or cue.nodes_whole or cue.has_content:
--- a/tests/test_playhouse_return.py
+++ b/tests/test_playhouse_return.py
@@ -191,7 +191,10 @@
         """Everybody serves: knows the configuration, all servers that there are, and all others."""
         names, up = set(self.ingresses), set(self.up)
         return all(
-            e.lease_end > self.now() and e.seen[1] == self.state.version and e.ready == up and e.nodes == names
+            e.lease_end > self.now()
+            and e.seen[1] == self.state.version
+            and e.ready == up
+            and e.nodes == names
             for e in self.ingresses.values()
         )
 
--- a/tests/test_playhouse_units.py
+++ b/tests/test_playhouse_units.py
@@ -14,8 +14,9 @@
 from hypothesis import strategies as st
 
 from ironledge.account import SHARE_SPAN
+from playhouse.boxoffice import till
 from playhouse.boxoffice.purse import LIFE, Purse, Whole, further, starts
-from playhouse.boxoffice.till import EXPIRY
+from playhouse.boxoffice.till import EXPIRY, saved_most
 from playhouse.callboard.board import Board, Seen
 from playhouse.company import roll
 from playhouse.company.roll import LEASE, Roll, hold
@@ -26,6 +27,7 @@
 from playhouse.wings import cues_pb2 as pb
 
 RATE, BURST, EDGES = 60.0, 60.0, 5
+SMALL = (5.0, 5.0, 40)  # a small quota and many ingresses: a unit for each would be more than all of it
 BOUNDS = Bounds(
     quota_window=5.0, quota_overrun=0.1, quota_slack=20, retry_slack=62, warmup_overrun=1.5, warmup_slack=5
 )
@@ -48,12 +50,18 @@
     tokens: list[tuple[float, float]] = field(default_factory=list)
     share: float = 1.0
     share_at: float = 0.0
+    alone_at: float = 0.0  # when it was last told that the counter does not count
     rate: float = 1.0  # of its clock
 
 
 class World:
-    def __init__(self, seed: int, both: bool = False, life: float = LIFE) -> None:
-        """`both`: ingresses spend their parts beside leased units. `life`: for which dealt ones are used."""
+    def __init__(
+        self, seed: int, both: bool = False, life: float = LIFE,
+        quota: tuple[float, float, int] = (RATE, BURST, EDGES), saves: bool | None = None,
+    ) -> None:  # fmt: skip
+        """`both`: ingresses spend their parts beside leased units. `life`: for which dealt ones are used.
+        `quota`: its rate and burst, and how many ingresses. `saves`: while in touch; None: by the rule."""
+        self.quota, self.saves = quota, saves
         self.rng, self.both, self.now, self.count = random.Random(seed), both, 0.0, 0
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.spent: list[tuple[float, float]] = []
@@ -62,11 +70,11 @@
         self.cut: set[str] = set()
         self.state, self.term = State(), 0
         content = {"gen": 1, "parent": 0, "routes": [], "backends": [{"name": "s", "warmupPerS": 5.3}]}
-        tenant = {"name": "t", "apiKeys": ["k"], "ratePerS": RATE, "burst": BURST}
+        tenant = {"name": "t", "apiKeys": ["k"], "ratePerS": quota[0], "burst": quota[1]}
         self.state.apply(Command(Verb.REPLACE, "d", content | {"tenants": [tenant]}))
         self.duty: Duty | None = None
         self.roll = Roll()
-        self.edges = {f"e{n}": Edge(f"e{n}", rate=self.rng.uniform(0.98, 1.02)) for n in range(EDGES)}
+        self.edges = {f"e{n}": Edge(f"e{n}", rate=self.rng.uniform(0.98, 1.02)) for n in range(quota[2])}
         self.frozen: set[str] = set()
         self.hold_duty(False)
         for edge in self.edges.values():
@@ -107,7 +115,7 @@
             )
             duty = self.duty
             duty.asked(self.now, made)
-            self.later(hold(EDGES) * self.rng.random(), lambda: answer(duty, made))
+            self.later(hold(self.quota[2]) * self.rng.random(), lambda: answer(duty, made))
 
         def answer(duty: Duty, made: pb.Ask) -> None:
             if duty is not self.duty or edge.name in self.cut:
@@ -122,6 +130,8 @@
             if edge.life != life or edge.name in self.cut or answered[0]:
                 return
             answered[0] = True
+            if edge.counting and not cue.counting:
+                edge.alone_at = self.now
             edge.counting, edge.edges = cue.counting, max(edge.edges, cue.share_of)
             edge.heard_at, edge.lease_end = self.now, asked + LEASE * 0.98 / edge.rate
             self.ask(edge, life)
@@ -132,7 +142,7 @@
                 self.ask(edge, life)
 
         self.later(lag, arrive)
-        self.later(hold(EDGES) + 0.35, give_up)
+        self.later(roll.patience(hold(self.quota[2])), give_up)
 
     def spend(self, edge: Edge) -> None:
         """All that it may, a few dozen times a second."""
@@ -141,9 +151,7 @@
             self.later(0.05, lambda: self.spend(edge))
             return
         if now < edge.lease_end:
-            part = RATE / max(1, edge.edges)
-            edge.share = min(max(1.0, part * SHARE_SPAN), edge.share + part * (now - edge.share_at))
-            edge.share_at = now
+            self.grow(edge)
             units = sum(amount for until, amount in edge.tokens if now <= until)
             edge.tokens.clear()
             if self.in_touch(edge) and edge.name not in self.cut and self.duty:
@@ -156,6 +164,22 @@
             self.spent.append((now, units))
         self.later(self.rng.uniform(0.01, 0.05), lambda: self.spend(edge))
 
+    def grow(self, edge: Edge) -> None:
+        """Its part; where the quota is too small for a unit each, only from when it may spend it."""
+        rate, burst, _ = self.quota
+        part, saves = rate / max(1, edge.edges), self.saves
+        if saves is None:
+            saves = max(edge.edges, rate * SHARE_SPAN) <= saved_most(rate, burst, BOUNDS)
+        alone = edge.alone_at
+        if self.in_touch(edge):
+            alone = self.now
+        elif edge.counting:
+            alone = max(alone, edge.heard_at + (hold(edge.edges) + roll.LOST) / edge.rate)
+        if not saves and edge.share_at < alone:
+            edge.share, edge.share_at = 0.0, alone
+        edge.share = min(max(1.0, part * SHARE_SPAN), edge.share + part * (self.now - edge.share_at))
+        edge.share_at = self.now
+
     def lease(self, edge: Edge) -> None:
         assert self.duty
         asked, amount = self.now, self.rng.choice((1.0, 10.0, 80.0))
@@ -207,7 +231,7 @@
                 edge.life += 1
                 edge.began = self.now
                 edge.heard_at = edge.lease_end = -1e9
-                edge.counting, edge.edges, edge.share = False, 0, 1.0
+                edge.counting, edge.edges, edge.share, edge.alone_at = False, 0, 1.0, self.now
                 edge.tokens.clear()
                 self.later(0.3, lambda edge=edge: self.ask(edge, edge.life))  # type: ignore[misc]
 
@@ -240,13 +264,11 @@
     return most
 
 
-BOUND = (RATE * BOUNDS.quota_window + BURST) * (1 + BOUNDS.quota_overrun) + BOUNDS.quota_slack
-
-
 def broken(world: World) -> list[str]:
-    found = []
-    if (most := worst(world.spent, BOUNDS.quota_window)) > BOUND:
-        found.append(f"quota: {most:.1f} of {BOUND:.1f}")
+    found, (rate, burst, _) = [], world.quota
+    bound = (rate * BOUNDS.quota_window + burst) * (1 + BOUNDS.quota_overrun) + BOUNDS.quota_slack
+    if (most := worst(world.spent, BOUNDS.quota_window)) > bound:
+        found.append(f"quota: {most:.1f} of {bound:.1f}")
     for name, used in world.used.items():
         if (most := worst(used, WHOLES[name].window)) > WHOLES[name].size:
             found.append(f"{name}: {most} of {WHOLES[name].size:.1f}")
@@ -269,9 +291,34 @@
         assert all(len(used) > 0.4 * WHOLES[n].rate * 30 for n, used in world.used.items())
 
 
-def drawn(seed: int, count: int = 8) -> list[Trouble]:
+@settings(max_examples=8, deadline=None, derandomize=True)
+@given(st.integers(0, 10**6), TROUBLES)
+def test_a_small_quota_over_many_ingresses_is_kept_and_can_be_had(seed: int, troubles: list[Trouble]) -> None:
+    world = World(seed, quota=SMALL)
+    world.run(troubles)
+    assert broken(world) == []
+
+
+def test_a_small_quota_can_be_had_at_many_ingresses() -> None:
+    """Whole, with its burst, though a unit for each would be more than all that its bound leaves."""
+    world = World(1, quota=SMALL)
+    world.run([])
+    assert sum(units for _, units in world.spent) > 0.4 * SMALL[0] * 30
+    assert till.room(*SMALL[:2], BOUNDS, SMALL[2], SMALL[2], 0) == SMALL[1]
+
+
+def drawn(seed: int, count: int = 8, edges: int = EDGES) -> list[Trouble]:
     rng = random.Random(seed)
-    return [(rng.uniform(0.1, 5.0), rng.choice(KINDS), rng.randrange(EDGES)) for _ in range(count)]
+    return [(rng.uniform(0.1, 5.0), rng.choice(KINDS), rng.randrange(edges)) for _ in range(count)]
+
+
+def test_units_saved_while_in_touch_would_break_a_small_quota() -> None:
+    for seed in range(20):
+        world = World(seed, quota=SMALL, saves=True)
+        world.run(drawn(seed, edges=SMALL[2]))
+        if broken(world):
+            return
+    raise AssertionError("not seen")
 
 
 def full_again(monkeypatch: pytest.MonkeyPatch) -> None:
