--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -15,8 +15,8 @@
 from ironledge.net.engine import Clock, Engine, Names
 from ironledge.net.sockets import Sockets
 from playhouse.boxoffice.purse import FURTHER
-from playhouse.boxoffice.till import EXPIRY
-from playhouse.company.roll import hold
+from playhouse.boxoffice.till import EXPIRY, saved_most
+from playhouse.company.roll import HOLD_MOST, hold, patience
 from playhouse.errors import Code, SystemFailure
 from playhouse.events import Event, note
 from playhouse.foyer.lookup import lookup
@@ -34,7 +34,6 @@
 from playhouse.wings.reach import Reach
 
 ASK_WITHIN = 3.0  # s for an answer over all tries
-ASK_WAY = 0.35  # s for an ask's way there and back, beyond the time for which it may be kept
 RETRY_AFTER = 300_000  # us that a refused client is told to wait: T0, d_0
 CONNECT = 400_000  # us for a connection to a server: a region is 40 ms away and back
 IDLE = 6_000_000  # us that an idle connection to a server is kept, if it does not say how long
@@ -82,7 +81,7 @@
         settings = self.settings
         first = self._settings_of(self.bill)
         self.gateway = Gateway(first, random.getrandbits(32), Rows)
-        self.gateway.in_touch = self.in_touch
+        self.gateway.in_touch, self.gateway.alone_since = self.in_touch, self._alone_since
         self.sockets = Sockets(settings.descriptors - 200)
         self.engine = Engine(self.gateway, first, Names(first, {}), self._loop, self.clock.now)
         self.engine.refusals = (429, 503)
@@ -108,7 +107,11 @@
 
     def _settings_of(self, bill: Playbill) -> it.Settings:
         plans = tuple(
-            it.Plan(t.name, t.rate, max(1.0, t.burst) if t.rate else 0.0) for t in bill.tenants.values()
+            it.Plan(
+                t.name, t.rate, max(1.0, t.burst) if t.rate else 0.0,
+                saved_most=saved_most(t.rate, t.burst, self.settings.bounds),
+            )
+            for t in bill.tenants.values()
         )
         limits = it.Limits(
             max_attempts=6,
@@ -215,6 +218,11 @@
     def in_touch(self) -> bool:
         return self.news.in_touch(self._loop.time())
 
+    def _alone_since(self) -> int:
+        """us since when it may spend without the counter, or a little later; now, while it may not."""
+        now = self._loop.time()
+        return self.clock.now() - round(max(0.0, now - self.news.alone_since(now)) * 1e6)
+
     def stands(self, server: str, service: str) -> bool:
         return self.news.stands(server, service)
 
@@ -232,7 +240,7 @@
     def _lost(self, door: str) -> None:
         """The leader's connection has ended: there as well, or the leader has."""
         if door == self.reach.hint:
-            self.news.heard_at = float("-inf")
+            self.news.lose_touch(self._loop.time())
 
     # Doors.
 
@@ -269,10 +277,11 @@
 
     async def _asks(self) -> None:
         while True:
-            wait, node, asked = hold(self.news.edges), self._node(), self._loop.time()
+            wait = hold(self.news.edges) if self.news.edges else HOLD_MOST  # at first it may take a while
+            node, asked = self._node(), self._loop.time()
             ask = pb.Envelope(ask=self.news.ask(node, asked, wait))
             try:
-                answer = await self.reach.call(ask, ASK_WITHIN, wait + ASK_WAY)
+                answer = await self.reach.call(ask, ASK_WITHIN, patience(wait))
             except SystemFailure as failure:
                 self.news.unanswered()
                 if not self.may_serve():
--- a/playhouse/stage/news.py
+++ b/playhouse/stage/news.py
@@ -15,6 +15,7 @@
 from playhouse.script.playbill import Playbill
 from playhouse.settings import DRIFT
 from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.lists import unpack
 
 
 @dataclass(slots=True)
@@ -44,6 +45,8 @@
         self.edges = 0  # ingresses that shares are parted over; 0: never told, so none may be spent
         self.seen: tuple[str, int, int, int, int] = ("", 0, 0, 0, 0)  # epoch, script, servers, nodes, gen
         self._counting, self._began = False, now
+        self._alone_at = now  # when it last lost touch otherwise than by hearing nothing
+        self._told_of: set[str] = set()  # servers, in the term of the newest cue
         self._told: tuple[str, pb.Node] | None = None  # what the leader knows of it, and in which epoch
         self._clock = (0, 0.0)  # what the newest cue said of the leader's, in ms, and when it came
 
@@ -57,6 +60,20 @@
         itself."""
         return self._counting and now < self.heard_at + hold(self.edges) + LOST
 
+    def lose_touch(self, now: float) -> None:
+        """The leader's connection has ended."""
+        if self.in_touch(now):
+            self._alone_at = now
+        self.heard_at = float("-inf")
+
+    def alone_since(self, now: float) -> float:
+        """Since when it may spend without the counter, or a little later; now, while it may not."""
+        if self.in_touch(now):
+            return now
+        if self._counting:
+            return max(self._alone_at, self.heard_at + hold(self.edges) + LOST)
+        return self._alone_at
+
     def stands(self, server: str, service: str) -> bool:
         known = self.servers.get(server)
         if known is None or known.server.state != "ready" or known.server.service != service:
@@ -100,12 +117,18 @@
         as nothing goes back within a life."""
         if cue.script < self.seen[1]:
             return None
+        unpack(cue)
         if cue.has_script:
             self.evacuated = frozenset(cue.evacuated)
         if cue.has_content:
             self.bill = Playbill(json.loads(zlib.decompress(cue.content)) if cue.content else {})
         if cue.servers_whole:
             self.servers = {}
+        if cue.epoch.rstrip("~") != self.seen[0].rstrip("~"):
+            self._told_of = set()
+        self._told_of.update(server.id for server in cue.server)
+        if cue.rest_gone:
+            self.servers = {id: known for id, known in self.servers.items() if id in self._told_of}
         for server in cue.server:
             self._know_server(server, us)
         if cue.nodes_whole:
@@ -114,6 +137,8 @@
             self.nodes.pop(name, None)
         self.nodes.update((n.name, n) for n in cue.node)
         self.know_cores(n.door for n in cue.node if n.kind == "core")
+        if self._counting and not cue.counting:
+            self._alone_at = now
         self._counting, self.settled = cue.counting, self.settled or cue.settled
         self.edges = cue.share_of if cue.counting else max(self.edges, cue.share_of)
         self.seen, self._told = (cue.epoch, cue.script, cue.servers, cue.nodes, cue.gen), (cue.epoch, node)
@@ -121,7 +146,7 @@
         self.lease_end = asked + cue.lease_ms / 1000 * (1 - DRIFT)
         return Changed(
             cue.has_content,
-            bool(cue.server) or cue.servers_whole or cue.has_script,
+            bool(cue.server) or cue.servers_whole or cue.rest_gone or cue.has_script,
             bool(cue.node) or bool(cue.node_gone) or cue.nodes_whole or cue.has_content,
         )
 
