--- a/playhouse/company/roll.py
+++ b/playhouse/company/roll.py
@@ -115,9 +115,12 @@
                 del self.leases[name]
         return self.number != before
 
+    def in_touch(self, now: float, held: NodeLease, edges: int) -> bool:
+        return held.counting and held.asked_at >= now - hold(edges) - HEARD
+
     def silent(self, now: float, edges: int) -> int:
         """Ingresses that may serve, and may be out of touch with the counter."""
-        since = now - hold(edges) - HEARD
+        since = now - hold(edges) - HEARD  # as `in_touch` has it, reckoned once for all
         return sum(
             1
             for h in self.leases.values()
