--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -126,8 +126,13 @@
         self._tasks = [
             self._loop.create_task(work())
             for work in (
-                self._ticks, self._upkeep, self._asks, self._reports, self.prompter.run, self.prompter.strike,
-            )  # fmt: skip
+                self._ticks,
+                self._upkeep,
+                self._asks,
+                self._reports,
+                self.prompter.run,
+                self.prompter.strike,
+            )
         ]
 
     async def stop(self) -> None:
