--- a/playhouse/understudy/follower.py
+++ b/playhouse/understudy/follower.py
@@ -20,6 +20,7 @@
 from playhouse.understudy.duty import Duty, server_in
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.links import Wings
+from playhouse.wings.lists import unpack
 from playhouse.wings.reach import Reach
 
 CONTACT = 2 / 3  # of a server's beat, or ...
@@ -104,8 +105,9 @@
 
     def _take(self, cue: pb.Cue) -> None:
         process, now = self._process, self._process.now()
+        unpack(cue)
         seen = [server_in(s, now) for s in cue.server]
-        if seen or cue.servers_whole:
+        if cue.servers != self._seen[1] or cue.servers_whole:
             process.board.take(seen, cue.servers, cue.servers_whole)
         process.roll.take(cue.node, cue.node_gone, cue.nodes_whole, now, cue.nodes)
         for known in process.board.servers.values():
--- a/playhouse/wings/links.py
+++ b/playhouse/wings/links.py
@@ -26,6 +26,8 @@
 DIALLED = 256  # envelopes that wait for one connection to come up
 PASSED = 2.0  # s for the answer to a call that is passed on
 REMARK = 5.0  # s between two lines of the log about the same kind of foreign word
+BACKLOG = 1024  # connections that wait to be taken: after a start all processes dial at once, and an opening
+# packet that is dropped is sent again after a second
 
 Handler = Callable[[pb.Envelope], Awaitable[pb.Envelope]]
 Hearer = Callable[[pb.Envelope], None]
@@ -65,7 +67,7 @@
         return self._loop.time()
 
     async def listen(self) -> None:
-        self._server = await self._loop.create_server(lambda: Frames(self), *self._at)
+        self._server = await self._loop.create_server(lambda: Frames(self), *self._at, backlog=BACKLOG)
 
     def stop(self) -> None:
         if self._server:
