--- a/playhouse/stage/news.py
+++ b/playhouse/stage/news.py
@@ -15,7 +15,6 @@
 from playhouse.script.playbill import Playbill
 from playhouse.settings import DRIFT
 from playhouse.wings import cues_pb2 as pb
-from playhouse.wings.lists import unpack
 
 
 @dataclass(slots=True)
@@ -117,7 +116,6 @@
         as nothing goes back within a life."""
         if cue.script < self.seen[1]:
             return None
-        unpack(cue)
         if cue.has_script:
             self.evacuated = frozenset(cue.evacuated)
         if cue.has_content:
--- a/playhouse/understudy/follower.py
+++ b/playhouse/understudy/follower.py
@@ -20,7 +20,6 @@
 from playhouse.understudy.duty import Duty, server_in
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.links import Wings
-from playhouse.wings.lists import unpack
 from playhouse.wings.reach import Reach
 
 CONTACT = 2 / 3  # of a server's beat, or ...
@@ -105,7 +104,6 @@
 
     def _take(self, cue: pb.Cue) -> None:
         process, now = self._process, self._process.now()
-        unpack(cue)
         seen = [server_in(s, now) for s in cue.server]
         if cue.servers != self._seen[1] or cue.servers_whole:
             process.board.take(seen, cue.servers, cue.servers_whole)
--- a/playhouse/wings/reach.py
+++ b/playhouse/wings/reach.py
@@ -7,9 +7,11 @@
 from collections.abc import Callable
 
 from playhouse.errors import Code, SystemFailure
+from playhouse.events import Event, note
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.kinds import KINDS, Repeat
 from playhouse.wings.links import Wings
+from playhouse.wings.lists import unpack
 
 AVOID = (1.0, 8.0)  # s that a door that did not answer is gone around: at first, and at most
 PAUSE = (0.03, 0.12)  # s between tries while nobody holds the duty
@@ -94,6 +96,13 @@
                 failure, self.hint = SystemFailure(Code.SILENT, "an older leader's word"), ""
                 await asyncio.sleep(random.uniform(*PAUSE))
                 continue
+            try:
+                unpack(answer.cue)
+            except ValueError as error:  # whoever leads has said something: it is asked anew, not believed
+                note(Event.GARBLED_FRAME, "%s: %s", door, error)
+                failure = SystemFailure(Code.SILENT, str(error))
+                await asyncio.sleep(random.uniform(*PAUSE))
+                continue
             self.hint = door
             return answer
         raise failure
--- a/tests/test_playhouse_wings.py
+++ b/tests/test_playhouse_wings.py
@@ -14,6 +14,7 @@
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.frames import Frames
 from playhouse.wings.links import Wings
+from playhouse.wings.lists import packed
 from playhouse.wings.reach import Reach
 
 HOST = "127.0.0.1"
@@ -128,3 +129,15 @@
         ours._send = cut  # type: ignore[method-assign]
         assert (await reach.call(order(), 2.0, 0.1)).outcome.status == 200
         assert reach.hint == leader.own and reach._is_bad(leader.own, ours.now())
+
+
+async def test_damaged_lists_are_asked_for_anew_and_never_come_through() -> None:
+    async with wings() as ours, wings() as leader:
+        cues = [pb.Cue(script=1, lists=b"no lists"), pb.Cue(script=2, lists=packed(pb.Cue(node_gone=["a"])))]
+
+        async def told(envelope: pb.Envelope) -> pb.Envelope:
+            return pb.Envelope(cue=cues.pop(0))
+
+        leader._handle = told
+        answer = await Reach(ours, lambda: [leader.own], list).call(pb.Envelope(ask=pb.Ask()), 2.0, 1.0)
+        assert answer.cue == pb.Cue(script=2, node_gone=["a"])
