--- a/playhouse/promptbook/machine.py
+++ b/playhouse/promptbook/machine.py
@@ -4,8 +4,8 @@
 of the old term holds, and goes on. An entry is delivered once a majority of the voters has it on disk. A
 member is a door and a disk: one whose disk was wiped is another member, and its vote counts for nothing
 until the others have taken it in, which they do with a majority of their own. `replica.py` has what is known
-and whose word counts, `election.py` the elections, `membership.py` the changes of the configuration; here is
-the log.
+and whose word counts, `election.py` the elections, `membership.py` the changes of the configuration,
+`compaction.py` the snapshots; here is the log.
 
 Times are seconds on a clock that never goes back; nothing here depends on the time of day. The caller
 carries a `Step` out in order: writes, synced; then sends; then deliveries.
@@ -15,6 +15,7 @@
 
 from collections.abc import Iterable
 
+from playhouse.promptbook.compaction import Compaction
 from playhouse.promptbook.election import Election
 from playhouse.promptbook.membership import Membership
 from playhouse.promptbook.messages import (
@@ -25,23 +26,23 @@
     InstallSnapshot,
     Join,
     KeepEntries,
-    KeepSnapshot,
     Kept,
     Leave,
     Member,
     Message,
     RequestVote,
     Snapshot,
+    SnapshotReply,
     Step,
     TimeoutNow,
     VoteReply,
 )
 from playhouse.promptbook.replica import Progress, Role
 
-BATCH = 256 * 1024  # bytes of entries in one append, but for one that is larger by itself
+BATCH = 32 * 1024  # bytes of entries in one append, but for one that is larger by itself: beats wait for it
 
 
-class Machine(Election, Membership):
+class Machine(Election, Membership, Compaction):
     # Inputs.
 
     def tick(self, now: float) -> Step:
@@ -63,7 +64,7 @@
     def _tick_leader(self, now: float, step: Step) -> None:
         if now >= self.lease_end(now) + self.times.quiet and now - self.changed_at > 2 * self.times.quiet:
             self._become_follower(now, step, self.term, None)  # nobody follows: others may be better off
-        elif not self._opened and now - self.changed_at > self.times.open:
+        elif not self._opened and now - self.changed_at > self.times.open and not self._catches_up(now):
             self._become_follower(now, step, self.term, None)  # followed, and nothing is decided
             self._due += 2 * self.times.quiet
         elif self._handed and now - self.changed_at > self.times.hand_over:
@@ -96,6 +97,8 @@
                 self._append_replied(now, step, message)
             case InstallSnapshot():
                 self._install_snapshot(now, step, message)
+            case SnapshotReply():
+                self._snapshot_replied(now, step, message)
             case Join():
                 self._joining(now, step, message)
             case Leave():
@@ -104,19 +107,6 @@
                 self._told_to_stand(now, step, message)
         return step
 
-    def compact(self, state: bytes) -> Step:
-        """The state after all that was delivered takes the place of the entries that led to it."""
-        step, index = Step(), self.commit_index
-        members = self.base.members
-        for entry in self.log[: index - self.base.index]:
-            members = entry.members or members
-        made = Snapshot(index, self.term_at(index), members, state)
-        self.log = self.log[index - self.base.index :]
-        self.base = made
-        self._look_up_members()
-        step.writes.append(KeepSnapshot(made, alone=False))
-        return step
-
     # The leader.
 
     def _append_entry(self, now: float, step: Step, entry: Entry) -> int:
@@ -135,15 +125,17 @@
 
     def _send(self, now: float, step: Step, peer: Progress) -> None:
         sent = int(now * 1e6)
-        if peer.next <= self.base.index:
-            if peer.out_at < 0 or now - peer.out_at >= 4 * self.times.again:
-                peer.out_at = now
-                step.sends.append((peer.member.door, InstallSnapshot(self.term, self.me, self.base, sent)))
+        if peer.next <= self.base.index and not self.tail.covers(peer.next):
+            self._send_snapshot(now, step, peer, beat=True)
             return
+        peer.transfer = None
         entries: list[Entry] = []
-        if peer.out_at < 0 or now - peer.out_at >= self.times.again:
+        # Sent again only to who has answered something later: one that is away would have its way filled.
+        lost = now - peer.out_at >= self.times.again and peer.acked >= peer.out_at
+        if peer.out_at < 0 or lost:
             size = 0
-            for entry in self.log[peer.next - self.base.index - 1 :]:
+            at = peer.next - self.base.index - 1
+            for entry in self.log[at:] if at >= 0 else self.tail.since(peer.next):
                 size += len(entry.data)
                 if entries and size > BATCH:
                     break
@@ -166,7 +158,8 @@
         if message.ok and max(peer.match, message.match) >= self.commit_index:
             peer.level_at = now
         if not message.ok:
-            peer.next, peer.out_at = max(1, min(message.match + 1, peer.next - 1)), -1.0
+            if peer.next:  # else it is to have the snapshot first, whatever was meant for the disk before it
+                peer.next, peer.out_at = max(1, min(message.match + 1, peer.next - 1)), -1.0
             self._send(now, step, peer)
             return
         if message.match > peer.match or peer.next <= message.match:
@@ -243,19 +236,6 @@
         if (upto := min(message.commit_index, match)) > self.commit_index:
             self._deliver(upto, step)
 
-    def _install_snapshot(self, now: float, step: Step, message: InstallSnapshot) -> None:
-        if not self._heard(now, step, message):
-            return
-        made = message.snapshot
-        if made.index > self.commit_index or not self.base.members:
-            self.base, self.log, self.commit_index = made, [], made.index
-            self._look_up_members()
-            step.writes.append(KeepSnapshot(made, alone=True))
-            step.restored = made
-        step.sends.append(
-            (message.sender.door, AppendReply(self.term, self.me, True, self.commit_index, message.sent))
-        )
-
 
 def founded(members: Iterable[Member]) -> Kept:
     """The disk of a member at the first start of all."""
--- a/playhouse/promptbook/replica.py
+++ b/playhouse/promptbook/replica.py
@@ -13,6 +13,7 @@
 from enum import Enum
 
 from playhouse.promptbook.messages import Entry, Kept, Member, Step
+from playhouse.promptbook.snapshot import Incoming, Tail, Transfer
 from playhouse.promptbook.voters import Tolerance
 
 
@@ -53,6 +54,7 @@
     match: int = 0
     out_at: float = -1.0  # when entries were sent that were not answered yet; -1: none are out
     acked: float = float("-inf")  # when the newest beat was sent that it has answered
+    transfer: Transfer | None = None  # of a snapshot, to one that wants entries that are gone
     since: float = 0.0  # when this began
     level_at: float = float("-inf")  # when it last held all that was decided
     leaving_at: float = float("-inf")  # when it last said that it is about to end
@@ -77,6 +79,7 @@
             list(kept.entries),
         )
         self.commit_index = kept.snapshot.index
+        self.tail, self.incoming = Tail(), Incoming(kept.incoming)
         self.role = Role.FOLLOWER
         self.leader: Member | None = None
         self.peers: dict[str, Progress] = {}  # by disk; members and those that are to become some
@@ -121,7 +124,9 @@
     def term_at(self, index: int) -> int:
         if index == self.base.index:
             return self.base.term
-        return self.log[index - self.base.index - 1].term if self.base.index < index <= self.last else -1
+        if index < self.base.index:
+            return self.tail.term_at(index)
+        return self.log[index - self.base.index - 1].term if index <= self.last else -1
 
     def leads(self, now: float) -> bool:
         """This one holds the term, a majority follows it for sure, and it knows all that was ever
