--- a/playhouse/promptbook/replica.py
+++ b/playhouse/promptbook/replica.py
@@ -136,7 +136,12 @@
 
     def lease_end(self, now: float) -> float:
         """Until when no other can hold a later term."""
-        return min(self._followed(now, voters) for voters in self._quorums()) + self.times.lease
+        return self.contact(now) + self.times.lease
+
+    def contact(self, now: float) -> float:
+        """The newest time of which it is sure that a majority has answered, in this term, what was sent at
+        it or after it: a read index rests on that."""
+        return min(self._followed(now, voters) for voters in self._quorums())
 
     def _followed(self, now: float, voters: tuple[Member, ...]) -> float:
         """When the newest beat was sent that a majority of these has answered."""
--- a/playhouse/wings/kinds.py
+++ b/playhouse/wings/kinds.py
@@ -35,7 +35,7 @@
     "outcome": Kind(Repeat.ANSWER, leader=True),
     "lease": Kind(Repeat.REMEMBERED, answered=True),
     "leased": Kind(Repeat.ANSWER, leader=True),
-    "beats": Kind(Repeat.STATE),  # by `seq`, in the term that they are told in
+    "beats": Kind(Repeat.STATE, answered=True),  # by `seq`
     "deal": Kind(Repeat.REMEMBERED, answered=True),
     "dealt": Kind(Repeat.ANSWER, leader=True),
     "receipt": Kind(Repeat.KEYED),  # the order's name, in the term that gave it
