--- a/playhouse/rehearsal/storm.py
+++ b/playhouse/rehearsal/storm.py
@@ -211,9 +211,24 @@
             wrong.append(f"{MOVED} was taken back, and is still evacuated: {shown['evacuated']}")
         if (new := judge.newest(self.record)) and read.mark != new.mark:
             wrong.append(f"{new.mark} was acknowledged last, and {read.mark} is read back")
-        self.did.append(f"well {loop.time() - begun:.1f} s after, members {len(shown['members'])}")
+        wrong += await self.voters(begun + HEALED)
+        self.did.append(f"well {loop.time() - begun:.1f} s after")
         return wrong, last
 
+    async def voters(self, until: float) -> list[str]:
+        """Those who vote are an odd number of machines that are there; who has gone has been taken out."""
+        loop = asyncio.get_running_loop()
+        here = {self.own(m) for m in self.machines.values() if m.core and m.here}
+        while True:
+            _, shown = await self.order("GET", "Fleet.Show", within=HEALED)
+            voters = [m[0] for m in shown["members"] if m[2:] != ["learner"]]
+            away = [door for door in voters if door not in here]
+            if not away and len(voters) % 2 and len(voters) >= self.plan.cores:
+                return []
+            if loop.time() > until:
+                return [f"{len(voters)} vote at the end, and of these {len(away)} have gone: {' '.join(away)}"]
+            await asyncio.sleep(0.2)
+
 
 async def one(seed: int, plant: str = "", spoilt: str = "", plan: Plan | None = None) -> Storm:
     with tempfile.TemporaryDirectory() as folder:
--- a/playhouse/rehearsal/world.py
+++ b/playhouse/rehearsal/world.py
@@ -120,6 +120,7 @@
             },
             "infra": {"heartbeat": "300ms"},
             "sla": {
+                "tolerance": {"nodes": 1, "zones": 1, "regions": 0},
                 "slo": {
                     "ack": "6000ms", "drain": "3000ms", "grace": "3s", "failClosed": True, "revoke": "5000ms",
                     "retryRatio": 0.2, "retryWindow": "10s", "retrySlack": 60, "quotaWindow": "5s",
