--- a/playhouse/rehearsal/storm.py
+++ b/playhouse/rehearsal/storm.py
@@ -226,7 +226,7 @@
             if not away and len(voters) % 2 and len(voters) >= self.plan.cores:
                 return []
             if loop.time() > until:
-                return [f"{len(voters)} vote at the end, and {len(away)} of these have gone: {' '.join(away)}"]
+                return [f"{len(voters)} vote at the end, of whom {len(away)} are gone: {' '.join(away)}"]
             await asyncio.sleep(0.2)
 
 
