--- /dev/null
+++ b/playhouse/rehearsal/core_plants.py
@@ -0,0 +1,144 @@
+"""Known defects of the core, one or more for each of the five points of issue 40: `storm SEED COUNT NAME`."""
+
+from __future__ import annotations
+
+import json
+from importlib import import_module
+from typing import Any
+
+
+def _module(name: str) -> Any:
+    """Looked into when a plant is put in: what it alters may be anywhere."""
+    return import_module(name)
+
+
+# Contact with a majority before serving.
+
+
+def beats_alone() -> None:
+    """Who has lost contact goes on confirming beats, and says that it is ready."""
+    follower = _module("playhouse.understudy.follower").Follower
+    follower.in_contact = lambda self, now: True
+
+
+def unconfirmed() -> None:
+    """Whoever once took the lead answers at once, whether anybody follows it still or not."""
+    _module("playhouse.understudy.contact").ReadIndex._is_met = lambda self, called, term, index: True
+    machine = _module("playhouse.promptbook.machine")
+    machine.Machine.leads = lambda self, now: self.role is machine.Role.LEADER and self._opened
+
+
+def _instead(call: str, answer: Any) -> None:
+    """`answer` may give one of its own, from the process and the body, to each call whose path begins so."""
+    reception = _module("playhouse.reception").Reception
+    control = reception.control
+
+    async def held(self: Any, method: str, target: str, body: bytes) -> Any:
+        own = answer(self._process, body) if target.startswith(f"/-/{call}") else None
+        return own or await control(self, method, target, body)
+
+    reception.control = held
+
+
+def own_reads() -> None:
+    """Whoever is asked reads out what it holds itself."""
+    from playhouse.stagedoor.doors import told
+
+    def content(process: Any, body: bytes) -> Any:
+        return told(200, process.state.content) if process.state.gen else None
+
+    _instead("Config.Read", content)
+
+
+# One order at a time, and again.
+
+
+def short_memory() -> None:
+    """Only the last four accepted orders are remembered, and all others refused."""
+    state = _module("playhouse.script.state")
+    state.KNOWN = 4
+    state.State.may_be_forgotten = lambda self, gen: False
+
+
+def own_refusals() -> None:
+    """Whoever is asked refuses by what it holds itself."""
+    from playhouse.stagedoor.doors import wrong
+
+    def refusal(process: Any, body: bytes) -> Any:
+        order, gen = json.loads(body or b"{}"), process.state.gen
+        late = order.get("parent", gen) != gen and order["gen"] > gen
+        return wrong(412, f"parent: {order['parent']} is not {gen}") if late else None
+
+    _instead("Config.", refusal)
+
+
+# Membership by agreement.
+
+
+def gone_members_vote() -> None:
+    """Whoever comes votes, and nobody is taken out."""
+    membership = _module("playhouse.promptbook.membership")
+    membership.next_voters = lambda members, *more: frozenset(m.disk for m in members)
+
+
+def new_majority_only() -> None:
+    """A change counts by the new voters alone, and several are made at once."""
+    replica = _module("playhouse.promptbook.replica").Replica
+    replica._quorums = lambda self: (self._voters,)
+    _module("playhouse.promptbook.membership").Membership._may_change = lambda self: self._opened
+
+
+def unsynced_votes() -> None:
+    """Terms and votes are not kept, nor are entries: a disk is empty after each start."""
+    store = _module("playhouse.promptbook.store").Store
+    write = store.write
+    heads = ("HardState", "KeepEntries")
+    store.write = lambda self, writes: write(self, [w for w in writes if type(w).__name__ not in heads])
+
+
+# Catching up.
+
+
+def torn_snapshot() -> None:
+    """A snapshot counts as installed with the tables of before in it."""
+    machine = _module("playhouse.promptbook.machine").Machine
+    install = machine.install
+
+    def torn(self: Any, now: float, snapshot: Any) -> Any:
+        step = install(self, now, snapshot)
+        step.restored = None
+        return step
+
+    machine.install = torn
+
+
+# Answers and words of others.
+
+
+def answers_by_number() -> None:
+    """An answer is taken by its number alone, from whomever it comes."""
+    links = _module("playhouse.wings.links")
+
+    def came(self: Any, frames: Any, envelope: Any) -> None:
+        waiting = self._calls.get(envelope.call) if envelope.answer else None
+        if waiting and not waiting.future.done():
+            waiting.future.set_result(envelope)
+        else:
+            taken(self, frames, envelope)
+
+    taken = links.Wings.came
+    links.Wings.came = came
+
+
+def old_words() -> None:
+    """An older leader's word is obeyed like any."""
+    _module("playhouse.wings.links").Wings.outdated = lambda self, envelope, door: False
+    news = _module("playhouse.stage.news").News
+    take = news.take
+
+    def obey(self: Any, cue: Any, *more: Any) -> Any:
+        epoch, _, servers, nodes, gen = self.seen
+        self.seen = (epoch, 0, servers, nodes, gen)
+        return take(self, cue, *more)
+
+    news.take = obey
--- a/playhouse/rehearsal/plants.py
+++ b/playhouse/rehearsal/plants.py
@@ -5,53 +5,41 @@
 
 from typing import Any
 
+from playhouse.rehearsal import core_plants
+from playhouse.rehearsal.core_plants import (  # by name here as well
+    answers_by_number,
+    beats_alone,
+    gone_members_vote,
+    new_majority_only,
+    old_words,
+    own_reads,
+    own_refusals,
+    short_memory,
+    torn_snapshot,
+    unconfirmed,
+    unsynced_votes,
+)
+
+__all__ = [
+    "answers_by_number",
+    "beats_alone",
+    "gone_members_vote",
+    "new_majority_only",
+    "old_words",
+    "own_reads",
+    "own_refusals",
+    "short_memory",
+    "torn_snapshot",
+    "unconfirmed",
+    "unsynced_votes",
+]
+
 
 def several() -> None:
     """Those that a storm of the tests is to find all at once."""
     broken_promise()
     free_starts()
-    short_memory()
-
-
-def short_memory() -> None:
-    """Only the last four accepted orders are remembered."""
-    from playhouse.script import state
-
-    state.KNOWN = 4
-
-
-def own_reads() -> None:
-    """Whoever is asked reads out what it holds itself."""
-    from playhouse.core import Core
-    from playhouse.stagedoor.doors import Answer, told
-
-    take = Core._take
-
-    async def held(self: Core, method: str, target: str, body: bytes) -> Answer:
-        if target.startswith("/-/Config.Read") and self.state.gen:
-            return told(200, self.state.content)
-        return await take(self, method, target, body)
-
-    Core._take = held  # type: ignore[method-assign]
-
-
-def own_refusals() -> None:
-    """Whoever is asked refuses by what it holds itself."""
-    import json
-
-    from playhouse.core import Core
-    from playhouse.stagedoor.doors import Answer, wrong
-
-    take = Core._take
-
-    async def held(self: Core, method: str, target: str, body: bytes) -> Answer:
-        if target.startswith("/-/Config.") and body:
-            parent = json.loads(body).get("parent")
-            if parent != self.state.gen and json.loads(body).get("gen", 0) > self.state.gen:
-                return wrong(412, f"parent: {parent} is not {self.state.gen}")
-        return await take(self, method, target, body)
-
-    Core._take = held  # type: ignore[method-assign]
+    core_plants.short_memory()
 
 
 def early_ack() -> None:
