--- a/playhouse/rehearsal/core_plants.py
+++ b/playhouse/rehearsal/core_plants.py
@@ -26,6 +26,13 @@
     _module("playhouse.understudy.contact").ReadIndex._is_met = lambda self, called, term, index: True
     machine = _module("playhouse.promptbook.machine")
     machine.Machine.leads = lambda self, now: self.role is machine.Role.LEADER and self._opened
+    follow = machine.Machine._become_follower
+
+    def stay(self: Any, now: float, step: Any, term: int, leader: Any) -> None:
+        if leader or term > self.term or self.role is not machine.Role.LEADER:
+            follow(self, now, step, term, leader)
+
+    machine.Machine._become_follower = stay
 
 
 def _instead(call: str, answer: Any) -> None:
@@ -137,8 +144,8 @@
     take = news.take
 
     def obey(self: Any, cue: Any, *more: Any) -> Any:
-        epoch, _, servers, nodes, gen = self.seen
-        self.seen = (epoch, 0, servers, nodes, gen)
+        epoch, script, servers, nodes, gen = self.seen
+        self.seen = (epoch, min(script, cue.script), servers, nodes, gen)
         return take(self, cue, *more)
 
     news.take = obey
--- a/playhouse/rehearsal/storm.py
+++ b/playhouse/rehearsal/storm.py
@@ -149,8 +149,11 @@
         loop = asyncio.get_running_loop()
         await self.begin()
         operators = Operators(self, self.record, loop.time(), self.plan.pace)
-        content = await self.configured(operators)
-        await self.ready(self.edges)
+        try:
+            content = await self.configured(operators)
+            await self.ready(self.edges)
+        except TimeoutError as error:
+            return [f"it did not begin: {error}"]
         until = operators.until = loop.time() + self.plan.length
         if self.spoilt:
             next(s for s in self.up if s.service == self.spoilt).how = "cut"
@@ -236,6 +239,8 @@
         broken = ["it never ended"]
         try:
             broken = await storm.play()
+            if any("plants.py" in log.read_text() for log in Path(folder).glob("*.log")):
+                raise RuntimeError("the plant was not put in; see the logs")
         finally:
             await storm.end()
             if broken:  # the logs of all processes, to look at
