--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -25,6 +25,8 @@
 COUNTED = 20.0  # s that an ingress counts where shares are parted, after it was last here
 LOOK = 0.05  # s for which a look over all ingresses holds good: each costs their number
 PACKED = 0.2  # s for which lists that were packed hold good: so much longer a server counts as cold
+LISTS = 64  # of them that are kept
+EXPIRE_EACH = 50e-6  # s, for each server, between looks for those that are silent
 
 
 def server_out(seen: Seen, now: float) -> pb.Server:
@@ -58,8 +60,9 @@
         self._shared: dict[str, float] = {}  # ingresses of late, and until when they count
         self._shared_at, self._shared_of = float("-inf"), -1  # when that was looked at, and by which roll
         self._looked_at = float("-inf")  # when it was counted who is out of touch
-        self._lists: dict[tuple[int, int], bytes] = {}  # by what those who ask have of servers and nodes
-        self._lists_of, self._lists_at = (-1, -1, False), float("-inf")
+        # By what those who ask have of servers and nodes: when it was packed, up to which numbers, and what.
+        self._lists: dict[tuple[int, int, bool], tuple[float, tuple[int, int], bytes]] = {}
+        self._expired_at = float("-inf")
         for seen in board.servers.values():
             seen.heard_at = now
         roll.begin(now, edges)
@@ -110,6 +113,9 @@
     def _expire(self, now: float) -> bool:
         if not self.settled(now):
             return self.roll.watch(now)
+        if now - self._expired_at < EXPIRE_EACH * len(self.board.servers):
+            return self.roll.watch(now)
+        self._expired_at = now
         return self.board.expire(now, self._beat) | self.roll.watch(now)
 
     def warmups(self, state: State) -> dict[str, float]:
@@ -193,7 +199,6 @@
     def cue(self, now: float, ask: pb.Ask, state: State) -> pb.Cue:
         """The news for who asks, and its lease, which begins now."""
         cue = self._answer(now, ask, self.epoch(now), state.version, state.gen)
-        cue.servers, cue.nodes = self.board.number, self.roll.number
         cue.settled = self.settled(now)
         if ask.script != state.version:
             cue.evacuated.extend(state.evacuated)
@@ -205,7 +210,9 @@
         # Once all had time to say that they are there, an ingress need not be told again of those who were.
         cue.rest_gone = of_term and ask.epoch != cue.epoch and ask.node.kind == "edge"
         known = ask.epoch == cue.epoch or cue.rest_gone
-        cue.lists = self._packed(now, ask.servers if known else -1, ask.nodes if of_term else -1)
+        (cue.servers, cue.nodes), cue.lists = self._packed(
+            now, ask.servers if known else -1, ask.nodes if of_term else -1
+        )
         return cue
 
     def renew(self, now: float, ask: pb.Ask) -> pb.Cue:
@@ -225,13 +232,15 @@
             clock_ms=max(1, int((now - self.began) * 1000)),
         )  # fmt: skip
 
-    def _packed(self, now: float, servers: int, nodes: int) -> bytes:
-        """Lists for all who have heard of servers and nodes up to these numbers; -1: of none in this term."""
-        of = (self.board.number, self.roll.number, self.settled(now))
-        if of != self._lists_of or not 0 <= now - self._lists_at < PACKED or len(self._lists) > 64:
-            self._lists, self._lists_of, self._lists_at = {}, of, now
-        if (servers, nodes) not in self._lists:
-            part = pb.Cue(servers_whole=servers < 0 and of[2], nodes_whole=nodes < 0)
+    def _packed(self, now: float, servers: int, nodes: int) -> tuple[tuple[int, int], bytes]:
+        """Lists for all who have heard of servers and nodes up to these numbers (-1: of none in this term),
+        and up to which they tell. Whole ones are told for a while though there is news since: who hears them
+        is told that next."""
+        settled, of = self.settled(now), (self.board.number, self.roll.number)
+        key = (servers, nodes, settled)
+        at, upto, made = self._lists.get(key, (float("-inf"), of, b""))
+        if not 0 <= now - at < PACKED or (upto != of and min(servers, nodes) >= 0):
+            part, upto = pb.Cue(servers_whole=servers < 0 and settled, nodes_whole=nodes < 0), of
             seen = self.board.since(max(0, servers)) if servers != of[0] else []
             seen = [s for s in seen if servers >= 0 or s.state != "gone" or s.ended]
             part.server.extend(server_out(s, now) for s in seen)
@@ -239,8 +248,11 @@
                 here, gone = self.roll.since(nodes) if nodes >= 0 else (self.roll.here(), [])
                 part.node.extend(here)
                 part.node_gone.extend(gone)
-            self._lists[servers, nodes] = packed(part)
-        return self._lists[servers, nodes]
+            made = packed(part)
+            if len(self._lists) >= LISTS:
+                self._lists.clear()
+            self._lists[key] = (now, of, made)
+        return upto, made
 
     def show(self, now: float, state: State) -> dict[str, Any]:
         """For operators."""
