--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import random
 from dataclasses import dataclass
 from typing import Any
@@ -22,8 +23,11 @@
     Member,
     Step,
 )
-from playhouse.promptbook.store import Store
+from playhouse.promptbook.replica import Role
+from playhouse.promptbook.store import Store, StoreError
+from playhouse.promptbook.upkeep import Upkeep, uncollected
 from playhouse.script.state import Command, State, Verb
+from playhouse.script.stored import FormatError
 from playhouse.settings import Settings, shown
 from playhouse.stagedoor.doors import Answer, Doors, told, wrong
 from playhouse.stagedoor.tree import CONTROL, FOYER, Wrong, match
@@ -36,9 +40,11 @@
 from playhouse.wings.reach import Reach
 
 TICK = 0.05  # s
+LEAVE = 1.0  # s for another to take over what this one holds, when it ends
 DECIDE = 3.0  # s for a majority to have a change on disk
-ENTRIES = 128  # in the log, after which a snapshot takes their place ...
+ENTRIES = 128  # after each so many in the log a snapshot takes their place ...
 BYTES = 4 * 1024 * 1024  # ... or so many bytes of them
+LARGE = 64 * 1024  # bytes of a command that makes many objects
 PASS_ON = 2.5  # s for the leader to answer what is passed on to it
 ASK_WAIT = 1.0  # s that the leader may keep an ask for news
 REPORT = 0.6  # beats between reports of those that said nothing new
@@ -60,9 +66,15 @@
         self.wings = Wings(own, self._hear, self._handle)
         self._doors = [shown(settings.core_door(seed)) for seed in settings.seeds]
         disk, kept = self._begin(shown(own))
-        self.me = Member(shown(own), disk)
-        self.machine = Machine(self.me, kept, self.now(), random.Random(), doors=self._doors)
-        self.state = State.read(kept.snapshot.state)
+        self.me = Member(shown(own), disk, settings.zone, settings.region)
+        self.machine = Machine(
+            self.me, kept, self.now(), random.Random(), doors=self._doors, tolerance=settings.tolerance
+        )
+        try:
+            self.state = State.read(kept.snapshot.state)
+        except FormatError as error:
+            raise StoreError(f"the state cannot be read: {error}") from error
+        self.upkeep = Upkeep(self._store, self.machine, self._do, self.now)
         self.board, self.roll = Board(), Roll()
         self.duty: Duty | None = None
         self._pending: dict[int, Pending] = {}
@@ -75,7 +87,7 @@
         self.desk, self.prompter = Desk(self), Prompter(self)
         self.wings.system = self._store.system() or self.state.system
         self._named_in = 0  # the term in which this one has drawn the system's name
-        self._known_members: tuple[Member, ...] = ()
+        self._known_members: tuple[Member, ...] = ()  # by object: roles and places are told as well
 
     def _begin(self, own: str) -> tuple[str, Any]:
         """An empty disk is given a name. Only at the first start of all is it that of a founder: any other
@@ -94,7 +106,7 @@
         return self._loop.time()
 
     def _cores(self) -> list[str]:
-        return list(dict.fromkeys([*(m.door for m in self.machine.members), *self._doors]))
+        return list(dict.fromkeys([*(m.door for m in self.machine.voters), *self._doors]))
 
     def _peers(self) -> list[str]:
         return [held.node.door for held in self.roll.leases.values() if held.node.kind == "edge"]
@@ -103,7 +115,7 @@
         """The settings file has changed: other seeds."""
         self.settings = settings
         self._doors = [shown(settings.core_door(seed)) for seed in settings.seeds]
-        self.machine.doors = tuple(self._doors)
+        self.machine.doors, self.machine.tolerance = tuple(self._doors), settings.tolerance
 
     async def start(self) -> None:
         await self.wings.listen()
@@ -111,14 +123,14 @@
         for doors, name in zip(self._web, ("ctl", "dir"), strict=True):
             if name in listen:
                 await doors.listen(listen[name])
-        self._tasks = [
-            self._loop.create_task(work())
-            for work in (self._ticks, self._asks, self._reports, self.prompter.run, self.prompter.strike)
-        ]
+        works = [self._ticks, self._upkeep, self._asks, self._reports]
+        works += [self.prompter.run, self.prompter.strike]
+        self._tasks = [self._loop.create_task(work()) for work in works]
 
     async def stop(self) -> None:
         for doors in self._web:
             doors.stop()
+        await self._leave()
         await asyncio.sleep(0.2)
         for task in self._tasks:
             task.cancel()
@@ -127,6 +139,15 @@
 
     # The promptbook.
 
+    async def _leave(self) -> None:
+        """Others hold the leadership and, where one can step in, this one's vote; within LEAVE."""
+        until = self.now() + LEAVE
+        self.machine.leave()
+        while not self.machine.is_out() and self.now() < until:
+            await asyncio.sleep(TICK)
+        leads = self.machine.role is Role.LEADER
+        note(Event.LEAVING, "leads %s, votes %s", leads, self.machine.may_stand())
+
     async def _ticks(self) -> None:
         while True:
             await asyncio.sleep(TICK)
@@ -139,18 +160,35 @@
                 note(Event.FAILED, "tick: %r", error)
                 raise
 
+    async def _upkeep(self) -> None:
+        while True:
+            await asyncio.sleep(self.upkeep.work())
+
+    def _write(self, step: Step) -> None:
+        """What is not on disk must not be said: where it cannot be put there this life ends, as by a kill."""
+        try:
+            self._store.write(step.writes)
+        except StoreError as error:
+            note(Event.DISK_FAILED, "%s", error)
+            os._exit(1)
+
     def _do(self, step: Step) -> None:
         """Carries a step out, in order: on disk, to the others, then here."""
         if step.writes:
-            self._store.write(step.writes)
+            self._write(step)
         for door, message in step.sends:
             self.wings.tell(door, pb.Envelope(log_message=codec.message_out(message)))
+        if step.dropped:
+            note(Event.SNAPSHOT_DROPPED, "%s", step.dropped)
         if step.restored:
-            self.state = State.read(step.restored.state)
+            self.state = self.upkeep.read
         for entry in step.delivered:
             applied = False
             if entry.data:
-                applied = self.state.apply(Command.read(entry.data))
+                with uncollected() if len(entry.data) > LARGE else contextlib.nullcontext():
+                    applied = self.state.apply(Command.read(entry.data))
+            if entry.index % ENTRIES == 0:  # alike at all members: who leads next goes on with the same
+                self.upkeep.make(self.state.raw(), entry.index)
             pending = self._pending.pop(entry.index, None)
             if pending and not pending.future.done():
                 pending.future.set_result(applied and pending.term == entry.term)
@@ -159,11 +197,14 @@
                     self.duty.follow(self.state)
                 self.publish()
         self._look_at_name()
-        if step.delivered and self.machine.commit_index > self.machine.base.index and self._is_long():
-            self._do(self.machine.compact(self.state.out()))
-        if self.machine.members != self._known_members:
+        if step.delivered and self._is_long():
+            self.upkeep.make(self.state.raw(), step.delivered[-1].index)
+        if step.received:
+            self.upkeep.install(step.received)
+        if self.machine.members is not self._known_members:
             self._known_members = self.machine.members
-            note(Event.MEMBERS, "%s", " ".join(m.door for m in self._known_members))
+            voters, learners = self.machine.voters, [m.door for m in self._known_members if m.learner]
+            note(Event.MEMBERS, "voters %s learners %s", [m.door for m in voters], learners)
         self._look_at_duty()
 
     def _look_at_name(self) -> None:
@@ -181,7 +222,8 @@
 
     def _is_long(self) -> bool:
         log = self.machine.log
-        return self.machine.wants_snapshot() or len(log) >= ENTRIES or sum(len(e.data) for e in log) >= BYTES
+        many = len(log) >= 2 * ENTRIES
+        return self.machine.wants_snapshot() or many or sum(len(e.data) for e in log) >= BYTES
 
     def _look_at_duty(self) -> None:
         now, leads = self.now(), self.machine.leads(self.now())
@@ -216,7 +258,7 @@
                 await news.wait()
 
     def core_shown(self) -> dict[str, Any]:
-        members = [[m.door, m.disk] for m in self.machine.members]
+        members = [[m.door, m.disk, "learner" if m.learner else "voter"] for m in self.machine.members]
         return {"leader": self.me.door, "members": members}
 
     def held(self, term: int = 0) -> Duty:
