--- a/ironledge/account.py
+++ b/ironledge/account.py
@@ -91,7 +91,7 @@
     @property
     def saves(self) -> bool:
         """Its part grows while it is in touch as well."""
-        return not self.strict or max(self.spread, self.plan.rate * SHARE_SPAN) <= self.plan.saved_most
+        return not self.strict or self.spread <= self.plan.saved_most
 
     def arrive(self, now: int, units: float, again: bool, retired: bool = False) -> None:
         """Shares refill, unless another process has them; the average fades."""
--- a/ironledge/interface.py
+++ b/ironledge/interface.py
@@ -78,8 +78,9 @@
     ceiling_rate: float = 0.0  # hard ceiling; 0: none
     ceiling_burst: float = 0.0
     ceiling_slack: float = 0.0
-    saved_most: float = math.inf  # units that all gateways together may have saved up while in touch with a
-    # strict counter; where they would be more, each begins to save once it has lost touch
+    # Units, one for each, that all gateways together may have saved up while in touch with a strict counter;
+    # where they would be more, each begins to save once it has lost touch.
+    saved_most: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/playhouse/boxoffice/till.py
+++ b/playhouse/boxoffice/till.py
@@ -7,12 +7,12 @@
     burst' + rate * (T + L) <= (rate * T + burst) * (1 + overrun) + slack
 
 An ingress that is out of touch spends at the quota's rate over the number of all ingresses, and has saved
-up `SHARE_SPAN` of that at the most, or one unit: this is left out of the bound, and stores refill the slower
-the more ingresses may be out of touch. Where a unit for each ingress would take over half of what the bound
-leaves (many ingresses, a small quota), nobody saves while in touch: each begins with nothing when it loses
-touch, and the room for one unit is left only for those that may be out of touch now. What such a one saves
-from then on is no more than what the store refills less. A new leader of the duty begins to count, with
-empty stores, once all who may spend so have been heard of.
+up `SHARE_SPAN` of that at the most, or one unit: this is left out of the bound, and stores refill the
+slower the more ingresses may be out of touch. Where a unit for each ingress is more than that, and over
+half of what the bound leaves (many ingresses, a small quota), nobody saves while in touch: each begins with
+nothing when it loses touch, and the room for one unit is left only for those that may be out of touch now.
+What such a one saves from then on is no more than what the store refills less. A new leader of the duty
+begins to count, with empty stores, once all who may spend so have been heard of.
 """
 
 from __future__ import annotations
@@ -39,14 +39,14 @@
 
 def saved_most(rate: float, burst: float, bounds: Bounds) -> float:
     """Units that all ingresses together may have saved up while in touch, as an ingress reckons."""
-    return SAVED_THERE * spare(rate, burst, bounds)
+    return max(SAVED_THERE * spare(rate, burst, bounds), SAVED_THERE / SAVED * rate * SHARE_SPAN)
 
 
 def room(rate: float, burst: float, bounds: Bounds, edges: int, fewest: int, silent: int) -> float:
     """burst': the most a store may hold, in units. `fewest`: ingresses, as any of them may still think;
     `silent`: those that may be out of touch."""
     left, saved = spare(rate, burst, bounds), max(edges, rate * SHARE_SPAN)
-    if max(fewest, rate * SHARE_SPAN) > SAVED * left:
+    if fewest > max(SAVED * left, rate * SHARE_SPAN):
         saved *= silent / max(1, edges)
     return max(1.0, min(burst, (left - saved) * MARGIN))
 
--- a/tests/test_playhouse_units.py
+++ b/tests/test_playhouse_units.py
@@ -180,7 +180,7 @@
         rate, burst, _ = self.quota
         part, saves = rate / max(1, edge.edges), self.saves
         if saves is None:
-            saves = max(edge.edges, rate * SHARE_SPAN) <= saved_most(rate, burst, BOUNDS)
+            saves = edge.edges <= saved_most(rate, burst, BOUNDS)
         alone = edge.alone_at
         if self.in_touch(edge):
             alone = self.now
