--- a/playhouse/promptbook/machine.py
+++ b/playhouse/promptbook/machine.py
@@ -73,8 +73,10 @@
             if self._handed or self.leaving or (self._opened and not self.may_stand()):
                 self._hand_over(now, step)
             if now >= self._beat_at:
-                self._prune(now)
                 self._beat(now, step)
+            if now >= self._change_at:  # whether or not beats were sent meanwhile, as each entry does
+                self._change_at = now + self.times.beat
+                self._prune(now)
                 self._take_in(now, step)
 
     def propose(self, now: float, data: bytes) -> tuple[int, Step]:
--- a/playhouse/promptbook/replica.py
+++ b/playhouse/promptbook/replica.py
@@ -96,7 +96,7 @@
         self._opened = False  # an entry of the term that this one holds was delivered
         self._handed_at = float("-inf")  # when another was last asked to take this term's place
         self._handed = False  # this term's lease was given up, for good
-        self._beat_at = self._join_at = now
+        self._beat_at = self._join_at = self._change_at = now  # _change_at: when changes are looked at
         self.heard_at = (
             now  # a start counts: what was promised to a leader before it, is not known any longer
         )
--- a/tests/test_playhouse_membership.py
+++ b/tests/test_playhouse_membership.py
@@ -409,3 +409,23 @@
     monkeypatch.setattr(Site, "machine", KeepsItsLease)
     with pytest.raises(AssertionError, match="two hold the duty"):
         test_a_leader_that_is_frozen_as_it_hands_over_does_not_lead_beside_the_next()
+
+
+def test_a_voter_is_replaced_under_changes_and_reads_that_never_pause() -> None:
+    """Storms 21 and 22: each entry and each call that waits for contact sends beats, so that the next regular
+    one was never due, and with it no change of the configuration was looked at."""
+    places = [("a", "r0"), ("b", "r0"), ("c", "r1"), ("d", "r1"), ("e", "r0"), ("f", "r1")]
+    site = Site(3, places, Tolerance())
+
+    def ask() -> None:
+        site.say()
+        for door, machine in list(site.machines.items()):
+            site.do(door, machine.hurry(site.now, 0.01))
+        site.later(0.03, ask)
+
+    site.run(6.0)
+    lost = next(m.door for m in site.leader().voters if m != site.leader().me)
+    site.later(0.0, ask)
+    site.remove(lost)
+    site.watch(SYNC_TIME)
+    assert len(site.leader().voters) == 5 and lost not in [m.door for m in site.leader().voters]
