--- /dev/null
+++ b/playhouse/extras/hollow.py
@@ -0,0 +1,214 @@
+"""Hollow ingresses and servers: they say what real ones say to the core, and carry no traffic.
+
+A hollow ingress asks for news, holds a lease, leases units of tenants and has further tries dealt. What it was
+told is held once a process where several were told the same.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from playhouse.company.roll import hold
+from playhouse.errors import SystemFailure
+from playhouse.extras.gauge import Gauge
+from playhouse.rehearsal.standins import BEAT_WAIT, ask
+from playhouse.settings import Door, shown
+from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.links import Wings
+from playhouse.wings.reach import Reach
+
+ASK_WITHIN = 2.0  # s over all tries of one ask
+UNITS_WITHIN = 0.4  # s for an answer of the counter
+
+
+@dataclass(slots=True)
+class Shared:
+    """What the hollow ingresses of a process were told, once each."""
+
+    contents: dict[bytes, int] = field(default_factory=dict)  # by what was told: the tenants it names
+    told: int = 0  # contents that were told
+
+
+class Ingress:
+    def __init__(self, name: str, at: Door, place: tuple[str, str], cores: list[str], shared: Shared,
+                 gauge: Gauge, rng: random.Random) -> None:  # fmt: skip
+        """`place`: its zone and region; `cores`: doors of core machines."""
+        self.name, self._at, self._place, self._cores = name, at, place, list(cores)
+        self._shared, self._gauge, self._rng = shared, gauge, rng
+        self.wings: Wings | None = None
+        self.seen = ("", 0, 0, 0, 0)
+        self.lease_end = float("-inf")
+        self.served_at: dict[int, float] = {}  # by version: when it was told, of the last few
+        self.doors: dict[str, str] = {}  # of other ingresses, by name
+        self.tenants = 0
+        self._edges, self._counting = 0, False
+        self._tasks: list[asyncio.Task[None]] = []
+        self.began = self.well_at = 0.0
+        self.on_version: Callable[[int], None] = lambda version: None
+        self.failed = 0
+
+    async def start(self, lease_per_s: float) -> None:
+        """A new life."""
+        loop = asyncio.get_running_loop()
+        self.wings = Wings(self._at, lambda envelope: None, self._refuse)
+        self._gauge.count_frames(self.wings)
+        self._life = f"{self._rng.getrandbits(40):x}"
+        self.seen, self.lease_end, self._told = ("", 0, 0, 0, 0), float("-inf"), ""
+        self._edges, self._counting = 0, False
+        self.began, self.well_at = loop.time(), 0.0
+        await self.wings.listen()
+        self.reach = Reach(self.wings, lambda: self._cores, lambda: list(self.doors.values()))
+        self._tasks = [loop.create_task(self._asks()), loop.create_task(self._units(lease_per_s))]
+
+    def stop(self) -> None:
+        """Without a word, as a kill does."""
+        for task in self._tasks:
+            task.cancel()
+        if self.wings:
+            self.wings.stop()
+            self.wings = None
+
+    async def _refuse(self, envelope: pb.Envelope) -> pb.Envelope:
+        raise SystemFailure
+
+    def _node(self) -> pb.Node:
+        zone, region = self._place
+        return pb.Node(
+            name=self.name, life=self._life, door=shown(self._at), http=shown((self._at[0], self._at[1] + 1)),
+            zone=zone, region=region, kind="edge", ready=bool(self.seen[1]),
+        )  # fmt: skip
+
+    async def _asks(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            epoch, script, servers, nodes, gen = self.seen
+            node = self._node()
+            made = pb.Ask(
+                epoch=epoch, script=script, gen=gen, servers=servers, nodes=nodes, counting=self._counting,
+                wait_ms=round(hold(self._edges) * 1000),
+                idle_ms=0 if self._edges else round((loop.time() - self.began) * 1000),
+            )  # fmt: skip
+            told = f"{epoch} {node.ready}"
+            if told == self._told:
+                made.name, made.life = node.name, node.life
+            else:
+                made.node.CopyFrom(node)
+            asked = loop.time()
+            try:
+                answer = await self.reach.call(pb.Envelope(ask=made), ASK_WITHIN, hold(self._edges) + 0.35)
+            except SystemFailure:
+                self._told = ""
+                self.failed += 1
+                await asyncio.sleep(self._rng.uniform(0.05, 0.15))
+                continue
+            if answer.WhichOneof("body") == "cue":
+                self._told = told
+                self._apply(answer.cue, asked)
+
+    def _apply(self, cue: pb.Cue, asked: float) -> None:
+        if cue.script < self.seen[1]:
+            return
+        now = asyncio.get_running_loop().time()
+        if cue.has_content:
+            self._shared.told += 1
+            if cue.content not in self._shared.contents:
+                raw = json.loads(zlib.decompress(cue.content)) if cue.content else {}
+                while len(self._shared.contents) > 4:
+                    del self._shared.contents[next(iter(self._shared.contents))]
+                self._shared.contents[bytes(cue.content)] = len(raw.get("tenants", ()))
+            self.tenants = self._shared.contents[bytes(cue.content)]
+        for name in cue.node_gone:
+            self.doors.pop(name, None)
+        for node in cue.node:
+            if node.kind == "core" and node.door not in self._cores:
+                self._cores.append(node.door)
+            elif node.kind == "edge" and node.name != self.name and len(self.doors) < 8:
+                self.doors[node.name] = node.door
+        if cue.script != self.seen[1]:
+            self.served_at[cue.script] = now
+            while len(self.served_at) > 64:
+                del self.served_at[next(iter(self.served_at))]
+            self.on_version(cue.script)
+        self._counting = cue.counting
+        self._edges = cue.share_of if cue.counting else max(self._edges, cue.share_of)
+        self.seen = (cue.epoch, cue.script, cue.servers, cue.nodes, cue.gen)
+        self.lease_end = asked + cue.lease_ms / 1000
+        if cue.script and not self.well_at:
+            self.well_at = now
+
+    async def _units(self, per_s: float) -> None:
+        """Leases of tenants' units, and now and then a further try that is dealt."""
+        while True:
+            await asyncio.sleep(self._rng.expovariate(per_s) if per_s > 0 else 3600.0)
+            if not (self._counting and self.tenants):
+                continue
+            if self._rng.random() < 0.05:
+                asked = pb.Envelope(deal=pb.Deal(whole=["further/s0"]))
+            else:
+                tenant = f"t{self._rng.randrange(self.tenants)}"
+                asked = pb.Envelope(lease=pb.Lease(tenant=tenant, amount=1.0, told=1.0))
+            try:
+                await self.reach.call(asked, UNITS_WITHIN, UNITS_WITHIN)
+            except SystemFailure:
+                self.failed += 1
+
+
+class Server:
+    """Beats as a real one does, drains, ends and comes back with a new id."""
+
+    def __init__(self, number: int, service: str, zone: str, control: list[str], beat: float,
+                 rng: random.Random) -> None:  # fmt: skip
+        self._addr = f"127.200.{number // 250 % 250}.{number % 250 + 1}:{8000 + number // 62500}"
+        self._service, self._zone, self._control, self._beat, self._rng = service, zone, control, beat, rng
+        self.beats = self.lost = 0
+        self._state, self._near = "ready", ""
+
+    async def run(self, life: float) -> None:
+        """Lives of so many seconds each, on average."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(self._rng.uniform(0, self._beat))
+        while True:
+            self._id, self._seq, self._state = f"i-{self._rng.getrandbits(40):010x}", 0, "ready"
+            ends = loop.time() + self._rng.expovariate(1 / life)
+            while loop.time() < ends:
+                await self._say()
+                await asyncio.sleep(self._beat * self._rng.uniform(0.9, 1.1))
+            self._state = "draining"
+            while not await self._say():
+                await asyncio.sleep(self._rng.uniform(0.1, 0.3))
+            await asyncio.sleep(3 * self._beat)
+            await self._call(f"Instances.Deregister/{self._id}", {})
+            await asyncio.sleep(self._rng.uniform(1, 3))
+
+    async def _say(self) -> bool:
+        self._seq += 1
+        body: dict[str, Any] = {
+            "addr": self._addr,
+            "details": {"backend": self._service, "gen": "v1", "zone": self._zone, "capacity": 6},
+            "status": {"state": self._state, "seq": self._seq, "warmupLeft": "0s"},
+        }
+        done = await self._call(f"Instances.Heartbeat/{self._id}", body)
+        self.beats += 1
+        self.lost += not done
+        return done
+
+    async def _call(self, call: str, body: dict[str, Any]) -> bool:
+        doors = self._rng.sample(self._control, min(3, len(self._control)))
+        for door in [self._near, *doors] if self._near else doors:
+            try:
+                async with asyncio.timeout(BEAT_WAIT):
+                    status, told = await ask(door, "POST", f"/-/{call}", json.dumps(body).encode())
+            except (OSError, TimeoutError, ValueError):
+                self._near = ""
+                continue
+            if 200 <= status < 300:
+                url = json.loads(told).get("beatUrl", "") if told else ""
+                self._near = url.removeprefix("http://") or self._near
+                return True
+        return False
--- /dev/null
+++ b/playhouse/extras/worker.py
@@ -0,0 +1,132 @@
+"""A process of a scale run: hollow ingresses, hollow servers, or a real process of the system under a gauge.
+
+`python -m playhouse.extras.worker` reads orders on standard input and writes what it counts on standard output,
+an object of JSON a line each way. It ends when its input does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import sys
+from typing import Any
+
+import uvloop
+
+from playhouse.events import set_up
+from playhouse.extras.gauge import Gauge
+from playhouse.extras.hollow import Ingress, Server, Shared
+
+
+class Worker:
+    def __init__(self, made: dict[str, Any]) -> None:
+        self.made, self.gauge, self.shared = made, Gauge(), Shared()
+        self.rng = random.Random(made["seed"])
+        self.ingresses = [
+            Ingress(i["name"], (i["ip"], i["port"]), (i["zone"], i["region"]), made["cores"], self.shared,
+                    self.gauge, self.rng)
+            for i in made.get("ingresses", ())
+        ]  # fmt: skip
+        self.servers = [
+            Server(s["number"], s["service"], s["zone"], made["control"], made["beat"], self.rng)
+            for s in made.get("servers", ())
+        ]
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def begin(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._tasks = [loop.create_task(self.gauge.watch())]
+        self._tasks += [loop.create_task(s.run(self.made["life"])) for s in self.servers]
+        for ingress in self.ingresses:
+            ingress.on_version = self._serves
+            await ingress.start(self.made["lease_per_s"])
+
+    def _serves(self, version: int) -> None:
+        """Of the last to hear a version, the time is told."""
+
+    async def obey(self, order: dict[str, Any]) -> dict[str, Any]:
+        match order["do"]:
+            case "count":
+                told = self.gauge.read() | self._told()
+                self.gauge.restart()
+                return told
+            case "versions":
+                return {"versions": [i.served_at for i in self.ingresses]}
+            case "restart":  # all at once, as after a loss of power
+                for ingress in self.ingresses:
+                    ingress.stop()
+                for ingress in self.ingresses:
+                    await ingress.start(self.made["lease_per_s"])
+            case "cut":  # those of a region hear nobody and are not heard
+                for ingress in self.ingresses:
+                    if ingress._place[1] == order["region"]:
+                        ingress.stop()
+            case "heal":
+                for ingress in self.ingresses:
+                    if ingress.wings is None:
+                        await ingress.start(self.made["lease_per_s"])
+        return self._told()
+
+    def _told(self) -> dict[str, Any]:
+        now = asyncio.get_running_loop().time()
+        here = [i for i in self.ingresses if i.wings]
+        return {
+            "ingresses": len(here), "leases": sum(i.lease_end > now for i in here),
+            "well": [round(i.well_at - i.began, 4) for i in here if i.well_at],
+            "failed": sum(i.failed for i in self.ingresses), "contents": self.shared.told,
+            "beats": sum(s.beats for s in self.servers), "beats_lost": sum(s.lost for s in self.servers),
+            "now": now,
+        }  # fmt: skip
+
+
+async def hollow(made: dict[str, Any]) -> None:
+    worker = Worker(made)
+    await worker.begin()
+    print(json.dumps({"begun": len(worker.ingresses) + len(worker.servers)}), flush=True)
+    loop, reader = asyncio.get_running_loop(), asyncio.StreamReader(limit=1 << 20)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    while line := await reader.readline():
+        print(json.dumps(await worker.obey(json.loads(line))), flush=True)
+    for ingress in worker.ingresses:
+        ingress.stop()
+
+
+async def real() -> None:
+    """A process of the system, with a line of what it costs for each line that comes in."""
+    from playhouse import __main__ as system
+    from playhouse.settings import read
+    from playhouse.wings.links import Wings
+
+    gauge = Gauge()
+    begin = Wings.listen
+
+    async def counted(self: Wings) -> None:
+        gauge.count_frames(self)
+        await begin(self)
+
+    Wings.listen = counted  # type: ignore[method-assign]
+    loop, reader = asyncio.get_running_loop(), asyncio.StreamReader(limit=1 << 20)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    watch = loop.create_task(gauge.watch())
+    playing = loop.create_task(system.play(read(os.environ.get(system.SETTINGS, ""))))
+    print(json.dumps({"begun": 1}), flush=True)
+    while await reader.readline():
+        print(json.dumps(gauge.read()), flush=True)
+        gauge.restart()
+    watch.cancel()
+    playing.cancel()
+
+
+def main() -> int:
+    set_up()
+    if sys.argv[1:] == ["real"]:
+        uvloop.run(real())
+    else:
+        uvloop.run(hollow(json.loads(sys.stdin.buffer.readline())))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/playhouse/wings/links.py
+++ b/playhouse/wings/links.py
@@ -129,7 +129,7 @@
         return self._loop.time()
 
     async def listen(self) -> None:
-        self._server = await self._loop.create_server(lambda: Frames(self), *self._at)
+        self._server = await self._loop.create_server(lambda: self.frames(self), *self._at)
 
     def stop(self) -> None:
         if self._server:
