--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -23,8 +23,11 @@
     Member,
     Step,
 )
-from playhouse.promptbook.store import Store
+from playhouse.promptbook.replica import Role
+from playhouse.promptbook.store import Store, StoreError
+from playhouse.promptbook.upkeep import Upkeep, uncollected
 from playhouse.script.state import Command, State, Verb
+from playhouse.script.stored import FormatError
 from playhouse.settings import Settings, shown
 from playhouse.stagedoor.doors import Answer, Doors, told, wrong
 from playhouse.stagedoor.tree import CONTROL, FOYER, Wrong, match
@@ -35,9 +38,11 @@
 from playhouse.wings.reach import Reach
 
 TICK = 0.05  # s
+LEAVE = 1.0  # s for another to take over what this one holds, when it ends
 DECIDE = 3.0  # s for a majority to have a change on disk
-ENTRIES = 128  # in the log, after which a snapshot takes their place ...
+ENTRIES = 128  # after each so many in the log a snapshot takes their place ...
 BYTES = 4 * 1024 * 1024  # ... or so many bytes of them
+LARGE = 64 * 1024  # bytes of a command that makes many objects
 PASS_ON = 2.5  # s for the leader to answer what is passed on to it
 ASK_WAIT = 1.0  # s that the leader may keep an ask for news
 REPORT = 0.6  # beats between reports of those that said nothing new
@@ -60,21 +65,28 @@
         self.wings = Wings(own, self._hear, self._handle)
         self._doors = [shown(settings.core_door(seed)) for seed in settings.seeds]
         disk, kept = self._begin(shown(own))
-        self.me = Member(shown(own), disk)
-        self.machine = Machine(self.me, kept, self.now(), random.Random(), doors=self._doors)
-        self.state = State.read(kept.snapshot.state)
+        self.me = Member(shown(own), disk, settings.zone, settings.region)
+        self.machine = Machine(
+            self.me, kept, self.now(), random.Random(), doors=self._doors, tolerance=settings.tolerance
+        )
+        try:
+            self.state = State.read(kept.snapshot.state)
+        except FormatError as error:
+            raise StoreError(f"the state cannot be read: {error}") from error
+        self.upkeep = Upkeep(self._store, self.machine, self._do, self.now)
         self.board, self.roll = Board(), Roll()
         self.duty: Duty | None = None
         self._pending: dict[int, Pending] = {}
         self._news = asyncio.Event()
         self._seen: tuple[str, int, int] = ("", 0, 0)  # epoch, servers, nodes
         self._collector = Collector(settings, self.board, self.roll)
-        self._life = f"{os.getpid():x}{random.getrandbits(40):x}"
         self.reach = Reach(self.wings, self._cores, self._peers)
         self._web = [Doors(self._take, self._was_read), Doors(self._foyer)]
         self._tasks: list[asyncio.Task[Any]] = []
         self.desk = Desk(self)
-        self._known_members: tuple[Member, ...] = ()
+        self.wings.system = self._store.system() or self.state.system
+        self._named_in = 0  # the term in which this one has drawn the system's name
+        self._known_members: tuple[Member, ...] = ()  # by object: roles and places are told as well
         self._joining: set[str] = set()
         self._striking: set[str] = set()  # no lease is granted to these until it is known what became of that
 
@@ -95,7 +107,7 @@
         return self._loop.time()
 
     def _cores(self) -> list[str]:
-        return list(dict.fromkeys([*(m.door for m in self.machine.members), *self._doors]))
+        return list(dict.fromkeys([*(m.door for m in self.machine.voters), *self._doors]))
 
     def _peers(self) -> list[str]:
         return [held.node.door for held in self.roll.leases.values() if held.node.kind == "edge"]
@@ -104,7 +116,7 @@
         """The settings file has changed: other seeds."""
         self.settings = settings
         self._doors = [shown(settings.core_door(seed)) for seed in settings.seeds]
-        self.machine.doors = tuple(self._doors)
+        self.machine.doors, self.machine.tolerance = tuple(self._doors), settings.tolerance
 
     async def start(self) -> None:
         await self.wings.listen()
@@ -113,12 +125,14 @@
             if name in listen:
                 await doors.listen(listen[name])
         self._tasks = [
-            self._loop.create_task(work()) for work in (self._ticks, self._asks, self._reports, self._strike)
+            self._loop.create_task(work())
+            for work in (self._ticks, self._upkeep, self._asks, self._reports, self._strike)
         ]
 
     async def stop(self) -> None:
         for doors in self._web:
             doors.stop()
+        await self._leave()
         await asyncio.sleep(0.2)
         for task in self._tasks:
             task.cancel()
@@ -127,6 +141,15 @@
 
     # The promptbook.
 
+    async def _leave(self) -> None:
+        """Others hold the leadership and, where one can step in, this one's vote; within LEAVE."""
+        until = self.now() + LEAVE
+        self.machine.leave()
+        while not self.machine.is_out() and self.now() < until:
+            await asyncio.sleep(TICK)
+        leads = self.machine.role is Role.LEADER
+        note(Event.LEAVING, "leads %s, votes %s", leads, self.machine.may_stand())
+
     async def _ticks(self) -> None:
         while True:
             await asyncio.sleep(TICK)
@@ -134,22 +157,40 @@
                 self._do(self.machine.tick(self.now()))
                 if self.duty and self.duty.tick(self.now()):
                     self.publish()
+                self._draw_name()
             except Exception as error:
                 note(Event.FAILED, "tick: %r", error)
                 raise
 
+    async def _upkeep(self) -> None:
+        while True:
+            await asyncio.sleep(self.upkeep.work())
+
+    def _write(self, step: Step) -> None:
+        """What is not on disk must not be said: where it cannot be put there this life ends, as by a kill."""
+        try:
+            self._store.write(step.writes)
+        except StoreError as error:
+            note(Event.DISK_FAILED, "%s", error)
+            os._exit(1)
+
     def _do(self, step: Step) -> None:
         """Carries a step out, in order: on disk, to the others, then here."""
         if step.writes:
-            self._store.write(step.writes)
+            self._write(step)
         for door, message in step.sends:
             self.wings.tell(door, pb.Envelope(log_message=codec.message_out(message)))
+        if step.dropped:
+            note(Event.SNAPSHOT_DROPPED, "%s", step.dropped)
         if step.restored:
-            self.state = State.read(step.restored.state)
+            self.state = self.upkeep.read
         for entry in step.delivered:
             applied = False
             if entry.data:
-                applied = self.state.apply(Command.read(entry.data))
+                with uncollected() if len(entry.data) > LARGE else contextlib.nullcontext():
+                    applied = self.state.apply(Command.read(entry.data))
+            if entry.index % ENTRIES == 0:  # alike at all members: who leads next goes on with the same
+                self.upkeep.make(self.state.raw(), entry.index)
             pending = self._pending.pop(entry.index, None)
             if pending and not pending.future.done():
                 pending.future.set_result(applied and pending.term == entry.term)
@@ -157,19 +198,39 @@
                 if self.duty:
                     self.duty.follow(self.state)
                 self.publish()
-        if step.delivered and self.machine.commit_index > self.machine.base.index and self._is_long():
-            self._do(self.machine.compact(self.state.out()))
-        if self.machine.members != self._known_members:
+        self._look_at_name()
+        if step.delivered and self._is_long():
+            self.upkeep.make(self.state.raw(), step.delivered[-1].index)
+        if step.received:
+            self.upkeep.install(step.received)
+        if self.machine.members is not self._known_members:
             self._known_members = self.machine.members
-            note(Event.MEMBERS, "%s", " ".join(m.door for m in self._known_members))
+            voters, learners = self.machine.voters, [m.door for m in self._known_members if m.learner]
+            note(Event.MEMBERS, "voters %s learners %s", [m.door for m in voters], learners)
         self._look_at_duty()
 
+    def _look_at_name(self) -> None:
+        """What the log says is the system's name, from the first entry on that says one."""
+        if (name := self.state.system) and name != self.wings.system:
+            self._store.name_system(name)
+            self.wings.name_system(name)
+
+    def _draw_name(self) -> None:
+        if not self.state.system and self.duty and self._named_in != self.duty.term:
+            self._named_in = self.duty.term
+            name = self.wings.system or f"{random.SystemRandom().getrandbits(64):016x}"
+            _, step = self.machine.propose(self.now(), Command(Verb.NAME, digest=name).out())
+            self._do(step)
+
     def _is_long(self) -> bool:
         log = self.machine.log
-        return self.machine.wants_snapshot() or len(log) >= ENTRIES or sum(len(e.data) for e in log) >= BYTES
+        many = len(log) >= 2 * ENTRIES
+        return self.machine.wants_snapshot() or many or sum(len(e.data) for e in log) >= BYTES
 
     def _look_at_duty(self) -> None:
         now, leads = self.now(), self.machine.leads(self.now())
+        if self.machine.leader:
+            self.wings.fence.admits(self.machine.term)
         if leads and (self.duty is None or self.duty.term != self.machine.term):
             ever = self.machine.base.index > 0 or any(
                 e.opens and e.term < self.machine.term for e in self.machine.log
@@ -198,12 +259,13 @@
                 await news.wait()
 
     def core_shown(self) -> dict[str, Any]:
-        members = [[m.door, m.disk] for m in self.machine.members]
+        members = [[m.door, m.disk, "learner" if m.learner else "voter"] for m in self.machine.members]
         return {"leader": self.me.door, "members": members}
 
-    def held(self) -> Duty:
-        """The duty, if it is held now, whatever was held when this call began."""
-        if self.duty is None or not self.machine.leads(self.now()):
+    def held(self, term: int = 0) -> Duty:
+        """The duty, if it is held now, whatever was held when this call began, and if nobody has heard of a
+        later term."""
+        if self.duty is None or not self.machine.leads(self.now()) or self.duty.term < term:
             raise SystemFailure(Code.NOT_LEADER)
         return self.duty
 
@@ -217,9 +279,9 @@
                 except ValueError:
                     return
                 self._do(self.machine.received(self.now(), message))
-            case "receipt" if self.duty:
+            case "receipt" if self.duty and self.duty.term == envelope.term:
                 self.duty.moves.read(envelope.receipt.zone, envelope.receipt.order)
-            case "beats" if self.duty:
+            case "beats" if self.duty and self.duty.term == envelope.term:
                 now = self.now()
                 for id, seq in zip(envelope.beats.id, envelope.beats.seq, strict=False):
                     seen = self.duty.board.servers.get(id)
@@ -230,19 +292,15 @@
         try:
             match envelope.WhichOneof("body"):
                 case "ask":
-                    return pb.Envelope(cue=await self._ask(envelope.ask))
-                case "lease":
-                    left = self.held().lease(self.now(), envelope.lease)
-                    if left is None:
-                        raise SystemFailure(Code.REFUSED)
-                    return pb.Envelope(leased=pb.Leased(left=left))
-                case "deal":
-                    return pb.Envelope(dealt=self.held().deal(self.now(), envelope.deal))
+                    self.held(envelope.term)
+                    cue = await self._ask(envelope.ask)
+                    return pb.Envelope(cue=cue, term=self.held().term)
+                case "lease" | "deal":
+                    return self.held(envelope.term).units(self.now(), envelope)
                 case "order":
-                    self.held()
-                    order = envelope.order
+                    term, order = self.held(envelope.term).term, envelope.order
                     status, body = await self.desk.settle(order.method, order.path, order.body)
-                    return pb.Envelope(outcome=pb.Outcome(status=status, body=body))
+                    return pb.Envelope(outcome=pb.Outcome(status=status, body=body), term=term)
         except SystemFailure as failure:
             if failure.code is not Code.NOT_LEADER:
                 raise
@@ -295,7 +353,7 @@
         listen = self.settings.listen
         ctl = shown(listen["ctl"]) if "ctl" in listen else ""
         return pb.Node(
-            name=self.settings.name, life=self._life, door=self.me.door, zone=self.settings.zone,
+            name=self.settings.name, life=self.wings.life, door=self.me.door, zone=self.settings.zone,
             region=self.settings.region, kind="core", ready=True, ctl=ctl,
         )  # fmt: skip
 
@@ -331,7 +389,7 @@
         while True:
             await asyncio.sleep(REPORT * self.settings.heartbeat * random.uniform(0.8, 1.2))
             if (beats := self._collector.report()) and self.reach.hint and not self.duty:
-                self.wings.tell(self.reach.hint, pb.Envelope(beats=beats))
+                self.reach.tell(pb.Envelope(beats=beats))
 
     # Calls of servers and operators.
 
@@ -379,7 +437,7 @@
         if self.duty:
             self.duty.moves.read(receipt.zone, receipt.order)
         elif self.reach.hint:
-            self.wings.tell(self.reach.hint, pb.Envelope(receipt=receipt))
+            self.reach.tell(pb.Envelope(receipt=receipt))
 
     async def decide(self, command: Command) -> bool:
         """True once a majority has it on disk and it is in force; False if it is void. Raises SystemFailure
--- a/playhouse/script/state.py
+++ b/playhouse/script/state.py
@@ -12,6 +12,7 @@
 from enum import Enum
 from typing import Any
 
+from playhouse.script import stored
 from playhouse.script.check import TABLES
 
 KNOWN = 256  # accepted calls that are remembered, so that one sent again is known
@@ -23,12 +24,13 @@
     EVACUATE = "evacuate"
     TAKE_BACK = "take back"
     ENROL = "enrol"
+    NAME = "name"
 
 
 @dataclass(frozen=True, slots=True)
 class Command:
     verb: Verb
-    digest: str = ""  # of the call as it came, or the order that it belongs to
+    digest: str = ""  # of the call as it came, or the order that it belongs to, or the system's name
     order: dict[str, Any] = field(default_factory=dict)
     zone: str = ""
     names: tuple[str, ...] = ()  # of ingresses that may hold leases from here on ...
@@ -77,6 +79,7 @@
     version: int = 0  # counts what was applied; rises at every change
     edges: list[str] = field(default_factory=list)  # ingresses that may hold leases, whoever has the duty
     known: dict[str, int] = field(default_factory=dict)  # digests of accepted calls, with their gen
+    system: str = ""  # its name: the first that was drawn
     # A gen, and its content as ingresses are told it.
     _told: tuple[int, bytes] = field(default=(-1, b""), compare=False, repr=False)
 
@@ -107,6 +110,9 @@
             case Verb.ENROL:
                 self.edges = sorted({*self.edges, *command.names} - set(command.gone))
                 return False
+            case Verb.NAME:
+                self.system = self.system or command.digest
+                return False
             case Verb.EVACUATE | Verb.TAKE_BACK:
                 before = self.evacuated.get(command.zone, 0)
                 orders = before + (1 if command.verb is Verb.EVACUATE else -1)
@@ -120,19 +126,23 @@
         self.version += 1
         return True
 
+    def raw(self) -> dict[str, Any]:
+        """As it is now, whatever is applied later: what is in it is replaced then, and not changed."""
+        fields = {name: getattr(self, name) for name in self.__slots__ if not name.startswith("_")}
+        return {n: v.copy() if isinstance(v, dict | list) else v for n, v in fields.items()}
+
     def out(self) -> bytes:
-        raw = {
-            "gen": self.gen, "content": self.content, "evacuated": self.evacuated, "version": self.version,
-            "known": self.known, "edges": self.edges, "moves": self.moves,
-        }  # fmt: skip
-        return zlib.compress(json.dumps(raw, separators=(",", ":")).encode(), 6)
+        return stored.whole(self.raw())
 
     @classmethod
     def read(cls, data: bytes) -> State:
-        if not data:
-            return cls()
-        raw = json.loads(zlib.decompress(data))
-        return cls(
-            raw["gen"], raw["content"], raw["evacuated"], raw["moves"], raw["version"], raw["edges"],
-            raw["known"],
-        )  # fmt: skip
+        """Raises FormatError."""
+        return cls.of(stored.read(data))
+
+    @classmethod
+    def of(cls, raw: dict[str, Any]) -> State:
+        """Raises FormatError."""
+        try:
+            return cls(**raw)
+        except TypeError as error:
+            raise stored.FormatError(str(error)) from error
