--- a/playhouse/extras/__main__.py
+++ b/playhouse/extras/__main__.py
@@ -1,10 +1,11 @@
-"""`./demo scale`: a run of one size, and a table of what each role cost; it ends by itself and leaves nothing."""
+"""`./demo scale`: a run of one size and a table of what each role cost. It ends by itself, leaving nothing."""
 
 from __future__ import annotations
 
 import argparse
 import asyncio
 import json
+import os
 import resource
 import subprocess
 import sys
@@ -15,14 +16,16 @@
 from pathlib import Path
 from typing import Any
 
+from ironledge.lab.stopping import heed_ctrl_c, run_until_stopped
 from playhouse.extras.run import Run
 from playhouse.extras.sizes import Size, errors_of, memory_of_machine_mb
 from playhouse.rehearsal.world import ROOT
 
+TIMES = ("p50", "p99", "last")
 LONGEST = 600.0  # s that a whole run may take beyond its measured stretch
 
 
-def size_of(arguments: Sequence[str]) -> tuple[Size, Path | None, int]:
+def read(arguments: Sequence[str]) -> tuple[Size, argparse.Namespace]:
     parser = argparse.ArgumentParser(prog="./demo scale", description=__doc__)
     for field in fields(Size):
         kind = float if field.type == "float" else int
@@ -30,9 +33,9 @@
         parser.add_argument(name, type=kind, default=field.default, help=f"default {field.default}")
     parser.add_argument("--json", type=Path, help="where the figures go as JSON as well")
     parser.add_argument("--seed", type=int, default=1)
-    given = vars(parser.parse_args(arguments))
-    file, seed = given.pop("json"), given.pop("seed")
-    return Size(**given), file, seed
+    parser.add_argument("--steady", action="store_true", help="measure only, bring no trouble about")
+    given = parser.parse_args(arguments)
+    return Size(**{field.name: getattr(given, field.name) for field in fields(Size)}), given
 
 
 def table(told: dict[str, Any]) -> str:
@@ -47,12 +50,16 @@
             f"{row['bytes_out'] / 1000:10.1f}{row['bytes_in'] / 1000:9.1f}{1000 * row['late_p50']:10.2f}"
             f"{1000 * row['late_p99']:8.2f}{1000 * row['late_most']:9.1f}"
         )
-    made = told["changes"]
-    lines.append(
-        f"{made['count']} orders: acknowledged after {made['acked_p50']:.3f} s (p50), {made['acked_p99']:.3f} (p99), "
-        f"{made['acked_last']:.3f} (last); served by each after {made['served_p50']:.3f}, {made['served_p99']:.3f}, "
-        f"{made['served_last']:.3f} s; {told['refused']} without a clear answer"
-    )
+    made, hollow = told["changes"], told["hollow"]
+    acked, served = (" ".join(f"{made[f'{kind}_{at}']:.3f}" for at in TIMES) for kind in ("acked", "served"))
+    lines += [
+        f"{made['count']} orders, {told['refused']} more without a clear answer",
+        f"s to the acknowledgement, p50 p99 last: {acked}",
+        f"s to each ingress's serving by it:      {served}, {made['unserved']} never",
+        f"hollow ingresses held leases for {100 * hollow['with a lease']:.2f}% of the time",
+        f"{hollow['failed']} asks failed, {hollow['contents']} whole configurations told, "
+        f"{hollow['beats']} beats, {hollow['beats_lost']} lost",
+    ]
     return "\n".join(lines)
 
 
@@ -61,56 +68,58 @@
     return found.stdout.strip() or "unknown"
 
 
-async def play(folder: Path, size: Size, seed: int) -> dict[str, Any]:
+async def play(folder: Path, size: Size, seed: int, steady: bool) -> dict[str, Any]:
     began = time.monotonic()
 
     def say(text: str) -> None:
         print(f"{time.monotonic() - began:6.1f} s  {text}", flush=True)
 
     run = Run(folder, size, seed, say)
-    say(
-        f"beginning {size.processes} processes: {size.ingresses} hollow ingresses, {size.servers} hollow servers"
-    )
+    hollow = f"{size.ingresses} hollow ingresses, {size.servers} hollow servers"
+    say(f"beginning {size.processes} processes: {hollow}")
     try:
         await run.begin()
         say("all processes are there")
-        well = await run.all_well(WELL_AT_FIRST)
-        say(f"all hollow ingresses hold a lease and a configuration after {well:.2f} s")
+        well = await run.all_well(time.monotonic())
+        say(f"hollow ingresses with a lease and a configuration: {100 * well['share']:.0f}%")
         told = await run.measure()
         told["begun"] = well
         say(f"measured for {size.seconds:.0f} s")
-        told["troubles"] = await run.troubles()
+        told["troubles"] = {} if steady else await run.troubles()
         return told
     finally:
         await run.end()
 
 
-WELL_AT_FIRST = 60.0  # s
-
-
 def main(arguments: Sequence[str] | None = None) -> int:
-    size, file, seed = size_of(sys.argv[1:] if arguments is None else arguments)
-    descriptors, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    heed_ctrl_c()
+    size, given = read(sys.argv[1:] if arguments is None else arguments)
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if errors := errors_of(size, memory_of_machine_mb(), descriptors):
         for error in errors:
             print(error, file=sys.stderr)
         return 2
+    before = os.getloadavg()
     with tempfile.TemporaryDirectory() as folder:
         try:
-            told = asyncio.run(_bounded(Path(folder), size, seed))
+            told = run_until_stopped(_bounded(Path(folder), size, given.seed, given.steady))
+        except KeyboardInterrupt:
+            print("stopped", file=sys.stderr)
+            return 130
         except (OSError, TimeoutError) as error:
             print(f"the run was given up: {error or 'it took too long'}", file=sys.stderr)
             return 1
-    told |= {"size": asdict(size), "commit": commit(), "seed": seed}
+    machine = {"processors": os.cpu_count(), "load_before": before[0], "load_after": os.getloadavg()[0]}
+    told |= {"size": asdict(size), "commit": commit(), "seed": given.seed, "machine": machine}
     print(table(told))
-    if file:
-        file.write_text(json.dumps(told, indent=1) + "\n")
+    if given.json:
+        given.json.write_text(json.dumps(told, indent=1) + "\n")
     return 0
 
 
-async def _bounded(folder: Path, size: Size, seed: int) -> dict[str, Any]:
+async def _bounded(folder: Path, size: Size, seed: int, steady: bool) -> dict[str, Any]:
     async with asyncio.timeout(size.seconds + LONGEST):
-        return await play(folder, size, seed)
+        return await play(folder, size, seed, steady)
 
 
 if __name__ == "__main__":
--- a/playhouse/extras/content.py
+++ b/playhouse/extras/content.py
@@ -13,8 +13,8 @@
             {
                 "name": f"r{n}", "host": f"h{n % 97}.example", "pathPrefix": f"/p{n}/",
                 "kind": "idempotent" if n % 3 else "mutating", "deadline": "4000ms",
-                "target_time": f"{1000 + turn % 1000 if n == turn % routes else 1000}ms", "tries": 2, "prio": n % 3,
-                "backend": f"s{n % services}",
+                "target_time": f"{1000 + turn % 1000 if n == turn % routes else 1000}ms",
+                "tries": 2, "prio": n % 3, "backend": f"s{n % services}",
             }
             for n in range(routes)
         ],
--- a/playhouse/extras/gauge.py
+++ b/playhouse/extras/gauge.py
@@ -1,15 +1,18 @@
-"""What a process costs: frames and bytes by kind, processor time, memory, and how late its event loop is."""
+"""What a process costs: frames and bytes by kind, processor time, memory, and how late its event loop is.
+
+Bytes are those of the frames and the calls themselves, without what TCP and IP add.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import resource
 import time
 from collections import Counter
 from typing import Any
 
 from playhouse.wings import cues_pb2 as pb
-from playhouse.wings.links import Frames, Wings
+from playhouse.wings.frames import Frames
+from playhouse.wings.links import Wings
 
 STEP = 0.01  # s between looks at the event loop
 MOST = 200_000  # looks that are kept
@@ -20,16 +23,16 @@
         self.out: Counter[str] = Counter()  # frames written, by kind
         self.bytes_out = self.bytes_in = 0
         self.late: list[float] = []  # s
+        self.requests = 0  # HTTP calls made, with their bytes in those above
         self._at, self._cpu = time.monotonic(), time.process_time()
 
     async def watch(self) -> None:
         """How much later than asked a timer goes off, for as long as it runs."""
-        loop = asyncio.get_running_loop()
         while True:
-            due = loop.time() + STEP
+            due = time.monotonic() + STEP
             await asyncio.sleep(STEP)
             if len(self.late) < MOST:
-                self.late.append(max(0.0, loop.time() - due))
+                self.late.append(max(0.0, time.monotonic() - due))
 
     def count_frames(self, wings: Wings) -> None:
         """Of the connections that these make from now on, and of those that come to them."""
@@ -47,9 +50,15 @@
 
         wings.frames = Counted
 
+    def count_call(self, out: int, come: int) -> None:
+        """One HTTP call of ours."""
+        self.requests += 1
+        self.bytes_out += out
+        self.bytes_in += come
+
     def restart(self) -> None:
         self.out.clear()
-        self.bytes_out = self.bytes_in = 0
+        self.bytes_out = self.bytes_in = self.requests = 0
         self.late = []
         self._at, self._cpu = time.monotonic(), time.process_time()
 
@@ -59,14 +68,20 @@
         late = sorted(self.late) or [0.0]
         return {
             "span": span, "cpu": (time.process_time() - self._cpu) / span,
-            "mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024,
+            "mb": most_mb(),
             "bytes_out": self.bytes_out / span, "bytes_in": self.bytes_in / span,
-            "messages_out": sum(self.out.values()) / span,
+            "messages_out": (sum(self.out.values()) + self.requests) / span,
             "kinds": {kind: n / span for kind, n in self.out.items()},
             "late_p50": quantile(late, 0.5), "late_p99": quantile(late, 0.99), "late_most": late[-1],
         }  # fmt: skip
 
 
+def most_mb() -> float:
+    """The most memory this process has held. `getrusage` would tell of its parent's where that was more."""
+    with open("/proc/self/status") as status:
+        return next(int(line.split()[1]) for line in status if line.startswith("VmHWM:")) / 1024
+
+
 def quantile(ordered: list[float], share: float) -> float:
     """Of values in order; 0 of none."""
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
--- a/playhouse/extras/hollow.py
+++ b/playhouse/extras/hollow.py
@@ -1,7 +1,7 @@
 """Hollow ingresses and servers: they say what real ones say to the core, and carry no traffic.
 
-A hollow ingress asks for news, holds a lease, leases units of tenants and has further tries dealt. What it was
-told is held once a process where several were told the same.
+A hollow ingress asks for news, holds a lease, leases units of tenants and has further tries dealt. What it
+was told is held once a process where several were told the same.
 """
 
 from __future__ import annotations
@@ -9,22 +9,24 @@
 import asyncio
 import json
 import random
+import time
 import zlib
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from playhouse.company.roll import hold
-from playhouse.errors import SystemFailure
+from playhouse.errors import Code, SystemFailure
 from playhouse.extras.gauge import Gauge
 from playhouse.rehearsal.standins import BEAT_WAIT, ask
 from playhouse.settings import Door, shown
+from playhouse.stage.house import ASK_WITHIN, DRIFT, LEASE_PATIENCE, LEASE_WAIT
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.links import Wings
 from playhouse.wings.reach import Reach
 
-ASK_WITHIN = 2.0  # s over all tries of one ask
-UNITS_WITHIN = 0.4  # s for an answer of the counter
+DRAINS = 100  # tries to have it acknowledged that a server drains
+KEPT = 64  # generations whose times are kept
+PEERS = 8  # doors of other ingresses that are kept, to pass calls on
 
 
 @dataclass(slots=True)
@@ -39,18 +41,19 @@
     def __init__(self, name: str, at: Door, place: tuple[str, str], cores: list[str], shared: Shared,
                  gauge: Gauge, rng: random.Random) -> None:  # fmt: skip
         """`place`: its zone and region; `cores`: doors of core machines."""
-        self.name, self._at, self._place, self._cores = name, at, place, list(cores)
+        self.name, self._at, self.place, self._cores = name, at, place, list(cores)
         self._shared, self._gauge, self._rng = shared, gauge, rng
         self.wings: Wings | None = None
         self.seen = ("", 0, 0, 0, 0)
         self.lease_end = float("-inf")
-        self.served_at: dict[int, float] = {}  # by version: when it was told, of the last few
+        self.served_at: dict[int, float] = {}  # by generation: when it was told, of the last few
+        self.term, self.term_at = 0, 0.0  # of the leader that its lease is from, and since when
+        self.lapsed, self.counted_at = 0.0, 0.0  # s without a lease after the first of a life, since then
         self.doors: dict[str, str] = {}  # of other ingresses, by name
         self.tenants = 0
         self._edges, self._counting = 0, False
         self._tasks: list[asyncio.Task[None]] = []
         self.began = self.well_at = 0.0
-        self.on_version: Callable[[int], None] = lambda version: None
         self.failed = 0
 
     async def start(self, lease_per_s: float) -> None:
@@ -58,10 +61,10 @@
         loop = asyncio.get_running_loop()
         self.wings = Wings(self._at, lambda envelope: None, self._refuse)
         self._gauge.count_frames(self.wings)
-        self._life = f"{self._rng.getrandbits(40):x}"
         self.seen, self.lease_end, self._told = ("", 0, 0, 0, 0), float("-inf"), ""
-        self._edges, self._counting = 0, False
-        self.began, self.well_at = loop.time(), 0.0
+        self._edges, self._counting, self._clock = 0, False, (0, 0.0)
+        self.began, self.well_at, self.term = time.monotonic(), 0.0, 0
+        self.doors.clear()
         await self.wings.listen()
         self.reach = Reach(self.wings, lambda: self._cores, lambda: list(self.doors.values()))
         self._tasks = [loop.create_task(self._asks()), loop.create_task(self._units(lease_per_s))]
@@ -75,31 +78,33 @@
             self.wings = None
 
     async def _refuse(self, envelope: pb.Envelope) -> pb.Envelope:
-        raise SystemFailure
+        raise SystemFailure(Code.REFUSED, "only passed on here")
 
     def _node(self) -> pb.Node:
-        zone, region = self._place
+        assert self.wings
+        zone, region = self.place
         return pb.Node(
-            name=self.name, life=self._life, door=shown(self._at), http=shown((self._at[0], self._at[1] + 1)),
-            zone=zone, region=region, kind="edge", ready=bool(self.seen[1]),
+            name=self.name, life=self.wings.life, door=shown(self._at),
+            http=shown((self._at[0], self._at[1] + 1)), zone=zone, region=region, kind="edge",
+            ready=bool(self.seen[1]),
         )  # fmt: skip
 
     async def _asks(self) -> None:
-        loop = asyncio.get_running_loop()
         while True:
             epoch, script, servers, nodes, gen = self.seen
             node = self._node()
             made = pb.Ask(
                 epoch=epoch, script=script, gen=gen, servers=servers, nodes=nodes, counting=self._counting,
                 wait_ms=round(hold(self._edges) * 1000),
-                idle_ms=0 if self._edges else round((loop.time() - self.began) * 1000),
+                idle_ms=0 if self._edges else round((time.monotonic() - self.began) * 1000),
+                clock_ms=self._clock_ms(),
             )  # fmt: skip
             told = f"{epoch} {node.ready}"
             if told == self._told:
                 made.name, made.life = node.name, node.life
             else:
                 made.node.CopyFrom(node)
-            asked = loop.time()
+            asked = time.monotonic()
             try:
                 answer = await self.reach.call(pb.Envelope(ask=made), ASK_WITHIN, hold(self._edges) + 0.35)
             except SystemFailure:
@@ -109,12 +114,16 @@
                 continue
             if answer.WhichOneof("body") == "cue":
                 self._told = told
-                self._apply(answer.cue, asked)
+                self._apply(answer.cue, asked, answer.term)
+
+    def _clock_ms(self) -> int:
+        said, came = self._clock
+        return int(said + (time.monotonic() - came) * 1000 * (1 - DRIFT)) if said else 0
 
-    def _apply(self, cue: pb.Cue, asked: float) -> None:
+    def _apply(self, cue: pb.Cue, asked: float, term: int) -> None:
         if cue.script < self.seen[1]:
             return
-        now = asyncio.get_running_loop().time()
+        now = time.monotonic()
         if cue.has_content:
             self._shared.told += 1
             if cue.content not in self._shared.contents:
@@ -128,17 +137,21 @@
         for node in cue.node:
             if node.kind == "core" and node.door not in self._cores:
                 self._cores.append(node.door)
-            elif node.kind == "edge" and node.name != self.name and len(self.doors) < 8:
+            elif node.kind == "edge" and node.name != self.name and len(self.doors) < PEERS:
                 self.doors[node.name] = node.door
-        if cue.script != self.seen[1]:
-            self.served_at[cue.script] = now
-            while len(self.served_at) > 64:
+        if cue.gen != self.seen[4]:
+            self.served_at[cue.gen] = now
+            while len(self.served_at) > KEPT:
                 del self.served_at[next(iter(self.served_at))]
-            self.on_version(cue.script)
         self._counting = cue.counting
         self._edges = cue.share_of if cue.counting else max(self._edges, cue.share_of)
         self.seen = (cue.epoch, cue.script, cue.servers, cue.nodes, cue.gen)
-        self.lease_end = asked + cue.lease_ms / 1000
+        self._clock = (cue.clock_ms, now)
+        if self.well_at:
+            self.lapsed += max(0.0, now - max(self.lease_end, self.counted_at))
+        self.lease_end = asked + cue.lease_ms / 1000 * (1 - DRIFT)
+        if term != self.term:
+            self.term, self.term_at = term, now
         if cue.script and not self.well_at:
             self.well_at = now
 
@@ -154,7 +167,7 @@
                 tenant = f"t{self._rng.randrange(self.tenants)}"
                 asked = pb.Envelope(lease=pb.Lease(tenant=tenant, amount=1.0, told=1.0))
             try:
-                await self.reach.call(asked, UNITS_WITHIN, UNITS_WITHIN)
+                await self.reach.call(asked, LEASE_WAIT, LEASE_PATIENCE)
             except SystemFailure:
                 self.failed += 1
 
@@ -163,9 +176,10 @@
     """Beats as a real one does, drains, ends and comes back with a new id."""
 
     def __init__(self, number: int, service: str, zone: str, control: list[str], beat: float,
-                 rng: random.Random) -> None:  # fmt: skip
+                 rng: random.Random, gauge: Gauge) -> None:  # fmt: skip
         self._addr = f"127.200.{number // 250 % 250}.{number % 250 + 1}:{8000 + number // 62500}"
         self._service, self._zone, self._control, self._beat, self._rng = service, zone, control, beat, rng
+        self._gauge = gauge
         self.beats = self.lost = 0
         self._state, self._near = "ready", ""
 
@@ -180,7 +194,9 @@
                 await self._say()
                 await asyncio.sleep(self._beat * self._rng.uniform(0.9, 1.1))
             self._state = "draining"
-            while not await self._say():
+            for _ in range(DRAINS):
+                if await self._say():
+                    break
                 await asyncio.sleep(self._rng.uniform(0.1, 0.3))
             await asyncio.sleep(3 * self._beat)
             await self._call(f"Instances.Deregister/{self._id}", {})
@@ -203,7 +219,9 @@
         for door in [self._near, *doors] if self._near else doors:
             try:
                 async with asyncio.timeout(BEAT_WAIT):
-                    status, told = await ask(door, "POST", f"/-/{call}", json.dumps(body).encode())
+                    status, told = await ask(
+                        door, "POST", f"/-/{call}", json.dumps(body).encode(), count=self._gauge.count_call
+                    )
             except (OSError, TimeoutError, ValueError):
                 self._near = ""
                 continue
--- a/playhouse/extras/run.py
+++ b/playhouse/extras/run.py
@@ -25,6 +25,7 @@
 BEGIN = 60.0  # s for all to be there
 WELL = 60.0  # s, at the most, that a return is waited for
 ZONES_EACH = 3  # zones of a region
+PROGRESS = 5.0  # s between two lines about it
 
 Say = Callable[[str], None]
 
@@ -62,14 +63,14 @@
 
     def __init__(self, name: str, process: Process) -> None:
         self.name, self.process = name, process
-        self._turn = asyncio.Lock()
+        self._turn, self._killed = asyncio.Lock(), False
 
     @classmethod
     async def begin(cls, name: str, folder: Path, arguments: list[str], env: dict[str, str]) -> Node:
         with open(folder / f"{name}.log", "ab") as log:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "playhouse.extras.worker", *arguments, stdin=PIPE, stdout=PIPE, stderr=log,
-                cwd=ROOT, env=env, limit=1 << 26,
+                sys.executable, "-m", "playhouse.extras.worker", *arguments, stdin=PIPE, stdout=PIPE,
+                stderr=log, cwd=ROOT, env=env, limit=1 << 26,
             )  # fmt: skip
         return cls(name, process)
 
@@ -92,9 +93,13 @@
         told: dict[str, Any] = json.loads(line)
         return told
 
-    async def end(self) -> None:
-        if self.process.returncode is None:
+    def kill(self) -> None:
+        if self.process.returncode is None and not self._killed:
+            self._killed = True
             self.process.kill()
+
+    async def end(self) -> None:
+        self.kill()
         async with asyncio.timeout(10):
             await self.process.wait()
 
@@ -109,8 +114,8 @@
         self.beaters: list[Node] = []
         self.gen = self.turn = 0
         self.acks: list[tuple[float, float]] = []  # when an order was called, and its acknowledgement
-        self.versions: list[tuple[float, int]] = []  # when it was called, and the version it led to
-        self.refused = 0
+        self.updates: list[tuple[float, int]] = []  # when one was called, and the generation it makes
+        self.refused = 0  # orders without a clear answer, or with another than was wanted
 
     # Processes.
 
@@ -120,19 +125,19 @@
             await self._begin_real(name, machine)
         await self._first()
         zones, shares = list(self.world.places), self._ingresses()
+        common: dict[str, Any] = {"control": self.world.control, "beat": BEAT, "life": LIFE}
         for number, share in enumerate(shares):
-            made = {"seed": self.rng.getrandbits(32), "cores": self._doors(), "lease_per_s": LEASES, "life": LIFE,
-                    "control": self.world.control, "beat": BEAT, "ingresses": share}  # fmt: skip
-            self.workers.append(await self._hollow(f"ingresses-{number}", made, env))
+            made = common | {"cores": self._doors(), "lease_per_s": LEASES, "ingresses": share}
+            made["seed"] = self.rng.getrandbits(32)
+            await self._hollow(f"ingresses-{number}", made, env)
         size = self.size
         for number in range(size.beaters):
             servers = [
                 {"number": n, "service": f"s{n % size.services}", "zone": zones[n % len(zones)]}
                 for n in range(number, size.servers, size.beaters)
             ]
-            made = {"seed": self.rng.getrandbits(32), "cores": [], "control": self.world.control, "beat": BEAT,
-                    "life": LIFE, "servers": servers}  # fmt: skip
-            self.beaters.append(await self._hollow(f"servers-{number}", made, env))
+            made = common | {"seed": self.rng.getrandbits(32), "cores": [], "servers": servers}
+            await self._hollow(f"servers-{number}", made, env)
 
     async def _begin_real(self, name: str, machine: Any) -> None:
         path = self.folder / f"{name}.json"
@@ -140,14 +145,13 @@
         machine.starts += 1
         env = self.world.environment(path)
         self.real[name] = await Node.begin(name, self.folder, ["real"], env)
-        await self.real[name].heard()
+        await self.real[name].heard(BEGIN)
 
-    async def _hollow(self, name: str, made: dict[str, Any], env: dict[str, str]) -> Node:
+    async def _hollow(self, name: str, made: dict[str, Any], env: dict[str, str]) -> None:
         node = await Node.begin(name, self.folder, [], env)
-        assert node.process.stdin
-        node.process.stdin.write(json.dumps(made).encode() + b"\n")
-        await node.heard(BEGIN)
-        return node
+        where = self.workers if made.get("ingresses") else self.beaters
+        where.append(node)
+        await node.say(made, BEGIN)
 
     def _doors(self) -> list[str]:
         return [f"{m.ip}:{self.world.base}" for m in self.world.machines.values() if m.core]
@@ -155,15 +159,20 @@
     def _ingresses(self) -> list[list[dict[str, Any]]]:
         block, zones = self.rng.randrange(100, 180), list(self.world.places)
         made = [
-            {"name": f"hollow-{n}", "ip": f"127.{block}.{n // 250}.{n % 250 + 1}", "port": self.world.base + 1,
-             "zone": zones[n % len(zones)], "region": self.world.places[zones[n % len(zones)]]}
+            {"name": f"hollow-{n}", "ip": f"127.{block}.{n // 250}.{n % 250 + 1}",
+             "port": self.world.base + 1,
+             "zone": zones[n % len(zones)],
+             "region": self.world.places[zones[n % len(zones)]]}
             for n in range(self.size.ingresses)
         ]  # fmt: skip
         return [made[number :: self.size.workers] for number in range(self.size.workers)]
 
     async def end(self) -> None:
-        for node in [*self.workers, *self.beaters, *self.real.values()]:
-            await node.end()
+        """Whatever it was broken off in. One that is not known here yet ends with its standard input."""
+        nodes = [*self.workers, *self.beaters, *self.real.values()]
+        for node in nodes:
+            node.kill()
+        await asyncio.gather(*(node.end() for node in nodes), return_exceptions=True)
 
     # The operator.
 
@@ -200,10 +209,13 @@
             await self._order("POST", f"Drain.Finish/{zone}")
         else:
             raw = turned(self.gen + 1, self.gen, self.size.routes, self.size.services, self.turn)
+            self.updates.append((began, self.gen + 1))
             status, _ = await self._order("POST", "Config.Update", raw)
             if status == 200:
                 self.gen += 1
                 self.acks.append((began, time.monotonic()))
+            else:
+                self.updates.pop()
         self.refused += status != 200
 
     async def _operator(self, until: float) -> None:
@@ -219,17 +231,22 @@
 
     # What is measured.
 
-    async def all_well(self, within: float, share: float = 1.0) -> float:
-        """s until so many hollow ingresses hold a lease and a configuration; -1: not in so many."""
-        began = time.monotonic()
-        while time.monotonic() < began + within:
-            told = [await node.say({"do": "told"}) for node in self.workers]
-            if sum(len(t["well"]) for t in told) >= share * self.size.ingresses and all(
-                t["leases"] == t["ingresses"] for t in told
-            ):
-                return time.monotonic() - began
+    async def well(self) -> list[tuple[int, float]]:
+        """Of each hollow ingress that holds a lease and a configuration: the lease's term, and since when."""
+        told = await asyncio.gather(*(node.say({"do": "told"}) for node in self.workers))
+        return [(term, since) for t in told for term, since in t["well"]]
+
+    async def all_well(self, began: float, term: int = 0) -> dict[str, float]:
+        """s from `began` until half, 99 in 100 and all hollow ingresses held a lease of a leader of that
+        term or later, and a configuration; -1: not within WELL. `share`: how many do at the end."""
+        until, times = time.monotonic() + WELL, list[float]()
+        while time.monotonic() < until and len(times) < self.size.ingresses:
+            times = sorted(max(0.0, since - began) for t, since in await self.well() if t >= term)
             await asyncio.sleep(0.05)
-        return -1.0
+        return returned(times, self.size.ingresses)
+
+    async def term(self) -> int:
+        return max((term for term, _ in await self.well()), default=0)
 
     async def count(self) -> dict[str, list[dict[str, Any]]]:
         """Since the last count, by role."""
@@ -245,51 +262,60 @@
 
     async def measure(self) -> dict[str, Any]:
         await self.count()
-        self.acks = []
+        self.acks, self.updates, self.refused = [], [], 0
         until = time.monotonic() + self.size.seconds
-        await self._operator(until)
-        await asyncio.sleep(max(0.0, until - time.monotonic()))
-        roles = {role: summed(rows, self.size) for role, rows in (await self.count()).items() if rows}
-        served = [s for node in self.workers for s in (await node.say({"do": "versions"}))["versions"]]
-        return {"roles": roles, "changes": changes(self.acks, served), "refused": self.refused}
+        operator = asyncio.create_task(self._operator(until))
+        try:
+            while (left := until - time.monotonic()) > 0:
+                await asyncio.sleep(min(PROGRESS, left))
+                self.say(f"{len(self.acks)} orders acknowledged, {self.refused} not")
+            counted = await self.count()
+            await operator
+        finally:
+            operator.cancel()
+        roles = {role: summed(rows) for role, rows in counted.items() if rows}
+        served = [s for node in self.workers for s in (await node.say({"do": "served"}))["served"]]
+        hollow = counted["hollow ingresses"]
+        return {
+            "roles": roles, "changes": changes(self.acks, self.updates, served), "refused": self.refused,
+            "hollow": totals(hollow, counted["hollow servers"]),
+        }  # fmt: skip
 
     async def _leader(self) -> str:
         _, shown = await self._order("GET", "Fleet.Show")
         return next(n for n, m in self.world.machines.items() if shown["leader"].startswith(f"{m.ip}:"))
 
     async def troubles(self) -> dict[str, Any]:
-        """Seconds until all is well again, each from its beginning; -1: not within WELL."""
+        """What each takes, in seconds from its beginning to its end for all; -1: not within WELL."""
         made: dict[str, Any] = {}
-        name = await self._leader()
+        name, term = await self._leader(), await self.term()
         began = time.monotonic()
         await self.real.pop(name).end()
-        while await self._leader_or_none() in (None, name) and time.monotonic() < began + WELL:
+        while (now := await self._leader_or_none()) in (None, name) and time.monotonic() < began + WELL:
             await asyncio.sleep(0.02)
-        made["new leader"] = time.monotonic() - began
+        made["new leader"] = -1.0 if now in (None, name) else time.monotonic() - began
         self.say(f"the leader was killed: a new one after {made['new leader']:.2f} s")
+        made["leases of the new leader"] = await self.all_well(began, term + 1)
+        self.say(f"all hollow ingresses hold its leases: {shown_times(made['leases of the new leader'])}")
         await self._begin_real(name, self.world.machines[name])
-        await self.all_well(WELL)
-        began = time.monotonic()
-        for node in self.workers:
-            await node.say({"do": "restart"})
-        made["fleet restarts"] = await self._returned(began)
-        self.say(f"all hollow ingresses restarted: well after {made['fleet restarts']['last']:.2f} s")
         began = time.monotonic()
+        await asyncio.gather(*(node.say({"do": "restart"}, WELL) for node in self.workers))
+        made["fleet restarts"] = await self.all_well(began)
+        self.say(f"all hollow ingresses restarted at once: {shown_times(made['fleet restarts'])}")
         cores = [n for n, m in self.world.machines.items() if m.core]
-        for one in cores:
-            await self.real.pop(one).end()
-        for one in cores:
-            await self._begin_real(one, self.world.machines[one])
-        made["core restarts"] = await self.all_well(WELL)
-        self.say(f"the core restarted: well after {made['core restarts']:.2f} s")
+        term, began = await self.term(), time.monotonic()
+        await asyncio.gather(*(self.real.pop(one).end() for one in cores))
+        await asyncio.gather(*(self._begin_real(one, self.world.machines[one]) for one in cores))
+        made["core restarts"] = await self.all_well(began, term + 1)
+        self.say(f"the core was killed and started again: {shown_times(made['core restarts'])}")
         for node in self.workers:
             await node.say({"do": "cut", "region": "r0"})
-        await asyncio.sleep(min(60.0, 3 * self.size.seconds))
+        made["cut for"] = min(60.0, 3 * self.size.seconds)
+        await asyncio.sleep(made["cut for"])
         began = time.monotonic()
-        for node in self.workers:
-            await node.say({"do": "heal"})
-        made["region returns"] = await self.all_well(WELL)
-        self.say(f"a region was cut off: well {made['region returns']:.2f} s after its return")
+        await asyncio.gather(*(node.say({"do": "heal"}, WELL) for node in self.workers))
+        made["region returns"] = await self.all_well(began)
+        self.say(f"a region was cut off for {made['cut for']:.0f} s: {shown_times(made['region returns'])}")
         return made
 
     async def _leader_or_none(self) -> str | None:
@@ -299,19 +325,33 @@
         except (TimeoutError, StopIteration):
             return None
 
-    async def _returned(self, began: float) -> dict[str, float]:
-        last = await self.all_well(WELL)
-        told = [await node.say({"do": "told"}) for node in self.workers]
-        times = sorted(w for t in told for w in t["well"])
-        return {
-            "p50": quantile(times, 0.5),
-            "p99": quantile(times, 0.99),
-            "last": last,
-            "span": time.monotonic() - began,
-        }
+
+def returned(times: list[float], wanted: int) -> dict[str, float]:
+    """`times`, in order: of those that are well again."""
+    there = len(times)
+    return {
+        "p50": times[wanted // 2] if there > wanted // 2 else -1.0,
+        "p99": times[int(0.99 * wanted)] if there > int(0.99 * wanted) else -1.0,
+        "last": times[-1] if there >= wanted else -1.0, "share": there / wanted,
+    }  # fmt: skip
+
+
+def shown_times(times: dict[str, float]) -> str:
+    if times["last"] < 0:
+        return f"{100 * times['share']:.0f}% well after {WELL:.0f} s"
+    return f"well after {times['p50']:.2f} s (p50), {times['p99']:.2f} (p99), {times['last']:.2f} (last)"
+
+
+def totals(ingresses: list[dict[str, Any]], servers: list[dict[str, Any]]) -> dict[str, float]:
+    """Over all hollow ones of a run."""
+    span = max(row["span"] for row in ingresses)
+    made = {k: sum(r[k] for r in ingresses) for k in ("ingresses", "lapsed", "failed", "contents", "tenants")}
+    made |= {k: sum(r[k] for r in servers) for k in ("servers", "beats", "beats_lost")}
+    made["with a lease"] = max(0.0, 1 - made["lapsed"] / (span * max(1, made["ingresses"])))
+    return made
 
 
-def summed(rows: list[dict[str, Any]], size: Size) -> dict[str, Any]:
+def summed(rows: list[dict[str, Any]]) -> dict[str, Any]:
     """Of processes of one role: means, but for what is the most."""
     made = {k: sum(r[k] for r in rows) / len(rows) for k in ("cpu", "bytes_out", "bytes_in", "messages_out")}
     made |= {k: max(r[k] for r in rows) for k in ("mb", "late_p50", "late_p99", "late_most")}
@@ -323,24 +363,27 @@
     return made
 
 
-def changes(acks: list[tuple[float, float]], served: list[dict[str, float]]) -> dict[str, Any]:
+def changes(
+    acks: list[tuple[float, float]], updates: list[tuple[float, int]], served: list[dict[str, float]]
+) -> dict[str, Any]:
     """s from an order's call to its acknowledgement, and to each ingress that serves by it.
 
-    `served`: for each ingress, when it was told each version. What was told between one order's call and the
-    next one's is taken for that order's.
+    `updates`: when each was called, and its generation; `served`: for each ingress, when it was told each
+    generation. `unserved`: pairs of an update and an ingress that was not told it, or a later one.
     """
-    waits = sorted(after - before for before, after in acks)
-    told = sorted(spread(acks, served))
+    waits, found = sorted(after - before for before, after in acks), list(spread(updates, served))
+    told = sorted(wait for wait in found if wait is not None)
     return {
         "count": len(acks), "acked_p50": quantile(waits, 0.5), "acked_p99": quantile(waits, 0.99),
         "acked_last": waits[-1] if waits else 0.0, "served_p50": quantile(told, 0.5),
         "served_p99": quantile(told, 0.99), "served_last": told[-1] if told else 0.0,
+        "unserved": len(found) - len(told),
     }  # fmt: skip
 
 
-def spread(acks: list[tuple[float, float]], served: list[dict[str, float]]) -> Iterator[float]:
+def spread(updates: list[tuple[float, int]], served: list[dict[str, float]]) -> Iterator[float | None]:
+    """Of each update at each ingress: s until it was told that generation or a later one; None: never."""
     for ingress in served:
-        times = sorted(ingress.values())
-        for before, after in acks:
-            if found := next((t for t in times if before <= t <= after + 4.0), None):
-                yield found - before
+        for before, gen in updates:
+            times = [at for told, at in ingress.items() if int(told) >= gen and at >= before]
+            yield min(times) - before if times else None
--- a/playhouse/extras/worker.py
+++ b/playhouse/extras/worker.py
@@ -1,7 +1,7 @@
 """A process of a scale run: hollow ingresses, hollow servers, or a real process of the system under a gauge.
 
-`python -m playhouse.extras.worker` reads orders on standard input and writes what it counts on standard output,
-an object of JSON a line each way. It ends when its input does.
+`python -m playhouse.extras.worker` reads orders on standard input and writes what it counts on standard
+output, an object of JSON a line each way. It ends when its input does.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 import os
 import random
 import sys
+import time
 from typing import Any
 
 import uvloop
@@ -30,9 +31,10 @@
             for i in made.get("ingresses", ())
         ]  # fmt: skip
         self.servers = [
-            Server(s["number"], s["service"], s["zone"], made["control"], made["beat"], self.rng)
+            Server(s["number"], s["service"], s["zone"], made["control"], made["beat"], self.rng,
+                   self.gauge)
             for s in made.get("servers", ())
-        ]
+        ]  # fmt: skip
         self._tasks: list[asyncio.Task[None]] = []
 
     async def begin(self) -> None:
@@ -40,20 +42,21 @@
         self._tasks = [loop.create_task(self.gauge.watch())]
         self._tasks += [loop.create_task(s.run(self.made["life"])) for s in self.servers]
         for ingress in self.ingresses:
-            ingress.on_version = self._serves
             await ingress.start(self.made["lease_per_s"])
 
-    def _serves(self, version: int) -> None:
-        """Of the last to hear a version, the time is told."""
-
     async def obey(self, order: dict[str, Any]) -> dict[str, Any]:
         match order["do"]:
             case "count":
                 told = self.gauge.read() | self._told()
                 self.gauge.restart()
+                self.shared.told = 0
+                for ingress in self.ingresses:
+                    ingress.lapsed, ingress.failed, ingress.counted_at = 0.0, 0, time.monotonic()
+                for server in self.servers:
+                    server.beats = server.lost = 0
                 return told
-            case "versions":
-                return {"versions": [i.served_at for i in self.ingresses]}
+            case "served":
+                return {"served": [i.served_at for i in self.ingresses]}
             case "restart":  # all at once, as after a loss of power
                 for ingress in self.ingresses:
                     ingress.stop()
@@ -61,7 +64,7 @@
                     await ingress.start(self.made["lease_per_s"])
             case "cut":  # those of a region hear nobody and are not heard
                 for ingress in self.ingresses:
-                    if ingress._place[1] == order["region"]:
+                    if ingress.place[1] == order["region"]:
                         ingress.stop()
             case "heal":
                 for ingress in self.ingresses:
@@ -70,14 +73,17 @@
         return self._told()
 
     def _told(self) -> dict[str, Any]:
-        now = asyncio.get_running_loop().time()
+        now = time.monotonic()
         here = [i for i in self.ingresses if i.wings]
+        well = [i for i in here if i.well_at and i.lease_end > now]
+        lapsed = sum(
+            i.lapsed + max(0.0, now - max(i.lease_end, i.began, i.counted_at)) for i in self.ingresses
+        )
         return {
-            "ingresses": len(here), "leases": sum(i.lease_end > now for i in here),
-            "well": [round(i.well_at - i.began, 4) for i in here if i.well_at],
+            "ingresses": len(here), "well": [[i.term, max(i.well_at, i.term_at)] for i in well],
+            "lapsed": lapsed, "tenants": sum(i.tenants for i in here), "servers": len(self.servers),
             "failed": sum(i.failed for i in self.ingresses), "contents": self.shared.told,
             "beats": sum(s.beats for s in self.servers), "beats_lost": sum(s.lost for s in self.servers),
-            "now": now,
         }  # fmt: skip
 
 
--- a/playhouse/rehearsal/standins.py
+++ b/playhouse/rehearsal/standins.py
@@ -7,6 +7,7 @@
 import json
 import random
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import httptools
@@ -179,17 +180,22 @@
 
 
 async def ask(
-    door: str, method: str, target: str, body: bytes = b"", headers: dict[str, str] | None = None
-) -> tuple[int, bytes]:
-    """One call on a connection of its own. Raises OSError, or ValueError for what is no whole answer."""
+    door: str, method: str, target: str, body: bytes = b"", headers: dict[str, str] | None = None,
+    count: Callable[[int, int], None] | None = None,
+) -> tuple[int, bytes]:  # fmt: skip
+    """One call on a connection of its own. `count` is told the bytes that went out and that came in. Raises
+    OSError, or ValueError for what is no whole answer."""
     host, _, port = door.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     try:
         lines = [f"{method} {target} HTTP/1.1", f"Content-Length: {len(body)}", "Connection: close"]
         named = {"Host": door} | (headers or {})
         lines += [f"{name}: {value}" for name, value in named.items()]
-        writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+        whole = "\r\n".join([*lines, "", ""]).encode() + body
+        writer.write(whole)
         data = await reader.read()
+        if count:
+            count(len(whole), len(data))
     finally:
         writer.close()
     return parsed(data)
