--- a/playhouse/extras/__main__.py
+++ b/playhouse/extras/__main__.py
@@ -1,4 +1,4 @@
-"""`./demo scale`: a run of one size and a table of what each role cost. It ends by itself, leaving nothing."""
+"""`./demo scale`: a run of one size, and what each role cost in it. It ends by itself and leaves nothing."""
 
 from __future__ import annotations
 
@@ -99,7 +99,7 @@
         for error in errors:
             print(error, file=sys.stderr)
         return 2
-    before = os.getloadavg()
+    before, at = os.getloadavg(), commit()
     with tempfile.TemporaryDirectory() as folder:
         try:
             told = run_until_stopped(_bounded(Path(folder), size, given.seed, given.steady))
@@ -110,7 +110,7 @@
             print(f"the run was given up: {error or 'it took too long'}", file=sys.stderr)
             return 1
     machine = {"processors": os.cpu_count(), "load_before": before[0], "load_after": os.getloadavg()[0]}
-    told |= {"size": asdict(size), "commit": commit(), "seed": given.seed, "machine": machine}
+    told |= {"size": asdict(size), "commit": at, "seed": given.seed, "machine": machine}
     print(table(told))
     if given.json:
         given.json.write_text(json.dumps(told, indent=1) + "\n")
--- a/playhouse/extras/run.py
+++ b/playhouse/extras/run.py
@@ -23,7 +23,7 @@
 LIFE = 120.0  # s that a hollow server lives, on average: 10,000 restarts a day are far fewer
 LEASES = 2.0  # of units, a second and ingress
 BEGIN = 60.0  # s for all to be there
-WELL = 60.0  # s, at the most, that a return is waited for
+WELL = 30.0  # s, at the most, that a return is waited for
 ZONES_EACH = 3  # zones of a region
 PROGRESS = 5.0  # s between two lines about it
 
@@ -236,14 +236,16 @@
         told = await asyncio.gather(*(node.say({"do": "told"}) for node in self.workers))
         return [(term, since) for t in told for term, since in t["well"]]
 
-    async def all_well(self, began: float, term: int = 0) -> dict[str, float]:
+    async def all_well(self, began: float, term: int = 0, cut: int = 0) -> dict[str, float]:
         """s from `began` until half, 99 in 100 and all hollow ingresses held a lease of a leader of that
-        term or later, and a configuration; -1: not within WELL. `share`: how many do at the end."""
-        until, times = time.monotonic() + WELL, list[float]()
-        while time.monotonic() < until and len(times) < self.size.ingresses:
-            times = sorted(max(0.0, since - began) for t, since in await self.well() if t >= term)
+        term or later, and a configuration; -1: not within WELL. `share`: how many do at the end. `cut`: so
+        many had neither before, and only these are meant."""
+        until, times, wanted = time.monotonic() + WELL, list[float](), cut or self.size.ingresses
+        while time.monotonic() < until and len(times) < wanted:
+            found = [since - began for t, since in await self.well() if t >= term]
+            times = sorted(max(0.0, since) for since in found if since >= 0 or not cut)
             await asyncio.sleep(0.05)
-        return returned(times, self.size.ingresses)
+        return returned(times, wanted)
 
     async def term(self) -> int:
         return max((term for term, _ in await self.well()), default=0)
@@ -287,7 +289,7 @@
 
     async def troubles(self) -> dict[str, Any]:
         """What each takes, in seconds from its beginning to its end for all; -1: not within WELL."""
-        made: dict[str, Any] = {}
+        made: dict[str, Any] = {"waited": WELL}
         name, term = await self._leader(), await self.term()
         began = time.monotonic()
         await self.real.pop(name).end()
@@ -308,13 +310,12 @@
         await asyncio.gather(*(self._begin_real(one, self.world.machines[one]) for one in cores))
         made["core restarts"] = await self.all_well(began, term + 1)
         self.say(f"the core was killed and started again: {shown_times(made['core restarts'])}")
-        for node in self.workers:
-            await node.say({"do": "cut", "region": "r0"})
+        left = sum([(await node.say({"do": "cut", "region": "r0"}))["ingresses"] for node in self.workers])
         made["cut for"] = min(60.0, 3 * self.size.seconds)
         await asyncio.sleep(made["cut for"])
         began = time.monotonic()
         await asyncio.gather(*(node.say({"do": "heal"}, WELL) for node in self.workers))
-        made["region returns"] = await self.all_well(began)
+        made["region returns"] = await self.all_well(began, cut=self.size.ingresses - left)
         self.say(f"a region was cut off for {made['cut for']:.0f} s: {shown_times(made['region returns'])}")
         return made
 
--- a/playhouse/extras/sizes.py
+++ b/playhouse/extras/sizes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import os
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, replace
 
 PROCESSES = 100  # of a run, at the most
 EACH = 150  # hollow ingresses that share a process, at the most
@@ -74,12 +74,26 @@
         errors.append(f"--services {size.services}: at most one for each of {size.servers} servers")
     if errors:
         return errors
-    if size.processes > PROCESSES:
-        errors.append(f"{size.processes} processes: at most {PROCESSES}, with fewer --ingresses or --servers")
-    if size.memory_mb > memory_mb / 2:
-        share = memory_mb / 2 / size.memory_mb
-        fits = f"--ingresses {int(size.ingresses * share)} --servers {int(size.servers * share)}"
-        errors.append(f"{size.memory_mb:.0f} MB: at most half of {memory_mb:.0f}; {fits} would fit")
+    many, heavy = size.processes > PROCESSES, size.memory_mb > memory_mb / 2
+    if many or heavy:
+        smaller = fitting(size, memory_mb)
+        fits = "none would fit"
+        if smaller:
+            fits = f"--ingresses {smaller.ingresses} --servers {smaller.servers} would fit"
+        if many:
+            errors.append(f"{size.processes} processes: at most {PROCESSES}; {fits}")
+        if heavy:
+            errors.append(f"{size.memory_mb:.0f} MB: at most half of {memory_mb:.0f}; {fits}")
     if (wanted := 3 * EACH + 100) > descriptors:
         errors.append(f"{wanted} descriptors a process are wanted, {descriptors} may be open")
     return errors
+
+
+def fitting(size: Size, memory_mb: float) -> Size | None:
+    """The largest with as many ingresses to a server that has room; None where nothing has."""
+    for share in range(99, 0, -1):
+        ingresses, servers = max(1, size.ingresses * share // 100), max(1, size.servers * share // 100)
+        made = replace(size, ingresses=ingresses, servers=servers, services=min(size.services, servers))
+        if made.processes <= PROCESSES and made.memory_mb <= memory_mb / 2:
+            return made
+    return None
--- /dev/null
+++ b/playhouse/extras/sums.py
@@ -0,0 +1,115 @@
+"""What the runs that are kept say of sizes that nobody has run: a slope for each cause, and plain sums."""
+
+from __future__ import annotations
+
+import json
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from playhouse.extras.content import content
+from playhouse.extras.fit import Fit, fitted
+
+BASE = "ingresses-30"  # the run that each cause's runs share
+CAUSES = ("ingresses", "servers", "tenants", "routes")
+TARGET = {"ingresses": 6300, "servers": 20_000, "tenants": 160_000, "routes": 12_000, "services": 350}
+BEAT = 1.5  # s
+CHANGES_A_DAY, FAILED_A_DAY, RESTARTS_A_DAY, ZONES, REGIONS = 21_000, 57, 10_000, 26, 8
+DAY = 86_400.0  # s
+LEASED = 0.99  # share of the time with a lease, under which a run's costs are those of what does not work
+
+Told = dict[str, Any]
+
+
+def runs(folder: Path) -> dict[str, Told]:
+    """Those that are kept, by name, from small to large."""
+    read = {file.stem: json.loads(file.read_text()) for file in folder.glob("*.json")}
+    whole = {name: told for name, told in read.items() if "size" in told}
+    return {name: whole[name] for name in sorted(whole, key=_order)}
+
+
+def _order(name: str) -> tuple[str, int]:
+    cause, _, size = name.rpartition("-")
+    return cause, int(size)
+
+
+def of_cause(kept: dict[str, Told], cause: str) -> list[tuple[str, Told]]:
+    """The runs in which only this one grows, from the base on."""
+    return [(n, told) for n, told in kept.items() if n == BASE or n.startswith(f"{cause}-")]
+
+
+def holds(told: Told) -> bool:
+    return bool(told["hollow"]["with a lease"] >= LEASED and told["changes"]["count"])
+
+
+def value(told: Told, role: str, what: str) -> float:
+    """Of one process of a role; of one ingress where it is hollow ones that share processes."""
+    row = told["roles"][role]
+    found = float(row[what])
+    if role == "hollow ingresses":
+        found *= row["processes"] / told["size"]["ingresses"]
+    if role == "hollow servers":
+        found *= row["processes"] / told["size"]["servers"]
+    return found
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    cause: str
+    role: str
+    what: str
+    points: tuple[tuple[str, float, float], ...]  # run, size, value
+    fit: Fit
+
+    @property
+    def added(self) -> tuple[float, float, float]:
+        """What growing from the base to the target adds: the middle, and from where to where."""
+        before = self.fit.at(self.points[0][1])[0]
+        middle, low, high = self.fit.at(TARGET[self.cause])
+        return middle - before, low - before, high - before
+
+
+def slope(kept: dict[str, Told], cause: str, role: str, what: str) -> Slope | None:
+    """Over the runs that hold; None where there are not two, or what is counted was nothing."""
+    points = tuple(
+        (name, float(told["size"][cause]), value(told, role, what))
+        for name, told in of_cause(kept, cause)
+        if holds(told)
+    )
+    points = tuple(sorted(points, key=lambda point: point[1]))
+    if len(points) < 2 or any(v <= 0 for _, _, v in points):
+        return None
+    return Slope(cause, role, what, points, fitted([s for _, s, _ in points], [v for _, _, v in points]))
+
+
+def at_target(kept: dict[str, Told], role: str, what: str) -> tuple[float, float, float]:
+    """The base run's, and what each cause adds by itself: middle, low, high. Products of causes are left out:
+    they are counted apart."""
+    base = value(kept[BASE], role, what)
+    added = [found.added for cause in CAUSES if (found := slope(kept, cause, role, what))]
+    low, high = (base + sum(a[n] for a in added) for n in (1, 2))
+    return base + sum(a[0] for a in added), max(0.0, low), high
+
+
+@dataclass(frozen=True, slots=True)
+class Contents:
+    """One configuration of the target size, as it is made up here."""
+
+    raw: int  # bytes
+    told: int  # bytes, packed
+
+    @classmethod
+    def of(cls, size: dict[str, int]) -> Contents:
+        raw = json.dumps(content(1, size["routes"], size["tenants"], size["services"])).encode()
+        return cls(len(raw), len(zlib.compress(raw)))
+
+
+def beats_per_s(servers: int) -> float:
+    return servers / BEAT
+
+
+def a_day(events: Iterable[float]) -> float:
+    """Events a second, of counts a day."""
+    return sum(events) / DAY
--- /dev/null
+++ b/tests/test_playhouse_extras.py
@@ -0,0 +1,222 @@
+"""The scale run: its counts against plain ones, the fit on made-up points, what it refuses, and its end."""
+
+import json
+import math
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from playhouse.extras import __main__ as scale
+from playhouse.extras import sums
+from playhouse.extras.content import content, turned
+from playhouse.extras.fit import fitted
+from playhouse.extras.run import changes, returned, spread, summed
+from playhouse.extras.sizes import Size, errors_of
+from playhouse.rehearsal.world import ROOT
+
+# The fit.
+
+
+def test_a_power_is_found_again():
+    made = fitted([30, 100, 300, 1000], [0.5 * n**1.43 for n in (30, 100, 300, 1000)])
+    assert made.power == pytest.approx(1.43) and made.factor == pytest.approx(0.5)
+    assert max(map(abs, made.residuals)) < 1e-9 and made.error == pytest.approx(0, abs=1e-9)
+    assert made.at(6300) == pytest.approx([0.5 * 6300**1.43] * 3)
+
+
+def test_residuals_and_the_range_are_those_of_the_points():
+    """Points off a line by e^d, -2 e^d, e^d at even distances: the slope stays, the errors are known."""
+    d = 0.1
+    made = fitted([1, math.e, math.e**2], [math.exp(d), math.exp(1 - 2 * d), math.exp(2 + d)])
+    assert made.power == pytest.approx(1)
+    assert made.residuals == pytest.approx((d, -2 * d, d))
+    assert made.error == pytest.approx(math.sqrt(6 * d * d / 1 / 2))
+    middle, low, high = made.at(math.e**3)
+    off = 2 * made.error * 3 + 2 * d
+    assert math.log(high / middle) == pytest.approx(off) and math.log(middle / low) == pytest.approx(off)
+
+
+NONE = [([3], [4]), ([3, 3], [4, 5]), ([1, 2], [0, 1]), ([0, 2], [1, 1])]
+
+
+@pytest.mark.parametrize(("sizes", "values"), NONE)
+def test_what_has_no_slope_is_refused(sizes, values):
+    with pytest.raises(ValueError):
+        fitted(sizes, values)
+
+
+# What is made of records.
+
+
+def test_orders_are_followed_to_each_ingress_against_a_plain_search():
+    rng = random.Random(5)
+    updates = [(10.0 * n, n) for n in range(1, 9)]
+    served = [
+        {str(gen): before + rng.uniform(0.1, 9.0) for before, gen in updates if rng.random() < 0.7}
+        for _ in range(30)
+    ]
+    plain = []
+    for ingress in served:
+        for before, gen in updates:
+            later = [ingress[str(g)] for g in range(gen, 9) if str(g) in ingress]
+            plain.append(min(later) - before if later else None)
+    assert list(spread(updates, served)) == pytest.approx(plain)
+    told = sorted(p for p in plain if p is not None)
+    made = changes([(1.0, 1.5), (2.0, 4.0), (5.0, 5.1)], updates, served)
+    assert (made["count"], made["acked_p50"], made["acked_last"]) == pytest.approx((3, 0.5, 2.0))
+    assert made["served_last"] == pytest.approx(told[-1]) and made["unserved"] == plain.count(None) > 0
+
+
+def test_what_an_ingress_served_by_before_the_call_is_not_taken_for_it():
+    assert list(spread([(10.0, 3)], [{"3": 9.0}, {"2": 11.0}, {"4": 12.0}])) == [None, None, 2.0]
+
+
+def test_a_return_is_over_when_the_last_is_there():
+    assert returned([0.1, 0.2, 0.3, 0.9], 4) == {"p50": 0.3, "p99": 0.9, "last": 0.9, "share": 1.0}
+    assert returned([0.1, 0.2, 0.3], 4) == {"p50": 0.3, "p99": -1.0, "last": -1.0, "share": 0.75}
+    assert returned([], 4)["p50"] == -1.0
+
+
+def test_a_role_is_the_mean_of_its_processes_and_the_worst_of_their_delays():
+    row = {"cpu": 0.2, "bytes_out": 10, "bytes_in": 4, "messages_out": 2, "mb": 30, "late_p50": 0.1,
+           "late_p99": 0.2, "late_most": 0.3, "kinds": {"ask": 2.0}}  # fmt: skip
+    other = row | {"cpu": 0.4, "mb": 50, "late_most": 0.1, "kinds": {"cue": 4.0}}
+    made = summed([row, other])
+    assert made["cpu"] == pytest.approx(0.3) and made["mb"] == 50 and made["late_most"] == 0.3
+    assert made["kinds"] == {"ask": 1.0, "cue": 2.0} and made["processes"] == 2
+
+
+def run_of(**grown):
+    size = {"ingresses": 30, "servers": 100, "tenants": 200, "routes": 60} | grown
+    out = 2.0 * size["ingresses"] + 0.5 * size["servers"]
+    roles = {"leader": {"bytes_out": out, "processes": 1}}
+    return {"size": size, "roles": roles, "hollow": {"with a lease": 1.0}, "changes": {"count": 3}}
+
+
+def test_causes_that_add_up_are_told_apart_and_added_up_again():
+    """The slopes of each cause over a base that is nearly nothing give the whole at the target."""
+    base = run_of(ingresses=1e-6, servers=1e-6)
+    kept = {sums.BASE: base}
+    kept |= {f"ingresses-{n}": run_of(ingresses=n, servers=1e-6) for n in (100, 300)}
+    kept |= {f"servers-{n}": run_of(ingresses=1e-6, servers=n) for n in (400, 1600)}
+    assert [n for n, _ in sums.of_cause(kept, "servers")] == [sums.BASE, "servers-400", "servers-1600"]
+    middle, low, high = sums.at_target(kept, "leader", "bytes_out")
+    assert low <= middle <= high and middle == pytest.approx(2.0 * 6300 + 0.5 * 20_000, rel=0.35)
+    alone = {f"ingresses-{n}": run_of(ingresses=n, servers=0) for n in (30, 100, 300)}
+    assert sums.at_target(alone, "leader", "bytes_out")[0] == pytest.approx(2.0 * 6300)  # the base is in once
+    kept["ingresses-300"]["hollow"] = {"with a lease": 0.5}  # what does not work is no point of a slope
+    made = sums.slope(kept, "ingresses", "leader", "bytes_out")
+    assert made is not None and [p[0] for p in made.points] == [sums.BASE, "ingresses-100"]
+
+
+# Configurations.
+
+
+def test_an_update_changes_one_route_of_the_whole():
+    before, after = content(1, 7, 3, 2, 10), content(2, 7, 3, 2, 11)
+    update = turned(2, 1, 7, 2, 11)
+    (changed,) = update["upsert"]["routes"]
+    assert [r for r in after["routes"] if r["name"] == changed["name"]] == [changed]
+    assert changed not in before["routes"] and len(after["tenants"]) == 3 and update["parent"] == 1
+
+
+# Sizes.
+
+
+def test_all_that_is_wrong_is_said_at_once(capsys):
+    wrong = {"ingresses": 0, "servers": 50_000, "seconds": 0, "regions": 99, "services": 60_000}
+    assert scale.main([f"--{name}={value}" for name, value in wrong.items()]) == 2
+    told = capsys.readouterr().err.splitlines()
+    said = {line.split()[0] for line in told}
+    assert said == {f"--{name}" for name in wrong}
+    assert all("at least" in line or "at most" in line for line in told)
+
+
+def test_what_is_too_large_is_told_what_would_fit():
+    size, machine = Size(ingresses=10_000, servers=40_000, services=10), 6000.0
+    error, *others = errors_of(size, machine, 20_000)
+    assert {e.split()[1] for e in (error, *others)} == {"processes:", "MB:"}
+    words = error.split()
+    fits = replace(size, ingresses=int(words[words.index("--ingresses") + 1]),
+                   servers=int(words[words.index("--servers") + 1]))  # fmt: skip
+    assert fits.ingresses > 1000 and errors_of(fits, machine, 20_000) == []
+    assert errors_of(Size(), machine, 20_000) == []
+    assert "descriptors" in errors_of(Size(), machine, 100)[0]
+
+
+# A run.
+
+
+def session(leader: int) -> list[int]:
+    """Processes of the session that this one leads."""
+    found = []
+    for entry in Path("/proc").iterdir():
+        if entry.name.isdigit():
+            try:
+                state = (entry / "stat").read_text().rpartition(")")[2].split()[0]
+                if state != "Z" and os.getsid(int(entry.name)) == leader:
+                    found.append(int(entry.name))
+            except (OSError, IndexError):
+                continue
+    return found
+
+
+def begin(*arguments: str) -> subprocess.Popen[str]:
+    return subprocess.Popen(
+        [sys.executable, "-m", "playhouse.extras", *arguments], cwd=ROOT, text=True, start_new_session=True,
+        stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+    )  # fmt: skip
+
+
+def test_a_small_run_ends_well_and_counts_right(tmp_path):
+    file = tmp_path / "told.json"
+    run = begin("--ingresses", "20", "--servers", "50", "--tenants", "40", "--seconds", "3",
+                "--changes-per-s", "2", "--cores", "3", "--real", "1", "--steady",
+                "--json", str(file))  # fmt: skip
+    out, err = run.communicate(timeout=90)
+    assert run.returncode == 0, err
+    assert session(run.pid) == []
+    told = json.loads(file.read_text())
+    roles, hollow = told["roles"], told["hollow"]
+    assert "leader" in out and {r: roles[r]["processes"] for r in ("leader", "follower", "real ingress")} == {
+        "leader": 1, "follower": 2, "real ingress": 1,
+    }  # fmt: skip
+    assert (hollow["ingresses"], hollow["servers"], hollow["tenants"]) == (20, 50, 20 * 40)
+    assert told["changes"]["count"] >= 1 and told["changes"]["unserved"] == 0 and told["refused"] == 0
+
+    # One count at both ends: whatever asks is answered, and the bytes that the leader sends come somewhere.
+    def per_s(role: str, kind: str) -> float:
+        return roles[role]["kinds"].get(kind, 0.0) * roles[role]["processes"]
+
+    asked = sum(per_s(role, "ask") for role in ("hollow ingresses", "real ingress", "follower"))
+    assert per_s("leader", "cue") == pytest.approx(asked, rel=0.25)
+    assert per_s("leader", "leased") == pytest.approx(per_s("hollow ingresses", "lease"), rel=0.4)
+    sent = sum(row["bytes_out"] * row["processes"] for role, row in roles.items() if role != "hollow servers")
+    come = sum(row["bytes_in"] * row["processes"] for role, row in roles.items() if role != "hollow servers")
+    assert come == pytest.approx(sent, rel=0.25)
+    beats = 50 / 1.5  # a second
+    assert roles["hollow servers"]["messages_out"] == pytest.approx(beats, rel=0.4)
+    assert hollow["beats_lost"] == 0 and 0.98 <= hollow["with a lease"] <= 1
+    body = roles["hollow servers"]["bytes_out"] / roles["hollow servers"]["messages_out"]
+    assert 200 < body < 400  # of one heartbeat
+    assert told["commit"] and told["machine"]["processors"] == os.cpu_count()
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_one_that_is_stopped_leaves_no_process(number):
+    run = begin("--ingresses", "20", "--servers", "50", "--cores", "3", "--real", "0")
+    assert run.stdout and "beginning" in run.stdout.readline()
+    until = time.monotonic() + 30
+    while len(session(run.pid)) < 3 and time.monotonic() < until:
+        time.sleep(0.02)
+    run.send_signal(number)
+    _, err = run.communicate(timeout=30)
+    assert run.returncode == 130 and "stopped" in err
+    assert session(run.pid) == []
