--- a/playhouse/extras/content.py
+++ b/playhouse/extras/content.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+from hashlib import blake2b
 from typing import Any
 
 
+def key(tenant: int) -> str:
+    """As little to be packed as a real one."""
+    return blake2b(b"%d" % tenant, digest_size=12).hexdigest()
+
+
 def content(gen: int, routes: int, tenants: int, services: int, turn: int = 0) -> dict[str, Any]:
     """A sound configuration; `turn` changes one route."""
     return {
@@ -21,7 +27,7 @@
         "backends": [{"name": f"s{n}", "healthPath": "/h", "maxConns": 100} for n in range(services)],
         "limits": {"headerTimeout": "3000ms", "idleTimeout": "15000ms"},
         "tenants": [
-            {"name": f"t{n}", "apiKeys": [f"key-{n:08d}-of-tenant"], "ratePerS": 100, "burst": 100}
+            {"name": f"t{n}", "apiKeys": [key(n)], "ratePerS": 100, "burst": 100}
             for n in range(tenants)
         ],
     }  # fmt: skip
--- a/playhouse/extras/fit.py
+++ b/playhouse/extras/fit.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from math import exp, log, sqrt
+from math import exp, inf, log, sqrt
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,14 +13,14 @@
 
     factor: float
     power: float
-    error: float  # standard error of the power; 0 where two points leave none
+    error: float  # standard error of the power; without bound where two points leave nothing to tell it by
     residuals: tuple[float, ...]  # of each point, as log(value / fitted)
 
     def at(self, size: float) -> tuple[float, float, float]:
         """The value at a size, and from where to where it lies by two errors of the power and the spread."""
         middle = self.factor * size**self.power
         spread = max((abs(r) for r in self.residuals), default=0.0)
-        off = 2 * self.error * log(max(size, 1.0)) + spread
+        off = 2 * self.error * log(max(size, 2.0)) + spread
         return middle, middle * exp(-off), middle * exp(off)
 
 
@@ -38,5 +38,5 @@
     start = mean_y - power * mean_x
     residuals = tuple(y - start - power * x for x, y in zip(xs, ys, strict=True))
     free = len(points) - 2
-    error = sqrt(sum(r * r for r in residuals) / free / across) if free > 0 else 0.0
+    error = sqrt(sum(r * r for r in residuals) / free / across) if free > 0 else inf
     return Fit(exp(start), power, error, residuals)
--- a/playhouse/extras/pages.py
+++ b/playhouse/extras/pages.py
@@ -9,11 +9,14 @@
 import re
 import sys
 from collections.abc import Callable, Iterable, Sequence
+from math import isinf
 from pathlib import Path
 from typing import Any
 
+from playhouse.company.roll import hold
 from playhouse.extras import sums
 from playhouse.extras.sums import TARGET, Contents, Slope, Told
+from playhouse.extras.sweeps import sweeps
 from playhouse.rehearsal.world import ROOT
 
 FOLDER, PAGE = ROOT / "docs" / "capacity", ROOT / "docs" / "CAPACITY.md"
@@ -46,6 +49,8 @@
 
 def shown(value: float) -> str:
     """Three digits."""
+    if isinf(value):
+        return "no bound"
     if value == 0:
         return "0"
     return f"{value:,.0f}" if abs(value) >= 100 else f"{value:.3g}"
@@ -273,7 +278,7 @@
     rows.append(("messages a second out of one hollow ingress", shown(asks), f"`{sums.BASE}`"))
     for edges in (30, 100, 300, 1000, n):
         rows.append(
-            (f"an ask's hold at {edges:,} ingresses, s", shown(_hold(edges)), "by its rule; a lease is 4.5")
+            (f"an ask's hold at {edges:,} ingresses, s", shown(hold(edges)), "by its rule; a lease is 4.5")
         )
     failures = sums.a_day([sums.FAILED_A_DAY, sums.RESTARTS_A_DAY])
     rows.append(
@@ -289,10 +294,40 @@
     return table(("what", "sum", "from"), rows)
 
 
-def _hold(edges: int) -> float:
-    from playhouse.company.roll import hold
+def sweep_table(kept: dict[str, Told]) -> str:
+    """What both measured, side by side: the scale run's busiest core machine is its leader."""
+    shared = (
+        ("busiest core machine, cores", "core: processor %", 0.01, lambda t: t["roles"]["leader"]["cpu"]),
+        ("busiest core machine, KB/s both ways", "core: kB a second", 1.0, _both_ways),
+        ("an order acknowledged, s, longest", "config acked, ms", 1e-3, lambda t: t["changes"]["acked_last"]),
+        ("after a kill of all, s", "serving after all were killed, ms", 1e-3, _after_all),
+    )
+    others = sweeps(FOLDER)
+    rows: list[list[Any]] = []
+    for what, line, scale, found in shared:
+        for size in (30, 100, 300):
+            told = kept.get(f"ingresses-{size}")
+            cells = [s.at(line, size) for s in others]
+            row = [what, size, found(told) if told else "not run", *(_cell(c, scale) for c in cells)]
+            rows.append([shown(c) if isinstance(c, float) else c for c in row])
+    heads = [f"sweep {s.name} (`{s.head}`, journal `{s.journal}`)" for s in others]
+    return table(("what", "own machines or hollow ingresses", "scale run", *heads), rows)
+
+
+def _cell(value: float | None, scale: float) -> float | str:
+    return "none or not played" if value is None else value * scale
+
+
+def _both_ways(told: Told) -> float:
+    leader = told["roles"]["leader"]
+    return float(leader["bytes_out"] + leader["bytes_in"]) / 1000
+
 
-    return hold(edges)
+def _after_all(told: Told) -> float | str:
+    if not told["troubles"]:
+        return "not run"
+    last = float(told["troubles"]["core restarts"]["last"])
+    return last if last >= 0 else f"none in {told['troubles'].get('waited', 60.0):.0f}"
 
 
 TABLES: dict[str, Callable[[dict[str, Told]], str]] = {
@@ -302,6 +337,7 @@
     "slopes": slopes_table,
     "size": size_table,
     "plain": plain_table,
+    "sweep": sweep_table,
 }
 
 
@@ -346,7 +382,8 @@
     on = [sizes[0], sizes[-1], TARGET[found.cause]]
     middle, low, high = ([found.fit.at(s)[n] * scale for s in on] for n in range(3))
     axis.plot(on, middle, "--", color=line.get_color())
-    axis.fill_between(on, low, high, color=line.get_color(), alpha=0.1)
+    if not isinf(high[-1]):
+        axis.fill_between(on, low, high, color=line.get_color(), alpha=0.1)
 
 
 def main() -> int:
--- a/tests/test_playhouse_extras.py
+++ b/tests/test_playhouse_extras.py
@@ -46,6 +46,11 @@
 NONE = [([3], [4]), ([3, 3], [4, 5]), ([1, 2], [0, 1]), ([0, 2], [1, 1])]
 
 
+def test_two_points_leave_the_range_without_bound():
+    middle, low, high = fitted([10, 100], [1, 10]).at(1000)
+    assert middle == pytest.approx(100) and (low, high) == (0, math.inf)
+
+
 @pytest.mark.parametrize(("sizes", "values"), NONE)
 def test_what_has_no_slope_is_refused(sizes, values):
     with pytest.raises(ValueError):
