--- a/playhouse/extras/floor.py
+++ b/playhouse/extras/floor.py
@@ -9,7 +9,7 @@
 import tempfile
 from pathlib import Path
 
-from playhouse.extras.run import Node
+from playhouse.extras.node import Node
 
 SPAN = 10.0  # s
 
--- a/playhouse/extras/run.py
+++ b/playhouse/extras/run.py
@@ -6,18 +6,17 @@
 import json
 import os
 import random
-import sys
 import time
-from asyncio.subprocess import PIPE, Process
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 from playhouse.extras.content import content, turned
-from playhouse.extras.gauge import quantile
+from playhouse.extras.node import Node
 from playhouse.extras.sizes import Size
+from playhouse.extras.tally import changes, returned, summed, totals
 from playhouse.rehearsal.standins import ask
-from playhouse.rehearsal.world import ROOT, World
+from playhouse.rehearsal.world import World
 
 BEAT = 1.5  # s between a server's heartbeats
 LIFE = 120.0  # s that a hollow server lives, on average: 10,000 restarts a day are far fewer
@@ -58,52 +57,6 @@
         return raw
 
 
-class Node:
-    """A process that is spoken to over its standard streams, an object a line each way."""
-
-    def __init__(self, name: str, process: Process) -> None:
-        self.name, self.process = name, process
-        self._turn, self._killed = asyncio.Lock(), False
-
-    @classmethod
-    async def begin(cls, name: str, folder: Path, arguments: list[str], env: dict[str, str]) -> Node:
-        with open(folder / f"{name}.log", "ab") as log:
-            process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "playhouse.extras.worker", *arguments, stdin=PIPE, stdout=PIPE,
-                stderr=log, cwd=ROOT, env=env, limit=1 << 26,
-            )  # fmt: skip
-        return cls(name, process)
-
-    async def say(self, order: dict[str, Any], within: float = 30.0) -> dict[str, Any]:
-        """The answer. Raises OSError where there is none in so many seconds."""
-        assert self.process.stdin
-        async with self._turn:
-            self.process.stdin.write(json.dumps(order).encode() + b"\n")
-            return await self.heard(within)
-
-    async def heard(self, within: float = 30.0) -> dict[str, Any]:
-        assert self.process.stdout
-        try:
-            async with asyncio.timeout(within):
-                line = await self.process.stdout.readline()
-        except TimeoutError:
-            raise OSError(f"{self.name} does not answer") from None
-        if not line:
-            raise OSError(f"{self.name} has ended")
-        told: dict[str, Any] = json.loads(line)
-        return told
-
-    def kill(self) -> None:
-        if self.process.returncode is None and not self._killed:
-            self._killed = True
-            self.process.kill()
-
-    async def end(self) -> None:
-        self.kill()
-        async with asyncio.timeout(10):
-            await self.process.wait()
-
-
 class Run:
     def __init__(self, folder: Path, size: Size, seed: int, say: Say) -> None:
         self.size, self.folder, self.say = size, folder, say
@@ -327,64 +280,7 @@
             return None
 
 
-def returned(times: list[float], wanted: int) -> dict[str, float]:
-    """`times`, in order: of those that are well again."""
-    there = len(times)
-    return {
-        "p50": times[wanted // 2] if there > wanted // 2 else -1.0,
-        "p99": times[int(0.99 * wanted)] if there > int(0.99 * wanted) else -1.0,
-        "last": times[-1] if there >= wanted else -1.0, "share": there / wanted,
-    }  # fmt: skip
-
-
 def shown_times(times: dict[str, float]) -> str:
     if times["last"] < 0:
         return f"{100 * times['share']:.0f}% well after {WELL:.0f} s"
     return f"well after {times['p50']:.2f} s (p50), {times['p99']:.2f} (p99), {times['last']:.2f} (last)"
-
-
-def totals(ingresses: list[dict[str, Any]], servers: list[dict[str, Any]]) -> dict[str, float]:
-    """Over all hollow ones of a run."""
-    span = max(row["span"] for row in ingresses)
-    made = {k: sum(r[k] for r in ingresses) for k in ("ingresses", "lapsed", "failed", "contents", "tenants")}
-    made |= {k: sum(r[k] for r in servers) for k in ("servers", "beats", "beats_lost")}
-    made["with a lease"] = max(0.0, 1 - made["lapsed"] / (span * max(1, made["ingresses"])))
-    return made
-
-
-def summed(rows: list[dict[str, Any]]) -> dict[str, Any]:
-    """Of processes of one role: means, but for what is the most."""
-    made = {k: sum(r[k] for r in rows) / len(rows) for k in ("cpu", "bytes_out", "bytes_in", "messages_out")}
-    made |= {k: max(r[k] for r in rows) for k in ("mb", "late_p50", "late_p99", "late_most")}
-    kinds: dict[str, float] = {}
-    for row in rows:
-        for kind, per_s in row["kinds"].items():
-            kinds[kind] = kinds.get(kind, 0.0) + per_s / len(rows)
-    made["kinds"], made["processes"] = kinds, len(rows)
-    return made
-
-
-def changes(
-    acks: list[tuple[float, float]], updates: list[tuple[float, int]], served: list[dict[str, float]]
-) -> dict[str, Any]:
-    """s from an order's call to its acknowledgement, and to each ingress that serves by it.
-
-    `updates`: when each was called, and its generation; `served`: for each ingress, when it was told each
-    generation. `unserved`: pairs of an update and an ingress that was not told it, or a later one.
-    """
-    waits, found = sorted(after - before for before, after in acks), list(spread(updates, served))
-    told = sorted(wait for wait in found if wait is not None)
-    return {
-        "count": len(acks), "acked_p50": quantile(waits, 0.5), "acked_p99": quantile(waits, 0.99),
-        "acked_last": waits[-1] if waits else 0.0, "served_p50": quantile(told, 0.5),
-        "served_p99": quantile(told, 0.99), "served_last": told[-1] if told else 0.0,
-        "unserved": len(found) - len(told),
-    }  # fmt: skip
-
-
-def spread(updates: list[tuple[float, int]], served: list[dict[str, float]]) -> Iterator[float | None]:
-    """Of each update at each ingress: s until it was told that generation or a later one; None: never."""
-    for ingress in served:
-        for before, gen in updates:
-            times = [at for told, at in ingress.items() if int(told) >= gen and at >= before]
-            yield min(times) - before if times else None
--- a/tests/test_playhouse_extras.py
+++ b/tests/test_playhouse_extras.py
@@ -17,8 +17,8 @@
 from playhouse.extras import sums
 from playhouse.extras.content import content, turned
 from playhouse.extras.fit import fitted
-from playhouse.extras.run import changes, returned, spread, summed
 from playhouse.extras.sizes import Size, errors_of
+from playhouse.extras.tally import changes, returned, spread, summed
 from playhouse.rehearsal.world import ROOT
 
 # The fit.
