--- a/playhouse/extras/planned.py
+++ b/playhouse/extras/planned.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 from playhouse.company.roll import hold
@@ -21,6 +22,14 @@
     base = kept[sums.BASE]
     asks = sums.value(base, "hollow ingresses", "messages_out")
     rows = []
+    gauge = json.loads((FOLDER / "gauge.json").read_text())
+    rows.append(
+        (
+            "what the gauge itself costs a process, cores and MB",
+            f"{gauge['cpu']:.4f}, {gauge['mb']:.0f}",
+            f"measured in a process that does nothing else, load {gauge['load']:.0f}",
+        )
+    )
     contents = Contents.of(TARGET)
     n = TARGET["ingresses"]
     a_second = sums.CHANGES_A_DAY / sums.DAY
--- a/playhouse/extras/worker.py
+++ b/playhouse/extras/worker.py
@@ -20,6 +20,8 @@
 from playhouse.extras.gauge import Gauge
 from playhouse.extras.hollow import Ingress, Server, Shared
 
+PACE = 0.05  # s between the first starts of hollow ingresses: all at once is one of the troubles
+
 
 class Worker:
     def __init__(self, made: dict[str, Any]) -> None:
@@ -43,6 +45,7 @@
         self._tasks += [loop.create_task(s.run(self.made["life"])) for s in self.servers]
         for ingress in self.ingresses:
             await ingress.start(self.made["lease_per_s"])
+            await asyncio.sleep(PACE)
 
     async def obey(self, order: dict[str, Any]) -> dict[str, Any]:
         match order["do"]:
