--- a/playhouse/extras/__main__.py
+++ b/playhouse/extras/__main__.py
@@ -85,7 +85,13 @@
         told = await run.measure()
         told["begun"] = well
         say(f"measured for {size.seconds:.0f} s")
-        told["troubles"] = {} if steady else await run.troubles()
+        told["troubles"] = {}
+        if not steady:
+            try:
+                await run.troubles(told["troubles"])
+            except (OSError, TimeoutError) as error:  # what was measured before stays
+                told["troubles"]["given up"] = str(error) or "no answer"
+                say(f"the troubles were given up: {told['troubles']['given up']}")
         return told
     finally:
         await run.end()
--- a/playhouse/extras/run.py
+++ b/playhouse/extras/run.py
@@ -19,7 +19,7 @@
 from playhouse.rehearsal.world import World
 
 BEAT = 1.5  # s between a server's heartbeats
-LIFE = 120.0  # s that a hollow server lives, on average: 10,000 restarts a day are far fewer
+RESTARTS = 1 / 1.2  # of hollow servers a second, however many there are: seven times 10,000 a day
 LEASES = 2.0  # of units, a second and ingress
 BEGIN = 60.0  # s for all to be there
 WELL = 30.0  # s, at the most, that a return is waited for
@@ -78,7 +78,7 @@
             await self._begin_real(name, machine)
         await self._first()
         zones, shares = list(self.world.places), self._ingresses()
-        common: dict[str, Any] = {"control": self.world.control, "beat": BEAT, "life": LIFE}
+        common: dict[str, Any] = {"control": self.world.control, "beat": BEAT, "life": self.size.servers / RESTARTS}
         for number, share in enumerate(shares):
             made = common | {"cores": self._doors(), "lease_per_s": LEASES, "ingresses": share}
             made["seed"] = self.rng.getrandbits(32)
@@ -236,17 +236,24 @@
             "hollow": totals(hollow, counted["hollow servers"]),
         }  # fmt: skip
 
-    async def _leader(self) -> str:
-        _, shown = await self._order("GET", "Fleet.Show")
-        return next(n for n, m in self.world.machines.items() if shown["leader"].startswith(f"{m.ip}:"))
-
-    async def troubles(self) -> dict[str, Any]:
-        """What each takes, in seconds from its beginning to its end for all; -1: not within WELL."""
-        made: dict[str, Any] = {"waited": WELL}
-        name, term = await self._leader(), await self.term()
+    async def _leader(self, within: float) -> str | None:
+        """None: there is none, or nobody said so in so many seconds."""
+        try:
+            _, shown = await self._order("GET", "Fleet.Show", within=within)
+        except TimeoutError:
+            return None
+        leader = str(shown.get("leader", "")) if isinstance(shown, dict) else ""
+        return next((n for n, m in self.world.machines.items() if leader.startswith(f"{m.ip}:")), None)
+
+    async def troubles(self, made: dict[str, Any]) -> None:
+        """What each takes, in seconds until its end for all, is added; -1: not within WELL."""
+        made["waited"] = WELL
+        name, term = await self._leader(WELL), await self.term()
+        if name is None:
+            raise OSError("no leader is known")
         began = time.monotonic()
         await self.real.pop(name).end()
-        while (now := await self._leader_or_none()) in (None, name) and time.monotonic() < began + WELL:
+        while (now := await self._leader(1.0)) in (None, name) and time.monotonic() < began + WELL:
             await asyncio.sleep(0.02)
         made["new leader"] = -1.0 if now in (None, name) else time.monotonic() - began
         self.say(f"the leader was killed: a new one after {made['new leader']:.2f} s")
@@ -270,14 +277,6 @@
         await asyncio.gather(*(node.say({"do": "heal"}, WELL) for node in self.workers))
         made["region returns"] = await self.all_well(began, cut=self.size.ingresses - left)
         self.say(f"a region was cut off for {made['cut for']:.0f} s: {shown_times(made['region returns'])}")
-        return made
-
-    async def _leader_or_none(self) -> str | None:
-        try:
-            async with asyncio.timeout(1.0):
-                return await self._leader()
-        except (TimeoutError, StopIteration):
-            return None
 
 
 def shown_times(times: dict[str, float]) -> str:
--- a/playhouse/extras/tables.py
+++ b/playhouse/extras/tables.py
@@ -145,7 +145,10 @@
     )
 
 
-def _times(times: dict[str, float], waited: float) -> str:
+def _times(trouble: Told, what: str) -> str:
+    waited = trouble.get("waited", 60.0)
+    if not (times := trouble.get(what)):
+        return f"not run: {trouble['given up']}"
     if times["last"] < 0:
         return f"{100 * times['share']:.0f}% there after {waited:.0f} s"
     return "/".join(shown(times[at]) for at in ("p50", "p99", "last"))
@@ -153,30 +156,15 @@
 
 def returns_table(kept: dict[str, Told]) -> str:
     rows = []
+    kinds = ("leases of the new leader", "fleet restarts", "core restarts", "region returns")
     for name, told in kept.items():
         if trouble := told["troubles"]:
-            first, waited = trouble["new leader"], trouble.get("waited", 60.0)
-            rows.append(
-                (
-                    f"`{name}`",
-                    shown(first) if first >= 0 else f"none in {waited:.0f} s",
-                    _times(trouble["leases of the new leader"], waited),
-                    _times(trouble["fleet restarts"], waited),
-                    _times(trouble["core restarts"], waited),
-                    f"{_times(trouble['region returns'], waited)}, cut for {trouble['cut for']:.0f}",
-                )
-            )
-    return table(
-        (
-            "run",
-            "new leader, s",
-            "its leases at all, s p50/p99/last",
-            "all ingresses restart",
-            "the core restarts",
-            "a region returns",
-        ),
-        rows,
-    )
+            first = trouble.get("new leader", -1.0)
+            leader = shown(first) if first >= 0 else f"none in {trouble.get('waited', 60.0):.0f} s"
+            cut = f"{trouble.get('cut for', 0.0):.0f}"
+            rows.append((f"`{name}`", leader, *(_times(trouble, kind) for kind in kinds), cut))
+    heads = ("all hold its leases", "all ingresses restart", "the core restarts", "a region returns")
+    return table(("run", "new leader, s", *(f"{head}, s" for head in heads), "cut for, s"), rows)
 
 
 def ranged(found: tuple[float, float, float], scale: float) -> str:
