--- a/playhouse/extras/run.py
+++ b/playhouse/extras/run.py
@@ -19,7 +19,7 @@
 from playhouse.rehearsal.world import World
 
 BEAT = 1.5  # s between a server's heartbeats
-RESTARTS = 1 / 1.2  # of hollow servers a second, however many there are: seven times 10,000 a day
+RESTARTS = 1 / 1.2  # of hollow servers a second, however many: seven times 10,000 a day
 LEASES = 2.0  # of units, a second and ingress
 BEGIN = 60.0  # s for all to be there
 WELL = 30.0  # s, at the most, that a return is waited for
@@ -78,7 +78,8 @@
             await self._begin_real(name, machine)
         await self._first()
         zones, shares = list(self.world.places), self._ingresses()
-        common: dict[str, Any] = {"control": self.world.control, "beat": BEAT, "life": self.size.servers / RESTARTS}
+        life = self.size.servers / RESTARTS
+        common: dict[str, Any] = {"control": self.world.control, "beat": BEAT, "life": life}
         for number, share in enumerate(shares):
             made = common | {"cores": self._doors(), "lease_per_s": LEASES, "ingresses": share}
             made["seed"] = self.rng.getrandbits(32)
