--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -662,7 +662,8 @@
     """A name keeps its number; what was dropped keeps its place, what is new comes behind."""
     named: dict[str, Named] = {entry.name: entry for entry in now}
     kept: list[Named] = [named.get(entry.name, entry) for entry in before]
-    return tuple(kept + [entry for entry in now if entry not in kept])
+    known = set(kept)  # there may be as many as a site has tenants
+    return tuple(kept + [entry for entry in now if entry not in known])
 
 
 class Names:
@@ -670,8 +671,9 @@
 
     def __init__(self, settings: it.Settings, raw: dict[str, Any], named: it.Settings | None = None) -> None:
         named = named or settings  # what clients may name: not the classes and plans dropped since
-        self.classes = {c.name.encode(): n for n, c in enumerate(settings.classes) if c in named.classes}
-        self.plans = {p.name.encode(): n for n, p in enumerate(settings.plans) if p in named.plans}
+        classes, plans = set(named.classes), set(named.plans)
+        self.classes = {c.name.encode(): n for n, c in enumerate(settings.classes) if c in classes}
+        self.plans = {p.name.encode(): n for n, p in enumerate(settings.plans) if p in plans}
         self.gateways = settings.fleet_size
         self.zones = _numbered(raw.get("failure_domains", ()))
         self.kinds = _numbered(raw.get("flavors", ()))
--- a/tests/test_playhouse_extras.py
+++ b/tests/test_playhouse_extras.py
@@ -10,9 +10,11 @@
 import time
 from dataclasses import replace
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
+from ironledge.net.engine import Names, _follow
 from playhouse.extras import __main__ as scale
 from playhouse.extras import pages, sums
 from playhouse.extras.content import content, turned
@@ -153,6 +155,39 @@
     assert changed not in before["routes"] and len(after["tenants"]) == 3 and update["parent"] == 1
 
 
+class Compared:
+    """A named entry that counts how often it is compared."""
+
+    count = 0
+
+    def __init__(self, name: str, rate: int) -> None:
+        self.name, self.rate = name, rate
+
+    def __eq__(self, other: object) -> bool:
+        Compared.count += 1
+        return isinstance(other, Compared) and (self.name, self.rate) == (other.name, other.rate)
+
+    def __hash__(self) -> int:
+        return hash((self.name, self.rate))
+
+
+def test_other_settings_of_many_tenants_are_taken_up_in_one_pass():
+    """Against the plain search, and with comparisons that grow as the tenants do and not as their square."""
+    rng = random.Random(3)
+    before = [Compared(f"t{n}", rng.randrange(3)) for n in range(300)]
+    now = [Compared(f"t{n}", rng.randrange(3)) for n in range(100, 400)]
+    by_name = {entry.name: entry for entry in now}
+    kept = [by_name.get(entry.name, entry) for entry in before]
+    plain = tuple(kept + [entry for entry in now if entry not in kept])
+    Compared.count = 0
+    found = _follow(before, now)
+    settings = SimpleNamespace(classes=(), plans=found, fleet_size=1, load_fields=())
+    names = Names(settings, {}, SimpleNamespace(classes=(), plans=tuple(now)))
+    assert Compared.count < 4 * 400
+    assert found == plain
+    assert names.plans == {e.name.encode(): n for n, e in enumerate(plain) if e in now}
+
+
 # Sizes.
 
 
