--- a/playhouse/extras/hollow.py
+++ b/playhouse/extras/hollow.py
@@ -14,19 +14,21 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from playhouse.company.roll import hold
+from playhouse.company.roll import HOLD_MOST, hold, patience
 from playhouse.errors import Code, SystemFailure
 from playhouse.extras.gauge import Gauge
 from playhouse.rehearsal.standins import BEAT_WAIT, ask
 from playhouse.settings import Door, shown
-from playhouse.stage.house import ASK_WITHIN, DRIFT, LEASE_PATIENCE, LEASE_WAIT
+from playhouse.stage.house import ASK_WITHIN
+from playhouse.stage.news import News
+from playhouse.stage.units import LEASE_PATIENCE, LEASE_WAIT
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.links import Wings
 from playhouse.wings.reach import Reach
 
 DRAINS = 100  # tries to have it acknowledged that a server drains
 KEPT = 64  # generations whose times are kept
-PEERS = 8  # doors of other ingresses that are kept, to pass calls on
+CONTENTS = 4  # configurations whose tenants are known
 
 
 @dataclass(slots=True)
@@ -36,6 +38,16 @@
     contents: dict[bytes, int] = field(default_factory=dict)  # by what was told: the tenants it names
     told: int = 0  # contents that were told
 
+    def tenants(self, content: bytes) -> int:
+        """How many it names."""
+        self.told += 1
+        if content not in self.contents:
+            raw = json.loads(zlib.decompress(content)) if content else {}
+            while len(self.contents) > CONTENTS:
+                del self.contents[next(iter(self.contents))]
+            self.contents[bytes(content)] = len(raw.get("tenants", ()))
+        return self.contents[bytes(content)]
+
 
 class Ingress:
     def __init__(self, name: str, at: Door, place: tuple[str, str], cores: list[str], shared: Shared,
@@ -44,29 +56,29 @@
         self.name, self._at, self.place, self._cores = name, at, place, list(cores)
         self._shared, self._gauge, self._rng = shared, gauge, rng
         self.wings: Wings | None = None
-        self.seen = ("", 0, 0, 0, 0)
-        self.lease_end = float("-inf")
+        self.news = News(0.0, self._cores)
         self.served_at: dict[int, float] = {}  # by generation: when it was told, of the last few
         self.term, self.term_at = 0, 0.0  # of the leader that its lease is from, and since when
         self.lapsed, self.counted_at = 0.0, 0.0  # s without a lease after the first of a life, since then
-        self.doors: dict[str, str] = {}  # of other ingresses, by name
         self.tenants = 0
-        self._edges, self._counting = 0, False
         self._tasks: list[asyncio.Task[None]] = []
         self.began = self.well_at = 0.0
         self.failed = 0
 
+    @property
+    def lease_end(self) -> float:
+        return self.news.lease_end
+
     async def start(self, lease_per_s: float) -> None:
         """A new life."""
         loop = asyncio.get_running_loop()
-        self.wings = Wings(self._at, lambda envelope: None, self._refuse)
-        self._gauge.count_frames(self.wings)
-        self.seen, self.lease_end, self._told = ("", 0, 0, 0, 0), float("-inf"), ""
-        self._edges, self._counting, self._clock = 0, False, (0, 0.0)
+        wings = self.wings = Wings(self._at, lambda envelope: None, self._refuse)
+        self._gauge.count_frames(wings)
         self.began, self.well_at, self.term = time.monotonic(), 0.0, 0
-        self.doors.clear()
-        await self.wings.listen()
-        self.reach = Reach(self.wings, lambda: self._cores, lambda: list(self.doors.values()))
+        news = self.news = News(self.began, self._cores)
+        await wings.listen()
+        self.reach = Reach(wings, lambda: news.cores, lambda: news.peers(wings.own))
+        wings.lost = self._lost
         self._tasks = [loop.create_task(self._asks()), loop.create_task(self._units(lease_per_s))]
 
     def stop(self) -> None:
@@ -77,6 +89,10 @@
             self.wings.stop()
             self.wings = None
 
+    def _lost(self, door: str) -> None:
+        if door == self.reach.hint:
+            self.news.lose_touch(time.monotonic())
+
     async def _refuse(self, envelope: pb.Envelope) -> pb.Envelope:
         raise SystemFailure(Code.REFUSED, "only passed on here")
 
@@ -86,70 +102,36 @@
         return pb.Node(
             name=self.name, life=self.wings.life, door=shown(self._at),
             http=shown((self._at[0], self._at[1] + 1)), zone=zone, region=region, kind="edge",
-            ready=bool(self.seen[1]),
+            ready=bool(self.news.seen[1]),
         )  # fmt: skip
 
     async def _asks(self) -> None:
         while True:
-            epoch, script, servers, nodes, gen = self.seen
-            node = self._node()
-            made = pb.Ask(
-                epoch=epoch, script=script, gen=gen, servers=servers, nodes=nodes, counting=self._counting,
-                wait_ms=round(hold(self._edges) * 1000),
-                idle_ms=0 if self._edges else round((time.monotonic() - self.began) * 1000),
-                clock_ms=self._clock_ms(),
-            )  # fmt: skip
-            told = f"{epoch} {node.ready}"
-            if told == self._told:
-                made.name, made.life = node.name, node.life
-            else:
-                made.node.CopyFrom(node)
-            asked = time.monotonic()
+            wait = hold(self.news.edges) if self.news.edges else HOLD_MOST
+            node, asked = self._node(), time.monotonic()
+            made = pb.Envelope(ask=self.news.ask(node, asked, wait))
             try:
-                answer = await self.reach.call(pb.Envelope(ask=made), ASK_WITHIN, hold(self._edges) + 0.35)
+                answer = await self.reach.call(made, ASK_WITHIN, patience(wait))
             except SystemFailure:
-                self._told = ""
+                self.news.unanswered()
                 self.failed += 1
                 await asyncio.sleep(self._rng.uniform(0.05, 0.15))
                 continue
             if answer.WhichOneof("body") == "cue":
-                self._told = told
-                self._apply(answer.cue, asked, answer.term)
+                self._apply(answer.cue, node, asked, answer.term)
 
-    def _clock_ms(self) -> int:
-        said, came = self._clock
-        return int(said + (time.monotonic() - came) * 1000 * (1 - DRIFT)) if said else 0
-
-    def _apply(self, cue: pb.Cue, asked: float, term: int) -> None:
-        if cue.script < self.seen[1]:
-            return
-        now = time.monotonic()
+    def _apply(self, cue: pb.Cue, node: pb.Node, asked: float, term: int) -> None:
+        now, before, gen = time.monotonic(), self.news.lease_end, self.news.seen[4]
         if cue.has_content:
-            self._shared.told += 1
-            if cue.content not in self._shared.contents:
-                raw = json.loads(zlib.decompress(cue.content)) if cue.content else {}
-                while len(self._shared.contents) > 4:
-                    del self._shared.contents[next(iter(self._shared.contents))]
-                self._shared.contents[bytes(cue.content)] = len(raw.get("tenants", ()))
-            self.tenants = self._shared.contents[bytes(cue.content)]
-        for name in cue.node_gone:
-            self.doors.pop(name, None)
-        for node in cue.node:
-            if node.kind == "core" and node.door not in self._cores:
-                self._cores.append(node.door)
-            elif node.kind == "edge" and node.name != self.name and len(self.doors) < PEERS:
-                self.doors[node.name] = node.door
-        if cue.gen != self.seen[4]:
+            self.tenants, cue.content = self._shared.tenants(cue.content), b""
+        if self.news.take(cue, node, asked, now, 0) is None:
+            return
+        if cue.gen != gen:
             self.served_at[cue.gen] = now
             while len(self.served_at) > KEPT:
                 del self.served_at[next(iter(self.served_at))]
-        self._counting = cue.counting
-        self._edges = cue.share_of if cue.counting else max(self._edges, cue.share_of)
-        self.seen = (cue.epoch, cue.script, cue.servers, cue.nodes, cue.gen)
-        self._clock = (cue.clock_ms, now)
         if self.well_at:
-            self.lapsed += max(0.0, now - max(self.lease_end, self.counted_at))
-        self.lease_end = asked + cue.lease_ms / 1000 * (1 - DRIFT)
+            self.lapsed += max(0.0, now - max(before, self.counted_at))
         if term != self.term:
             self.term, self.term_at = term, now
         if cue.script and not self.well_at:
@@ -159,7 +141,7 @@
         """Leases of tenants' units, and now and then a further try that is dealt."""
         while True:
             await asyncio.sleep(self._rng.expovariate(per_s) if per_s > 0 else 3600.0)
-            if not (self._counting and self.tenants):
+            if not (self.tenants and self.news.in_touch(time.monotonic())):
                 continue
             if self._rng.random() < 0.05:
                 asked = pb.Envelope(deal=pb.Deal(whole=["further/s0"]))
--- a/playhouse/promptbook/replica.py
+++ b/playhouse/promptbook/replica.py
@@ -91,6 +91,7 @@
         self._voters: tuple[Member, ...] = ()
         self._voters_before: tuple[Member, ...] = ()
         self._places: dict[str, Member] = {me.disk: me}  # by disk, as it was told
+        self._left_as_it_is: object = None  # what the choice of voters came from, when nothing was to change
         self._votes: set[str] = set()
         self._opened = False  # an entry of the term that this one holds was delivered
         self._handed_at = float("-inf")  # when another was last asked to take this term's place
@@ -135,7 +136,12 @@
 
     def lease_end(self, now: float) -> float:
         """Until when no other can hold a later term."""
-        return min(self._followed(now, voters) for voters in self._quorums()) + self.times.lease
+        return self.contact(now) + self.times.lease
+
+    def contact(self, now: float) -> float:
+        """The newest time of which it is sure that a majority has answered, in this term, what was sent at
+        it or after it: a read index rests on that."""
+        return min(self._followed(now, voters) for voters in self._quorums())
 
     def _followed(self, now: float, voters: tuple[Member, ...]) -> float:
         """When the newest beat was sent that a majority of these has answered."""
--- a/playhouse/promptbook/upkeep.py
+++ b/playhouse/promptbook/upkeep.py
@@ -128,8 +128,10 @@
         except stored.FormatError as error:
             note(Event.SNAPSHOT_DROPPED, "the snapshot at %d: %s", snapshot.index, error)
             return
-        self._carry(self._machine.install(self._now(), snapshot))
-        note(Event.SNAPSHOT_INSTALLED, "up to %d, %d bytes", snapshot.index, len(snapshot.state))
+        step = self._machine.install(self._now(), snapshot)
+        self._carry(step)
+        if step.restored:
+            note(Event.SNAPSHOT_INSTALLED, "up to %d, %d bytes", snapshot.index, len(snapshot.state))
         yield from self._sweeping()
 
     def _sweeping(self, failed: bool = False) -> Job:
--- a/playhouse/promptbook/voters.py
+++ b/playhouse/promptbook/voters.py
@@ -11,7 +11,7 @@
 
 LEAST = 5  # voters, where there are as many: one more may be lost while the first one's place is taken
 MOST = 9  # a change waits for a majority of them
-SWAPS = 2  # at once, for the sake of the spread alone
+SWAPS = 2  # at once, for the sake of the spread
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +55,12 @@
     return (region if tolerance.regions else 0, zone, region, member.door)
 
 
+def _pairs(voters: Sequence[Member]) -> int:
+    """How many share a zone, and how many a region."""
+    counts = (*Counter(map(_zone, voters)).values(), *Counter(map(_region, voters)).values())
+    return sum(n * (n - 1) // 2 for n in counts)
+
+
 def spread(members: Iterable[Member], count: int, tolerance: Tolerance) -> list[Member]:
     """So many of them, in as many places as there are."""
     left, found = list(members), list[Member]()
@@ -66,40 +72,45 @@
 
 
 def wanted(members: Collection[Member], tolerance: Tolerance) -> int:
-    """How many voters there are to be: the smallest odd number that bears it, or what comes nearest."""
-    least = max(2 * tolerance.nodes + 1, LEAST)
-    for count in range(min(least, len(members) - 1 + len(members) % 2), min(MOST, len(members)) + 1, 2):
-        if count % 2 and not shortfall(spread(members, count, tolerance), (), tolerance):
+    """How many voters there are to be, an odd number: LEAST or more if that bears the tolerance, else fewer
+    that do, else what the number of members gives."""
+    needed = 2 * tolerance.nodes + 1
+    least, most = max(needed, LEAST), max(1, len(members) - 1 + len(members) % 2)
+    more, fewer = range(min(least, most), min(MOST, most) + 1, 2), range(least - 2, needed - 1, -2)
+    counts: list[int] = [*more, *fewer]
+    for count in counts:
+        if count <= most and not shortfall(spread(members, count, tolerance), (), tolerance):
             return count
-    if len(members) < 3:
-        return len(members)
-    return min(least, len(members) - 1 + len(members) % 2)
+    return min(least, most)
 
 
 def next_voters(
-    members: Collection[Member], fit: Collection[str], lost: Collection[str], leaving: Collection[str],
-    keep: str, tolerance: Tolerance,
+    members: Collection[Member], fit: Collection[str], steady: Collection[str], lost: Collection[str],
+    leaving: Collection[str], keep: str, tolerance: Tolerance,
 ) -> frozenset[str]:  # fmt: skip
     """The disks that are to vote from the next configuration on; those of now, where nothing is better.
 
-    `fit`: disks of learners that are up to date; `lost`: of members that were silent for long; `leaving`: of
-    those that said so; `keep`: the leader's, which stays. No set that bears less takes the place of another.
+    `fit`: disks that are up to date; `steady`: of those heard for as long as it takes to call one lost;
+    `lost`: of members that were silent for so long; `leaving`: of those that said so; `keep`: the leader's,
+    which stays. No set that bears less takes the place of another.
     """
     away = frozenset((*lost, *leaving))
     before = [m for m in members if not m.learner]
     spare = [m for m in members if m.learner and m.disk in fit and m.disk not in away]
-    now, count = list(before), wanted(members, tolerance)
+    # As many as those give that are there, and no fewer because some are silent.
+    there = [m for m in members if (m.disk in steady or m.disk == keep) and m.disk not in away]
+    now, count = list(before), wanted(there, tolerance)
+    most = max(count, wanted(members, tolerance))
 
     def lacks(voters: Sequence[Member]) -> int:
         return shortfall(voters, away, tolerance)
 
     def swapped(out: Member) -> list[Member] | None:
-        """The best learner in the place of that one, if that is no worse."""
+        """The best learner in the place of that one."""
         rest = [m for m in now if m != out]
         if not spare:
             return None
-        one = min(spare, key=lambda m: (lacks([*rest, m]), _crowd(m, rest, tolerance)))
-        return [*rest, one] if lacks([*rest, one]) <= lacks(now) else None
+        return [*rest, min(spare, key=lambda m: (lacks([*rest, m]), _crowd(m, rest, tolerance)))]
 
     def take(voters: list[Member]) -> None:
         nonlocal now
@@ -111,19 +122,20 @@
             take(other)
     for one in [m for m in now if m.disk in leaving and m.disk != keep]:  # nobody can take its place
         rest = [m for m in now if m != one]
-        if rest and (lacks(rest) < lacks(now) or len(now) > count):
+        if rest and (lacks(rest) < lacks(now) or len(now) > most):
             take(rest)
-    while len(now) < count and len(spare) >= (pair := 2 - (len(now) + 1) % 2):
-        more = list(now)
-        for _ in range(pair):
-            free = [m for m in spare if m not in more]
+    if len(now) < count:
+        more, free = list(now), [m for m in spare if m in there]
+        while free and len(more) < count:
             more.append(min(free, key=lambda m: _crowd(m, more, tolerance)))
-        if lacks(more) > lacks(now):
-            break
-        take(more)
-    if len(now) > count > 2:
+            free.remove(more[-1])
+        if len(more) % 2 == 0:
+            more.pop()
+        if len(more) > len(now) and lacks(more) <= lacks(now):
+            take(more)
+    if len(now) > most > 2:
         fewer = list(now)
-        while len(fewer) > count:
+        while len(fewer) > most:
             out = min(
                 (m for m in fewer if m.disk != keep),
                 key=lambda m: (lacks([o for o in fewer if o != m]), m.disk not in away, m),
@@ -132,8 +144,9 @@
         if lacks(fewer) <= lacks(now):
             take(fewer)
     for _ in range(SWAPS):
-        options = [o for m in now if m.disk != keep and (o := swapped(m)) and lacks(o) < lacks(now)]
-        if not options:
+        options = [o for m in now if m.disk != keep and (o := swapped(m))]
+        best = min(options, key=lambda o: (lacks(o), _pairs(o)), default=now)
+        if (lacks(best), _pairs(best)) >= (lacks(now), _pairs(now)):
             break
-        take(min(options, key=lacks))
+        take(best)
     return frozenset(m.disk for m in now)
--- a/playhouse/rehearsal/plants.py
+++ b/playhouse/rehearsal/plants.py
@@ -5,6 +5,42 @@
 
 from typing import Any
 
+from playhouse.rehearsal import core_plants
+from playhouse.rehearsal.core_plants import (  # by name here as well
+    answers_by_number,
+    beats_alone,
+    gone_members_vote,
+    new_majority_only,
+    old_words,
+    own_reads,
+    own_refusals,
+    short_memory,
+    torn_snapshot,
+    unconfirmed,
+    unsynced_votes,
+)
+
+__all__ = [
+    "answers_by_number",
+    "beats_alone",
+    "gone_members_vote",
+    "new_majority_only",
+    "old_words",
+    "own_reads",
+    "own_refusals",
+    "short_memory",
+    "torn_snapshot",
+    "unconfirmed",
+    "unsynced_votes",
+]
+
+
+def several() -> None:
+    """Those that a storm of the tests is to find all at once."""
+    broken_promise()
+    free_starts()
+    core_plants.short_memory()
+
 
 def early_ack() -> None:
     """A configuration is acknowledged before every ingress serves by it."""
@@ -43,16 +79,16 @@
 
 def going_back() -> None:
     """News of an older version is taken as well."""
-    from playhouse.stage.house import House
+    from playhouse.stage.news import News
 
-    apply = House._apply
+    take = News.take
 
-    def older(self: House, cue: Any, asked: float) -> None:
-        epoch, _, servers, nodes, gen = self._seen
-        self._seen = (epoch, 0, servers, nodes, gen)
-        apply(self, cue, asked)
+    def older(self: News, *args: Any) -> Any:
+        epoch, _, servers, nodes, gen = self.seen
+        self.seen = (epoch, 0, servers, nodes, gen)
+        return take(self, *args)
 
-    House._apply = older  # type: ignore[method-assign]
+    News.take = older  # type: ignore[method-assign, assignment]
 
 
 def unkept_lease() -> None:
--- a/playhouse/script/state.py
+++ b/playhouse/script/state.py
@@ -15,7 +15,9 @@
 from playhouse.script import stored
 from playhouse.script.check import TABLES
 
-KNOWN = 256  # accepted calls that are remembered, so that one sent again is known
+KNOWN = 20_000  # accepted calls that are remembered, so that one sent again is known: a day's changes
+CALLS = 4_096  # calls for zones that are
+REFUSED = -1  # in place of a gen: the call was refused, for good
 
 
 class Verb(Enum):
@@ -24,6 +26,7 @@
     EVACUATE = "evacuate"
     TAKE_BACK = "take back"
     ENROL = "enrol"
+    REFUSE = "refuse"
     NAME = "name"
 
 
@@ -35,11 +38,12 @@
     zone: str = ""
     names: tuple[str, ...] = ()  # of ingresses that may hold leases from here on ...
     gone: tuple[str, ...] = ()  # ... and that hold none any longer
+    call: str = ""  # the id of a call for a zone, given where it came in
 
     def out(self) -> bytes:
         raw = {
             "verb": self.verb.value, "digest": self.digest, "order": self.order, "zone": self.zone,
-            "names": self.names, "gone": self.gone,
+            "names": self.names, "gone": self.gone, "call": self.call,
         }  # fmt: skip
         return zlib.compress(json.dumps(raw, separators=(",", ":")).encode(), 6)
 
@@ -53,6 +57,7 @@
             raw["zone"],
             tuple(raw["names"]),
             tuple(raw["gone"]),
+            raw.get("call", ""),
         )
 
 
@@ -79,10 +84,16 @@
     version: int = 0  # counts what was applied; rises at every change
     edges: list[str] = field(default_factory=list)  # ingresses that may hold leases, whoever has the duty
     known: dict[str, int] = field(default_factory=dict)  # digests of accepted calls, with their gen
+    forgotten: int = -1  # the newest gen of a call that was accepted and is not known any longer
+    calls: dict[str, str] = field(default_factory=dict)  # calls for zones, and the order that each belongs to
     system: str = ""  # its name: the first that was drawn
     # A gen, and its content as ingresses are told it.
     _told: tuple[int, bytes] = field(default=(-1, b""), compare=False, repr=False)
 
+    def __post_init__(self) -> None:
+        if self.forgotten < 0:  # stored when 256 were known, and not what was forgotten
+            self.forgotten = min(self.known.values()) - 1 if len(self.known) >= 256 else 0
+
     def result(self, command: Command) -> dict[str, Any]:
         """The configuration that a Replace or Update would bring about."""
         if command.verb is Verb.UPDATE:
@@ -102,11 +113,15 @@
             case Verb.REPLACE | Verb.UPDATE:
                 if command.order["parent"] != self.gen or command.order["gen"] <= self.gen:
                     return False
+                if command.digest in self.known:  # it was refused: that holds
+                    return False
                 self.content = self.result(command)
                 self.gen = command.order["gen"]
-                self.known[command.digest] = self.gen
-                while len(self.known) > KNOWN:
-                    del self.known[next(iter(self.known))]
+                self._remember(command.digest, self.gen)
+            case Verb.REFUSE:
+                if command.digest not in self.known:
+                    self._remember(command.digest, REFUSED)
+                return False
             case Verb.ENROL:
                 self.edges = sorted({*self.edges, *command.names} - set(command.gone))
                 return False
@@ -114,6 +129,8 @@
                 self.system = self.system or command.digest
                 return False
             case Verb.EVACUATE | Verb.TAKE_BACK:
+                if not self._is_first(command):
+                    return False
                 before = self.evacuated.get(command.zone, 0)
                 orders = before + (1 if command.verb is Verb.EVACUATE else -1)
                 if self.moves.get(command.zone) == command.digest or orders < 0:
@@ -126,6 +143,27 @@
         self.version += 1
         return True
 
+    def _remember(self, digest: str, gen: int) -> None:
+        self.known[digest] = gen
+        while len(self.known) > KNOWN:
+            self.forgotten = max(self.forgotten, self.known.pop(next(iter(self.known))))
+
+    def may_be_forgotten(self, gen: int) -> bool:
+        """It can no longer be known whether a call that is not known, for this gen, was accepted."""
+        return gen <= self.forgotten
+
+    def _is_first(self, command: Command) -> bool:
+        """Of the calls and orders for a zone. An order has the name of its first call."""
+        if command.call in self.calls:
+            return False  # it came by another way as well
+        again = bool(command.call) and (not command.digest or command.digest in self.calls)
+        if command.call:
+            self.calls[command.call] = command.digest
+            self.calls.setdefault(command.digest, command.digest)
+            while len(self.calls) > CALLS:
+                del self.calls[next(iter(self.calls))]
+        return not again
+
     def raw(self) -> dict[str, Any]:
         """As it is now, whatever is applied later: what is in it is replaced then, and not changed."""
         fields = {name: getattr(self, name) for name in self.__slots__ if not name.startswith("_")}
