--- a/playhouse/extras/pages.py
+++ b/playhouse/extras/pages.py
@@ -57,7 +57,7 @@
     )
     figure, axes = pyplot.subplots(2, 2, figsize=(9, 6.5), layout="constrained")
     for axis, (role, what) in zip(axes.flat, drawn, strict=True):
-        for cause in sums.CAUSES:
+        for cause in (*sums.CAUSES, sums.LATER):
             if found := sums.slope(kept, cause, role, what):
                 _draw(axis, found)
         axis.set(title=name_of(role, what), xscale="log", yscale="log", xlabel="of the cause")
@@ -70,7 +70,7 @@
 def _draw(axis: Any, found: Slope) -> None:
     scale, sizes = UNITS[found.what][1], [s for _, s, _ in found.points]
     (line,) = axis.plot(sizes, [v * scale for *_, v in found.points], "o", label=found.cause)
-    on = [sizes[0], sizes[-1], TARGET[found.cause]]
+    on = [sizes[0], sizes[-1], TARGET[sums.grown(found.cause)]]
     middle, low, high = ([found.fit.at(s)[n] * scale for s in on] for n in range(3))
     axis.plot(on, middle, "--", color=line.get_color())
     if not isinf(high[-1]):
--- a/playhouse/extras/planned.py
+++ b/playhouse/extras/planned.py
@@ -87,7 +87,7 @@
     rows.append(("... KB/s an ingress at the day's mean", f"{route * a_second / 1e3:.3f}", "15 are allowed"))
     for regions, what in ((sums.REGIONS, "one relay a region"), (sums.ZONES, "one relay a zone")):
         for role, cost in (("leader", "cpu"), ("leader", "bytes_out")):
-            found = sums.slope(kept, "ingresses", role, cost)
+            found = sums.slope(kept, sums.LATER, role, cost) or sums.slope(kept, "ingresses", role, cost)
             if found is None:
                 continue
             unit, scale = UNITS[cost]
@@ -140,25 +140,43 @@
     shared = (
         ("busiest core machine, cores", "core: processor %", 0.01, lambda t: t["roles"]["leader"]["cpu"]),
         ("busiest core machine, KB/s both ways", "core: kB a second", 1.0, _both_ways),
-        ("an order acknowledged, s, longest", "config acked, ms", 1e-3, lambda t: t["changes"]["acked_last"]),
+        ("an order acknowledged, s, longest", "config acked, ms", 1e-3, _acked),
         ("after a kill of all, s", "serving after all were killed, ms", 1e-3, _after_all),
     )
     others = sweeps(FOLDER)
     rows: list[list[Any]] = []
     for what, line, scale, found in shared:
         for size in (30, 100, 300):
-            told = kept.get(f"ingresses-{size}")
+            told = (kept.get(f"{cause}-{size}") for cause in ("ingresses", sums.LATER))
             cells = [s.at(line, size) for s in others]
-            row = [what, size, found(told) if told else "not run", *(_cell(c, scale) for c in cells)]
+            row = [
+                what,
+                size,
+                *(found(one) if one else "not run" for one in told),
+                *(_cell(c, scale) for c in cells),
+            ]
             rows.append([shown(c) if isinstance(c, float) else c for c in row])
     heads = [f"sweep {s.name} (`{s.head}`, journal `{s.journal}`)" for s in others]
-    return table(("what", "own machines or hollow ingresses", "scale run", *heads), rows)
+    return table(
+        (
+            "what",
+            "own machines or hollow ingresses",
+            "scale run before news in rounds",
+            "scale run with them",
+            *heads,
+        ),
+        rows,
+    )
 
 
 def _cell(value: float | None, scale: float) -> float | str:
     return "none or not played" if value is None else value * scale
 
 
+def _acked(told: Told) -> float | str:
+    return float(told["changes"]["acked_last"]) if told["changes"]["count"] else "none"
+
+
 def _both_ways(told: Told) -> float:
     leader = told["roles"]["leader"]
     return float(leader["bytes_out"] + leader["bytes_in"]) / 1000
--- a/playhouse/extras/sums.py
+++ b/playhouse/extras/sums.py
@@ -15,6 +15,7 @@
 
 BASE = "ingresses-30"  # the run that each cause's runs share
 CAUSES = ("ingresses", "servers", "tenants", "routes")
+LATER = "rounds"  # runs of ingresses alone, after the leader told its news in rounds: a slope of their own
 TARGET = {"ingresses": 6300, "servers": 20_000, "tenants": 160_000, "routes": 12_000, "services": 350}
 CHANGES_A_DAY, FAILED_A_DAY, RESTARTS_A_DAY, ZONES, REGIONS = 21_000, 57, 10_000, 26, 8
 MACHINES = 11  # of control, that are allowed
@@ -38,7 +39,13 @@
 
 def of_cause(kept: dict[str, Told], cause: str) -> list[tuple[str, Told]]:
     """The runs in which only this one grows, from the base on."""
-    return [(n, told) for n, told in kept.items() if n == BASE or n.startswith(f"{cause}-")]
+    base = BASE if cause != LATER else ""
+    return [(n, told) for n, told in kept.items() if n == base or n.startswith(f"{cause}-")]
+
+
+def grown(cause: str) -> str:
+    """What of its size a cause's runs differ in."""
+    return "ingresses" if cause == LATER else cause
 
 
 def holds(told: Told) -> bool:
@@ -68,14 +75,14 @@
     def added(self) -> tuple[float, float, float]:
         """What growing from the base to the target adds: the middle, and from where to where."""
         before = self.fit.at(self.points[0][1])[0]
-        middle, low, high = self.fit.at(TARGET[self.cause])
+        middle, low, high = self.fit.at(TARGET[grown(self.cause)])
         return middle - before, low - before, high - before
 
 
 def slope(kept: dict[str, Told], cause: str, role: str, what: str) -> Slope | None:
     """Over the runs that hold; None where there are not two, or what is counted was nothing."""
     points = tuple(
-        (name, float(told["size"][cause]), value(told, role, what))
+        (name, float(told["size"][grown(cause)]), value(told, role, what))
         for name, told in of_cause(kept, cause)
         if holds(told)
     )
@@ -85,11 +92,19 @@
     return Slope(cause, role, what, points, fitted([s for _, s, _ in points], [v for _, _, v in points]))
 
 
+def slopes(kept: dict[str, Told], role: str, what: str) -> list[Slope]:
+    """Of each cause; of ingresses by the later runs, where these have a slope."""
+    found = {cause: slope(kept, cause, role, what) for cause in (LATER, *CAUSES)}
+    if found[LATER]:
+        found["ingresses"] = None
+    return [made for made in found.values() if made]
+
+
 def at_target(kept: dict[str, Told], role: str, what: str) -> tuple[float, float, float]:
     """The base run's, and what each cause adds by itself: middle, low, high. Products of causes are left out:
     they are counted apart."""
     base = value(kept[BASE], role, what)
-    added = [found.added for cause in CAUSES if (found := slope(kept, cause, role, what))]
+    added = [found.added for found in slopes(kept, role, what)]
     low, high = (base + sum(a[n] for a in added) for n in (1, 2))
     return base + sum(a[0] for a in added), max(0.0, low), high
 
--- a/playhouse/extras/tables.py
+++ b/playhouse/extras/tables.py
@@ -9,6 +9,7 @@
 from playhouse.extras import sums
 from playhouse.extras.sums import TARGET, Told
 
+FAR = 100  # times the middle, beyond which an upper end says nothing
 SLOPES = (
     ("leader", "cpu"),
     ("leader", "bytes_out"),
@@ -168,12 +169,16 @@
 
 
 def ranged(found: tuple[float, float, float], scale: float) -> str:
-    return f"{shown(found[0] * scale)} ({shown(max(0.0, found[1]) * scale)} to {shown(found[2] * scale)})"
+    middle, low, high = (max(0.0, value) * scale for value in found)
+    if high > FAR * max(middle, 1e-9):
+        return f"{shown(middle)} (the range is beyond a factor of {FAR})"
+    return f"{shown(middle)} ({shown(low)} to {shown(high)})"
 
 
 def slopes_table(kept: dict[str, Told]) -> str:
     rows = []
-    for cause in sums.CAUSES:
+    for cause in (*sums.CAUSES, sums.LATER):
+        target = TARGET[sums.grown(cause)]
         for role, what in SLOPES:
             if found := sums.slope(kept, cause, role, what):
                 scale = UNITS[what][1]
@@ -186,7 +191,7 @@
                         if len(found.points) > 2
                         else f"{found.fit.power:.2f}, of two points",
                         ", ".join(f"{100 * r:+.0f}%" for r in found.fit.residuals),
-                        f"{TARGET[cause]:,}: {ranged(found.fit.at(TARGET[cause]), scale)}",
+                        f"{target:,}: {ranged(found.fit.at(target), scale)}",
                     )
                 )
     return table(("cause", "what", "measured", "power", "residuals", "carried on to (extrapolated)"), rows)
@@ -205,7 +210,7 @@
         found = sums.at_target(kept, role, what)
         base = sums.value(kept[sums.BASE], role, what)
         scale = UNITS[what][1]
-        causes = [c for c in sums.CAUSES if sums.slope(kept, c, role, what)]
+        causes = [s.cause for s in sums.slopes(kept, role, what)]
         rows.append(
             (
                 name_of(role, what),
