--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -121,17 +121,9 @@
         for doors, name in zip(self._web, ("ctl", "dir"), strict=True):
             if name in listen:
                 await doors.listen(listen[name])
-        self._tasks = [
-            self._loop.create_task(work())
-            for work in (
-                self._ticks,
-                self._upkeep,
-                self.follower.asks,
-                self.follower.reports,
-                self.prompter.run,
-                self.prompter.strike,
-            )
-        ]
+        works = [self._ticks, self._upkeep, self.follower.asks, self.follower.reports]
+        works += [self.prompter.run, self.prompter.strike]
+        self._tasks = [self._loop.create_task(work()) for work in works]
 
     async def stop(self) -> None:
         for doors in self._web:
