--- a/playhouse/extras/pages.py
+++ b/playhouse/extras/pages.py
@@ -9,14 +9,13 @@
 import re
 import sys
 from collections.abc import Callable
-from math import isinf
 from pathlib import Path
 from typing import Any
 
 from playhouse.extras import planned, sums, tables
 from playhouse.extras.planned import FOLDER
 from playhouse.extras.sums import TARGET, Slope, Told
-from playhouse.extras.tables import UNITS, name_of
+from playhouse.extras.tables import FAR, UNITS, name_of
 from playhouse.rehearsal.world import ROOT
 
 PAGE = ROOT / "docs" / "CAPACITY.md"
@@ -73,7 +72,7 @@
     on = [sizes[0], sizes[-1], TARGET[sums.grown(found.cause)]]
     middle, low, high = ([found.fit.at(s)[n] * scale for s in on] for n in range(3))
     axis.plot(on, middle, "--", color=line.get_color())
-    if not isinf(high[-1]):
+    if high[-1] <= FAR * middle[-1]:
         axis.fill_between(on, low, high, color=line.get_color(), alpha=0.1)
 
 
