--- a/tests/test_playhouse_frames.py
+++ b/tests/test_playhouse_frames.py
@@ -11,18 +11,21 @@
 from pathlib import Path
 from typing import Any, cast
 
+import lmdb
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from playhouse.boxoffice.purse import starts
 from playhouse.callboard.board import Board, Seen
+from playhouse.company import roll
 from playhouse.company.roll import LEASE, LOST, Roll
 from playhouse.core import Core
 from playhouse.errors import Code, SystemFailure
 from playhouse.events import Event
 from playhouse.script.state import Command, State, Verb
 from playhouse.settings import Bounds, checked
+from playhouse.stage.news import News
 from playhouse.understudy import repeats
 from playhouse.understudy.duty import Duty
 from playhouse.wings import cues_pb2 as pb
@@ -429,6 +432,23 @@
     return made.duty.term
 
 
+async def test_a_full_disk_does_not_keep_a_core_from_its_systems_name(tmp_path: Path) -> None:
+    made = await core(tmp_path)
+    env = made._store._env
+
+    class Full:
+        def begin(self, *args: Any, **fields: Any) -> Any:
+            raise lmdb.DiskError("no room")
+
+    made.state.system = HERE
+    cast(Any, made._store)._env = Full()
+    made._look_at_name()
+    assert made.wings.system == HERE
+    cast(Any, made._store)._env = env
+    assert made._store.system() == ""
+    made._store.close()
+
+
 async def test_the_leader_takes_no_call_meant_for_another_term_and_keeps_the_systems_name(
     tmp_path: Path,
 ) -> None:
@@ -437,9 +457,15 @@
     assert made.duty
     seen = Seen("i", "s", "a:1", "z", "", 2, "ready", 0.0, 1, made.now())
     made.duty.board.beat(seen)
-    for said, seq in ((term - 1, 1), (term + 1, 1), (term, 7)):
-        made._hear(pb.Envelope(term=said, beats=pb.Beats(id=["i"], seq=[7])))
-        assert seen.seq == seq
+    for said, seq, then in ((term + 1, 7, 1), (term - 1, 8, 8), (term, 9, 9), (term, 5, 9)):
+        beats = pb.Envelope(term=said, beats=pb.Beats(id=["i"], seq=[seq], age_ms=[3000]))
+        before, answer = seen.heard_at, asyncio.create_task(made._handle(beats))
+        while not answer.done():
+            made._do(made.machine.tick(made.now()))
+            await asyncio.sleep(0.005)
+        # What a leader before has not answered is told to this one, and is a word of the server's.
+        assert seen.seq == then and (answer.result().fault == Code.NOT_LEADER) == (said > term)
+        assert seen.heard_at == before  # that it is late counts
     lease = pb.Lease(tenant="t", amount=1)
     for said, code in ((term - 1, Code.STALE), (term, Code.REFUSED)):  # the last has no such tenant
         with pytest.raises(SystemFailure) as failure:
@@ -532,9 +558,9 @@
     assert not held.counting  # it has not heard yet that this term counts
     asks(made, 100.3, 290)
     assert held.counting and held.asked_at == 100.3
-    asks(made, 100.35, 290)  # the same one by another way, soon
+    asks(made, 100.32, 290)  # the same one by another way, soon
     asks(made, 101.0, 700)
-    assert held.asked_at == 100.7 and not made.roll.in_touch(100.7 + 0.25 + LOST, held, 1)
+    assert held.asked_at == 100.7 and made.roll.silent(100.7 + 0.25 + LOST, 1) == 1
     for now, clock, epoch in ((101.1, 290, "3"), (101.1, 0, ""), (110.0, 900, "3")):
         with pytest.raises(SystemFailure) as stale:
             asks(made, now, clock, epoch)
@@ -543,6 +569,19 @@
     assert made.roll.leases["e"].node.life == "2" and made.roll.leases["e"].lease_end <= 101.2 + LEASE
 
 
+def test_an_ask_says_that_it_counts_only_where_its_sender_has_just_heard_a_cue() -> None:
+    """One that is sent again after a silence would count as in touch while its sender no longer is."""
+    assert roll.HEARD + roll.FRESH + roll.PROMPT < LOST
+    news, node = News(0.0, []), pb.Node(name="e", life="1")
+    news.take(pb.Cue(epoch="3", counting=True, clock_ms=5000, lease_ms=4500), node, 9.9, 10.0, 0)
+    prompt, late = news.ask(node, 10.01, 0.25), news.ask(node, 10.3, 0.25)
+    assert prompt.counting and not late.counting and news.in_touch(10.3)
+    assert prompt.name == "e" and not prompt.HasField("node")
+    assert 5000 < prompt.clock_ms <= 5010 and 5290 <= late.clock_ms < 5300  # never ahead
+    assert news.take(pb.Cue(epoch="3", script=1), node, 11.0, 11.0, 0)
+    assert news.take(pb.Cue(epoch="3", lease_ms=9000), node, 12.0, 12.0, 0) is None and news.heard_at == 11.0
+
+
 def test_a_fence_never_goes_back() -> None:
     rng, fence, newest = random.Random(4), Fence(), 0
     for _ in range(500):
