--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -32,8 +32,8 @@
 from playhouse.understudy.contact import ReadIndex
 from playhouse.understudy.desk import Desk
 from playhouse.understudy.duty import Duty
-from playhouse.understudy.enrolment import Enrolment
 from playhouse.understudy.follower import Follower
+from playhouse.understudy.prompter import Prompter
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.links import Wings
 from playhouse.wings.reach import Reach
@@ -77,7 +77,7 @@
         self._pending: dict[int, Pending] = {}
         self._news = asyncio.Event()
         self.reach = Reach(self.wings, self._cores, self._peers)
-        self._read_index, self._enrolment, self.desk = ReadIndex(self), Enrolment(self), Desk(self)
+        self._read_index, self.prompter, self.desk = ReadIndex(self), Prompter(self), Desk(self)
         collector = Collector(settings, self.board, self.roll)
         self.follower = Follower(self, collector)
         self.reception = Reception(self, self.follower, collector)
@@ -121,16 +121,9 @@
         for doors, name in zip(self._web, ("ctl", "dir"), strict=True):
             if name in listen:
                 await doors.listen(listen[name])
-        self._tasks = [
-            self._loop.create_task(work())
-            for work in (
-                self._ticks,
-                self._upkeep,
-                self.follower.asks,
-                self.follower.reports,
-                self._enrolment.strike,
-            )
-        ]
+        works = [self._ticks, self._upkeep, self.follower.asks, self.follower.reports]
+        works += [self.prompter.run, self.prompter.strike]
+        self._tasks = [self._loop.create_task(work()) for work in works]
 
     async def stop(self) -> None:
         for doors in self._web:
@@ -268,6 +261,7 @@
     def publish(self) -> None:
         news, self._news = self._news, asyncio.Event()
         news.set()
+        self.prompter.wake()
 
     async def news(self, within: float) -> None:
         """Until something has changed, or so many seconds."""
@@ -305,7 +299,7 @@
             match envelope.WhichOneof("body"):
                 case "ask":
                     self.held(envelope.term)
-                    cue = await self._ask(envelope.ask)
+                    cue = await self.prompter.ask(envelope.ask)
                     return pb.Envelope(cue=cue, term=self.held().term)
                 case "lease" | "deal":
                     return self.held(envelope.term).units(self.now(), envelope)
@@ -326,18 +320,6 @@
             return pb.Envelope(fault=Code.NOT_LEADER, pass_to=hint)
         raise SystemFailure(Code.REFUSED, "not known here")
 
-    async def _ask(self, ask: pb.Ask) -> pb.Cue:
-        duty, until = self.held(), self.now() + min(5.0, ask.wait_ms / 1000)
-        if not ask.HasField("node") or ask.node.kind == "edge":
-            await self._enrolment.enrol(ask.name or ask.node.name)
-            duty = self.held()
-        if duty.asked(self.now(), ask):
-            self.publish()
-        while not duty.has_news(self.now(), ask, self.state) and self.now() < until:
-            await self.news(until - self.now())
-            duty = self.held()
-        return self.held().cue(self.now(), ask, self.state)
-
     async def decide(self, command: Command) -> bool:
         """True once a majority has it on disk and it is in force; False if it is void. Raises SystemFailure
         where that is not known."""
--- a/playhouse/rehearsal/plants.py
+++ b/playhouse/rehearsal/plants.py
@@ -5,6 +5,42 @@
 
 from typing import Any
 
+from playhouse.rehearsal import core_plants
+from playhouse.rehearsal.core_plants import (  # by name here as well
+    answers_by_number,
+    beats_alone,
+    gone_members_vote,
+    new_majority_only,
+    old_words,
+    own_reads,
+    own_refusals,
+    short_memory,
+    torn_snapshot,
+    unconfirmed,
+    unsynced_votes,
+)
+
+__all__ = [
+    "answers_by_number",
+    "beats_alone",
+    "gone_members_vote",
+    "new_majority_only",
+    "old_words",
+    "own_reads",
+    "own_refusals",
+    "short_memory",
+    "torn_snapshot",
+    "unconfirmed",
+    "unsynced_votes",
+]
+
+
+def several() -> None:
+    """Those that a storm of the tests is to find all at once."""
+    broken_promise()
+    free_starts()
+    core_plants.short_memory()
+
 
 def early_ack() -> None:
     """A configuration is acknowledged before every ingress serves by it."""
--- a/playhouse/understudy/follower.py
+++ b/playhouse/understudy/follower.py
@@ -105,7 +105,7 @@
     def _take(self, cue: pb.Cue) -> None:
         process, now = self._process, self._process.now()
         seen = [server_in(s, now) for s in cue.server]
-        if seen or cue.servers_whole:
+        if cue.servers != self._seen[1] or cue.servers_whole:
             process.board.take(seen, cue.servers, cue.servers_whole)
         process.roll.take(cue.node, cue.node_gone, cue.nodes_whole, now, cue.nodes)
         for known in process.board.servers.values():
