--- /dev/null
+++ b/playhouse/extras/hollow.py
@@ -0,0 +1,214 @@
+"""Hollow ingresses and servers: they say what real ones say to the core, and carry no traffic.
+
+A hollow ingress asks for news, holds a lease, leases units of tenants and has further tries dealt. What it
+was told is held once a process where several were told the same.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+import zlib
+from dataclasses import dataclass, field
+from typing import Any
+
+from playhouse.company.roll import HOLD_MOST, hold, patience
+from playhouse.errors import Code, SystemFailure
+from playhouse.extras.gauge import Gauge
+from playhouse.rehearsal.standins import BEAT_WAIT, ask
+from playhouse.settings import Door, shown
+from playhouse.stage.house import ASK_WITHIN
+from playhouse.stage.news import News
+from playhouse.stage.units import LEASE_PATIENCE, LEASE_WAIT
+from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.links import Wings
+from playhouse.wings.reach import Reach
+
+DRAINS = 100  # tries to have it acknowledged that a server drains
+KEPT = 64  # generations whose times are kept
+CONTENTS = 4  # configurations whose tenants are known
+
+
+@dataclass(slots=True)
+class Shared:
+    """What the hollow ingresses of a process were told, once each."""
+
+    contents: dict[bytes, int] = field(default_factory=dict)  # by what was told: the tenants it names
+    told: int = 0  # contents that were told
+
+    def tenants(self, content: bytes) -> int:
+        """How many it names."""
+        self.told += 1
+        if content not in self.contents:
+            raw = json.loads(zlib.decompress(content)) if content else {}
+            while len(self.contents) > CONTENTS:
+                del self.contents[next(iter(self.contents))]
+            self.contents[bytes(content)] = len(raw.get("tenants", ()))
+        return self.contents[bytes(content)]
+
+
+class Ingress:
+    def __init__(self, name: str, at: Door, place: tuple[str, str], cores: list[str], shared: Shared,
+                 gauge: Gauge, rng: random.Random) -> None:  # fmt: skip
+        """`place`: its zone and region; `cores`: doors of core machines."""
+        self.name, self._at, self.place, self._cores = name, at, place, list(cores)
+        self._shared, self._gauge, self._rng = shared, gauge, rng
+        self.wings: Wings | None = None
+        self.news = News(0.0, self._cores)
+        self.served_at: dict[int, float] = {}  # by generation: when it was told, of the last few
+        self.term, self.term_at = 0, 0.0  # of the leader that its lease is from, and since when
+        self.lapsed, self.counted_at = 0.0, 0.0  # s without a lease after the first of a life, since then
+        self.tenants = 0
+        self._tasks: list[asyncio.Task[None]] = []
+        self.began = self.well_at = 0.0
+        self.failed = 0
+
+    @property
+    def lease_end(self) -> float:
+        return self.news.lease_end
+
+    async def start(self, lease_per_s: float) -> None:
+        """A new life."""
+        loop = asyncio.get_running_loop()
+        wings = self.wings = Wings(self._at, lambda envelope: None, self._refuse)
+        self._gauge.count_frames(wings)
+        self.began, self.well_at, self.term = time.monotonic(), 0.0, 0
+        news = self.news = News(self.began, self._cores)
+        await wings.listen()
+        self.reach = Reach(wings, lambda: news.cores, lambda: news.peers(wings.own))
+        wings.lost = self._lost
+        self._tasks = [loop.create_task(self._asks()), loop.create_task(self._units(lease_per_s))]
+
+    def stop(self) -> None:
+        """Without a word, as a kill does."""
+        for task in self._tasks:
+            task.cancel()
+        if self.wings:
+            self.wings.stop()
+            self.wings = None
+
+    def _lost(self, door: str) -> None:
+        if door == self.reach.hint:
+            self.news.lose_touch(time.monotonic())
+
+    async def _refuse(self, envelope: pb.Envelope) -> pb.Envelope:
+        raise SystemFailure(Code.REFUSED, "only passed on here")
+
+    def _node(self) -> pb.Node:
+        assert self.wings
+        zone, region = self.place
+        return pb.Node(
+            name=self.name, life=self.wings.life, door=shown(self._at),
+            http=shown((self._at[0], self._at[1] + 1)), zone=zone, region=region, kind="edge",
+            ready=bool(self.news.seen[1]),
+        )  # fmt: skip
+
+    async def _asks(self) -> None:
+        while True:
+            wait = hold(self.news.edges) if self.news.edges else HOLD_MOST
+            node, asked = self._node(), time.monotonic()
+            made = pb.Envelope(ask=self.news.ask(node, asked, wait))
+            try:
+                answer = await self.reach.call(made, ASK_WITHIN, patience(wait))
+            except SystemFailure:
+                self.news.unanswered()
+                self.failed += 1
+                await asyncio.sleep(self._rng.uniform(0.05, 0.15))
+                continue
+            if answer.WhichOneof("body") == "cue":
+                self._apply(answer.cue, node, asked, answer.term)
+
+    def _apply(self, cue: pb.Cue, node: pb.Node, asked: float, term: int) -> None:
+        now, before, gen = time.monotonic(), self.news.lease_end, self.news.seen[4]
+        if cue.has_content:
+            self.tenants, cue.content = self._shared.tenants(cue.content), b""
+        if self.news.take(cue, node, asked, now, 0) is None:
+            return
+        if cue.gen != gen:
+            self.served_at[cue.gen] = now
+            while len(self.served_at) > KEPT:
+                del self.served_at[next(iter(self.served_at))]
+        if self.well_at:
+            self.lapsed += max(0.0, now - max(before, self.counted_at))
+        if term != self.term:
+            self.term, self.term_at = term, now
+        if cue.script and not self.well_at:
+            self.well_at = now
+
+    async def _units(self, per_s: float) -> None:
+        """Leases of tenants' units, and now and then a further try that is dealt."""
+        while True:
+            await asyncio.sleep(self._rng.expovariate(per_s) if per_s > 0 else 3600.0)
+            if not (self.tenants and self.news.in_touch(time.monotonic())):
+                continue
+            if self._rng.random() < 0.05:
+                asked = pb.Envelope(deal=pb.Deal(whole=["further/s0"]))
+            else:
+                tenant = f"t{self._rng.randrange(self.tenants)}"
+                asked = pb.Envelope(lease=pb.Lease(tenant=tenant, amount=1.0, told=1.0))
+            try:
+                await self.reach.call(asked, LEASE_WAIT, LEASE_PATIENCE)
+            except SystemFailure:
+                self.failed += 1
+
+
+class Server:
+    """Beats as a real one does, drains, ends and comes back with a new id."""
+
+    def __init__(self, number: int, service: str, zone: str, control: list[str], beat: float,
+                 rng: random.Random, gauge: Gauge) -> None:  # fmt: skip
+        self._addr = f"127.200.{number // 250 % 250}.{number % 250 + 1}:{8000 + number // 62500}"
+        self._service, self._zone, self._control, self._beat, self._rng = service, zone, control, beat, rng
+        self._gauge = gauge
+        self.beats = self.lost = 0
+        self._state, self._near = "ready", ""
+
+    async def run(self, life: float) -> None:
+        """Lives of so many seconds each, on average."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(self._rng.uniform(0, self._beat))
+        while True:
+            self._id, self._seq, self._state = f"i-{self._rng.getrandbits(40):010x}", 0, "ready"
+            ends = loop.time() + self._rng.expovariate(1 / life)
+            while loop.time() < ends:
+                await self._say()
+                await asyncio.sleep(self._beat * self._rng.uniform(0.9, 1.1))
+            self._state = "draining"
+            for _ in range(DRAINS):
+                if await self._say():
+                    break
+                await asyncio.sleep(self._rng.uniform(0.1, 0.3))
+            await asyncio.sleep(3 * self._beat)
+            await self._call(f"Instances.Deregister/{self._id}", {})
+            await asyncio.sleep(self._rng.uniform(1, 3))
+
+    async def _say(self) -> bool:
+        self._seq += 1
+        body: dict[str, Any] = {
+            "addr": self._addr,
+            "details": {"backend": self._service, "gen": "v1", "zone": self._zone, "capacity": 6},
+            "status": {"state": self._state, "seq": self._seq, "warmupLeft": "0s"},
+        }
+        done = await self._call(f"Instances.Heartbeat/{self._id}", body)
+        self.beats += 1
+        self.lost += not done
+        return done
+
+    async def _call(self, call: str, body: dict[str, Any]) -> bool:
+        doors = self._rng.sample(self._control, min(3, len(self._control)))
+        for door in [self._near, *doors] if self._near else doors:
+            try:
+                async with asyncio.timeout(BEAT_WAIT):
+                    status, told = await ask(
+                        door, "POST", f"/-/{call}", json.dumps(body).encode(), count=self._gauge.count_call
+                    )
+            except (OSError, TimeoutError, ValueError):
+                self._near = ""
+                continue
+            if 200 <= status < 300:
+                url = json.loads(told).get("beatUrl", "") if told else ""
+                self._near = url.removeprefix("http://") or self._near
+                return True
+        return False
