--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -100,7 +100,7 @@
         self.rows = rows
         self.units = Units(
             self.reach, self.clock.now, self.in_touch, self._named, lambda n: self._tenants.get(n, ""),
-            rows.denied,
+            lambda name: t.rate if (t := self.bill.tenants.get(name)) else 0.0, rows.denied,
         )  # fmt: skip
         self.engine.lessor = self.engine.dealer = self.units
         self._set_place()
--- a/playhouse/stage/units.py
+++ b/playhouse/stage/units.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -18,7 +19,7 @@
 LEASE_WAIT, LEASE_PATIENCE = 0.5, 0.2  # s for the counter's answer over all tries, and for one
 DEAL_WAIT = 0.2  # s for units to be dealt
 DENIED = 200_000  # us for which no unit is asked for where nobody answered
-LEASE_PAUSE = 0.03  # s before it is asked again where it said no
+LEASE_PAUSE = 0.03  # s, at the least, before it is asked again where it said no, or had nothing for now
 
 Denied = Callable[[tuple[it.Unit, ...], int, int], None]  # which, now, and until when
 
@@ -29,11 +30,13 @@
 
     def __init__(
         self, reach: Reach, now: Callable[[], int], in_touch: Callable[[], bool],
-        name: Callable[[str, int], str], tenant: Callable[[int], str], denied: Denied,
+        name: Callable[[str, int], str], tenant: Callable[[int], str], rate: Callable[[str], float],
+        denied: Denied,
     ) -> None:  # fmt: skip
-        """`now`: us; `name`, `tenant`: of a unit's and a customer's number."""
+        """`now`: us; `name`, `tenant`: of a unit's and a customer's number; `rate`: units a second that a
+        tenant's store refills by, 0 if it has none."""
         self._reach, self._now, self._in_touch = reach, now, in_touch
-        self._name, self._tenant, self._denied = name, tenant, denied
+        self._name, self._tenant, self._rate, self._denied = name, tenant, rate, denied
         self.calls: set[asyncio.Task[None]] = set()  # under way
 
     def _keep(self, work: Coroutine[Any, Any, None]) -> None:
@@ -63,12 +66,23 @@
         self._keep(self._lease(self._tenant(customer), amount, told, answered))
 
     async def _lease(self, tenant: str, amount: float, told: float, answered: Answered) -> None:
+        """Asks once more where the store was empty, but will hold a unit or more within a pause: a leader
+        that has just begun to count begins with empty stores."""
         asked = pb.Lease(tenant=tenant, amount=amount, told=told)
         try:
-            answer = await self._reach.call(pb.Envelope(lease=asked), LEASE_WAIT, LEASE_PATIENCE)
+            left = await self._left(asked)
+            if left <= -amount < 0 and self._rate(tenant) * LEASE_PAUSE >= 1:
+                await asyncio.sleep(LEASE_PAUSE * random.uniform(1.0, 1.3))
+                asked.told = 0.0  # heard
+                left = await self._left(asked)
         except SystemFailure as failure:
             if failure.code not in (Code.SILENT, Code.UNREACHABLE):
                 await asyncio.sleep(LEASE_PAUSE)
             answered(Outcome.RESET, 0.0)  # asked anew while there is time, or spent without the counter
             return
-        answered(Outcome.OK, 0.0, answer.leased.left)
+        answered(Outcome.OK, 0.0, left)
+
+    async def _left(self, asked: pb.Lease) -> float:
+        """In the store; under 0 by what was not granted. Raises SystemFailure."""
+        answer = await self._reach.call(pb.Envelope(lease=asked), LEASE_WAIT, LEASE_PATIENCE)
+        return answer.leased.left
--- a/tests/test_playhouse_house.py
+++ b/tests/test_playhouse_house.py
@@ -7,6 +7,7 @@
 import zlib
 from typing import Any
 
+from ironledge.interface import Outcome
 from playhouse.boxoffice.purse import FURTHER, STARTS
 from playhouse.errors import Code, SystemFailure
 from playhouse.settings import checked
@@ -45,11 +46,45 @@
         house.backends.stop()
 
 
-async def test_units_are_asked_for_by_name_and_a_no_holds_for_a_while() -> None:
+def house_in_touch(**fields: Any) -> House:
     house = House(checked(SETTINGS))
-    script = zlib.compress(json.dumps(content()).encode())
+    script = zlib.compress(json.dumps(content(**fields)).encode())
     told = cue("1", {"i": "s1"}, has_content=True, content=script, counting=True, settled=True)
     house._apply(told, house._node(), house._loop.time())
+    return house
+
+
+async def test_a_store_that_refills_in_a_moment_is_asked_again_before_anybody_is_refused() -> None:
+    """A new leader's stores are empty: who asked first was refused, far below its quota."""
+    tenants = [
+        {"name": name, "apiKeys": [name], "ratePerS": rate, "burst": rate}
+        for name, rate in (("fast", 1000), ("slow", 5))
+    ]
+    house = house_in_touch(tenants=tenants)
+    asked, told = list[tuple[str, float, float]](), list[tuple[Outcome, float | None]]()
+    lefts = [-2.0, 0.5, -2.0, -2.0, -1.0, -2.0, None]  # of two units: none, both, none twice, one, none
+
+    async def call(envelope: pb.Envelope, within: float, patience: float) -> pb.Envelope:
+        lease = envelope.lease
+        asked.append((lease.tenant, lease.amount, lease.told))
+        if (left := lefts.pop(0)) is None:
+            raise SystemFailure(Code.SILENT)
+        return pb.Envelope(leased=pb.Leased(left=left))
+
+    house.reach.call = call  # type: ignore[method-assign]
+    for tenant in ("fast", "fast", "fast", "slow", "fast"):
+        customer = house.customer(tenant)
+        house.units.lease(customer, 2.0, 1.5, lambda outcome, _, left=None: told.append((outcome, left)))
+        await asyncio.gather(*house.units.calls)
+    again = [("fast", 2.0, 1.5), ("fast", 2.0, 0.0)]
+    assert asked == [*again, *again, ("fast", 2.0, 1.5), ("slow", 2.0, 1.5), ("fast", 2.0, 1.5)]
+    ok = [(Outcome.OK, left) for left in (0.5, -2.0, -1.0, -2.0)]
+    assert told == [*ok, (Outcome.RESET, None)]
+    house.backends.stop()
+
+
+async def test_units_are_asked_for_by_name_and_a_no_holds_for_a_while() -> None:
+    house = house_in_touch()
     asked, dealt = list[pb.Deal](), list[int]()
     answers: list[pb.Dealt | None] = [
         pb.Dealt(all=True, life_ms=300), pb.Dealt(wait_ms=700), None, pb.Dealt(all=True, life_ms=300),
