--- a/playhouse/extras/worker.py
+++ b/playhouse/extras/worker.py
@@ -104,7 +104,7 @@
 
 async def real() -> None:
     """A process of the system, with a line of what it costs for each line that comes in."""
-    from playhouse import __main__ as system
+    from playhouse import process as system
     from playhouse.settings import read
     from playhouse.wings.links import Wings
 
--- /dev/null
+++ b/tests/test_playhouse_start.py
@@ -0,0 +1,67 @@
+"""Signals that come while a process is still being loaded, or reads its settings."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from subprocess import PIPE, STDOUT, Popen
+from threading import Timer
+
+import pytest
+
+from playhouse.rehearsal.world import ROOT, World
+
+
+@pytest.fixture
+def world(tmp_path: Path) -> World:
+    return World(tmp_path, cores=1, edges=0, servers=0)
+
+
+@pytest.mark.parametrize("text", ["{", "[]"])
+def test_a_hangup_while_settings_are_read_ends_no_process(tmp_path: Path, text: str) -> None:
+    """The file is a pipe: to open it waits until the process reads it."""
+    with started(tmp_path / "pipe") as process:
+        with open(tmp_path / "pipe", "w") as settings:
+            process.send_signal(signal.SIGHUP)
+            settings.write(text)
+        said, _ = process.communicate(timeout=20)
+    assert process.returncode == 1 and b" 101 settings_wrong" in said, (process.returncode, said)
+
+
+def test_settings_that_changed_while_they_were_read_are_read_again(tmp_path: Path, world: World) -> None:
+    (machine,) = world.machines.values()
+    with started(tmp_path / "pipe") as process:
+        with open(tmp_path / "pipe", "w") as settings:
+            process.send_signal(signal.SIGHUP)
+            settings.write(json.dumps(world.settings(machine)))  # comes with the end
+            os.unlink(tmp_path / "pipe")  # the process has it open
+            world.seeds = ["127.9.9.9:9"]
+            (tmp_path / "pipe").write_text(json.dumps(world.settings(machine)))
+        assert process.stdout is not None
+        lines = []
+        for line in process.stdout:
+            lines.append(line)
+            if b" 100 started" in line:
+                process.terminate()
+        process.wait(20)
+    assert any(b" 102 settings_read: seeds 127.9.9.9:9" in line for line in lines), lines
+
+
+@contextmanager
+def started(path: Path) -> Iterator[Popen[bytes]]:
+    """A process whose settings are a pipe that opens for both at once, within 20 s."""
+    os.mkfifo(path)
+    late = Timer(20, lambda: os.close(os.open(path, os.O_RDONLY | os.O_NONBLOCK)))
+    env = {"PATH": os.environ.get("PATH", ""), "CAIRNDALE_CONFIG": str(path)}
+    with Popen([sys.executable, "-m", "playhouse"], cwd=ROOT, env=env, stdout=PIPE, stderr=STDOUT) as process:
+        late.start()
+        try:
+            yield process
+        finally:
+            late.cancel()
+            process.kill()
