--- a/playhouse/promptbook/compaction.py
+++ b/playhouse/promptbook/compaction.py
@@ -60,14 +60,8 @@
             step.sends.append((door, message))
 
     def _snapshot_replied(self, now: float, step: Step, message: SnapshotReply) -> None:
-        if message.term > self.term:
-            self._become_follower(now, step, message.term, None)
-            return
-        peer = self.peers.get(message.sender.disk)
-        if self.role is not Role.LEADER or message.term != self.term or peer is None:
-            return
-        peer.acked = max(peer.acked, message.sent / 1e6)
-        if peer.transfer:
+        peer = self._replier(now, step, message)
+        if peer and peer.transfer:
             peer.transfer.replied(now, message.index, message.wanted)
             self._send_snapshot(now, step, peer, beat=False)
 
--- a/playhouse/promptbook/machine.py
+++ b/playhouse/promptbook/machine.py
@@ -157,13 +157,8 @@
         step.sends.append((peer.member.door, message))
 
     def _append_replied(self, now: float, step: Step, message: AppendReply) -> None:
-        if message.term > self.term:
-            self._become_follower(now, step, message.term, None)
+        if (peer := self._replier(now, step, message)) is None:
             return
-        peer = self.peers.get(message.sender.disk)
-        if self.role is not Role.LEADER or message.term != self.term or peer is None:
-            return
-        peer.acked = max(peer.acked, message.sent / 1e6)
         if message.ok and max(peer.match, message.match) >= self.commit_index:
             peer.level_at = now
         if not message.ok:
--- a/playhouse/promptbook/replica.py
+++ b/playhouse/promptbook/replica.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from playhouse.promptbook.messages import Entry, Kept, Member, Step
+from playhouse.promptbook.messages import AppendReply, Entry, Kept, Member, SnapshotReply, Step
 from playhouse.promptbook.snapshot import Incoming, Tail, Transfer
 from playhouse.promptbook.voters import Tolerance
 
@@ -192,6 +192,17 @@
         turn = others.index(self.me) if self.me in others else len(others)
         self._due = now + 1.05 * self.times.quiet + self.times.turn * (turn + 0.4 * self.rng.random())
 
+    def _replier(self, now: float, step: Step, message: AppendReply | SnapshotReply) -> Progress | None:
+        """Who has answered this leader, in the term that it holds; None where it is nobody that counts."""
+        if message.term > self.term:
+            self._become_follower(now, step, message.term, None)
+            return None
+        peer = self.peers.get(message.sender.disk)
+        if self.role is not Role.LEADER or message.term != self.term or peer is None:
+            return None
+        peer.acked = max(peer.acked, message.sent / 1e6)
+        return peer
+
     # Done by the parts that elect, replicate, and change the configuration.
 
     def _campaign(self, now: float, step: Step, pre_vote: bool, transfer: bool = False) -> None:
