--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -7,6 +7,9 @@
 import contextlib
 import os
 import random
+import time
+from collections import deque
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,14 +19,16 @@
 from playhouse.errors import Code, SystemFailure
 from playhouse.events import Event, note
 from playhouse.promptbook import codec
+from playhouse.promptbook.applying import Applied, Applier, encoded
 from playhouse.promptbook.machine import Machine, founded, founder
 from playhouse.promptbook.messages import (
     Member,
     Step,
 )
+from playhouse.promptbook.parts import WINDOW, Kind, part
 from playhouse.promptbook.replica import Role
 from playhouse.promptbook.store import Store, StoreError
-from playhouse.promptbook.upkeep import Upkeep, uncollected
+from playhouse.promptbook.upkeep import Upkeep
 from playhouse.reception import Reception
 from playhouse.script.state import Command, State, Verb
 from playhouse.script.stored import FormatError
@@ -43,11 +48,12 @@
 DECIDE = 3.0  # s for a majority to have a change on disk
 ENTRIES = 128  # after each so many in the log a snapshot takes their place ...
 BYTES = 4 * 1024 * 1024  # ... or so many bytes of them
-LARGE = 64 * 1024  # bytes of a command that makes many objects
+APPLY = 0.005  # s for which entries come into force before others get their turn
 
 
 @dataclass(slots=True)
 class Pending:
+    index: int
     term: int
     future: asyncio.Future[bool]
 
@@ -74,6 +80,10 @@
         self.upkeep = Upkeep(self._store, self.machine, self._do, self.now)
         self.board, self.roll = Board(), Roll()
         self.duty: Duty | None = None
+        self._applier = Applier(self.state, kept.snapshot.index, kept.snapshot.term)
+        self._applies = False  # it does, or is about to go on with it
+        self._snapshot_due = False  # since an entry within a command's parts
+        self._one_in_parts = asyncio.Lock()
         self._pending: dict[int, Pending] = {}
         self._news = asyncio.Event()
         self.reach = Reach(self.wings, self._cores, self._peers)
@@ -178,28 +188,14 @@
             self.wings.tell(door, pb.Envelope(log_message=codec.message_out(message)))
         if step.dropped:
             note(Event.SNAPSHOT_DROPPED, "%s", step.dropped)
+        if step.spoilt:
+            note(Event.ENTRY_DROPPED, "%s", step.spoilt)
         if step.restored:
             self.state = self.upkeep.read
-        for entry in step.delivered:
-            applied = False
-            if entry.data:
-                with uncollected() if len(entry.data) > LARGE else contextlib.nullcontext():
-                    applied = self.state.apply(Command.read(entry.data))
-            if entry.index % ENTRIES == 0:  # alike at all members: who leads next goes on with the same
-                self.upkeep.make(self.state.raw(), entry.index)
-            pending = self._pending.pop(entry.index, None)
-            if pending and not pending.future.done():
-                if pending.term == entry.term:
-                    pending.future.set_result(applied)
-                else:  # another's stands in its place; the same call may have come there by another way
-                    pending.future.set_exception(SystemFailure(Code.SILENT, "another leader came first"))
-            if applied:
-                if self.duty:
-                    self.duty.follow(self.state)
-                self.publish()
-        self._look_at_name()
-        if step.delivered and self._is_long():
-            self.upkeep.make(self.state.raw(), step.delivered[-1].index)
+            self._applier.restore(self.state, step.restored.index, step.restored.term)
+            self._snapshot_due = False
+        self._applier.take(step.delivered)
+        self._apply()
         if step.received:
             self.upkeep.install(step.received)
         if self.machine.members is not self._known_members:
@@ -213,6 +209,48 @@
             if over and not pending.future.done():
                 pending.future.set_exception(SystemFailure(Code.SILENT, "the term is over"))
 
+    def _apply(self) -> None:
+        """What was delivered comes into force, in order; with the loop left to others now and then."""
+        if self._applies or not self._applier.is_behind:
+            return
+        self._applies, until = True, time.perf_counter() + APPLY
+        more = True
+        while more:
+            if applied := self._applier.step():
+                self._in_force(applied)
+            more = self._applier.is_behind and time.perf_counter() < until
+        self._look_at_name()
+        if self._applier.is_whole and self._is_long():
+            self.upkeep.make(self.state.raw(), self._applier.index)
+        if self._applier.is_behind:
+            self._leave_the_loop(self._apply_more)
+        else:
+            self._applies = False
+
+    def _leave_the_loop(self, more: Callable[[], None]) -> None:
+        self._loop.call_soon(more)
+
+    def _apply_more(self) -> None:
+        self._applies = False
+        self._do(Step())
+
+    def _in_force(self, applied: Applied) -> None:
+        entry = applied.entry
+        self._snapshot_due |= entry.index % ENTRIES == 0  # alike at all members: who leads next has the same
+        if self._snapshot_due and self._applier.is_whole:
+            self._snapshot_due = False
+            self.upkeep.make(self.state.raw(), entry.index)
+        pending = self._pending.pop(entry.index, None)
+        if pending and not pending.future.done():
+            if pending.term == entry.term:
+                pending.future.set_result(applied.changed)
+            else:  # another's stands in its place; the same call may have come there by another way
+                pending.future.set_exception(SystemFailure(Code.SILENT, "another leader came first"))
+        if applied.changed:
+            if self.duty:
+                self.duty.follow(self.state)
+            self.publish()
+
     def _look_at_name(self) -> None:
         """What the log says is the system's name, from the first entry on that says one."""
         if (name := self.state.system) and name != self.wings.system:
@@ -231,7 +269,12 @@
         self._do(step)
 
     def leads(self) -> bool:
-        return self.machine.leads(self.now())
+        """And all that was decided before its term is in force here."""
+        return self._applier.term == self.machine.term and self.machine.leads(self.now())
+
+    def applied(self) -> int:
+        """Up to which entry the log is in force here."""
+        return self._applier.index
 
     def _is_long(self) -> bool:
         log = self.machine.log
@@ -239,7 +282,7 @@
         return self.machine.wants_snapshot() or many or sum(len(e.data) for e in log) >= BYTES
 
     def _look_at_duty(self) -> None:
-        now, leads = self.now(), self.machine.leads(self.now())
+        now, leads = self.now(), self.leads()
         if self.machine.leader:
             self.wings.fence.admits(self.machine.term)
         if leads and (self.duty is None or self.duty.term != self.machine.term):
@@ -277,7 +320,7 @@
     def held(self, term: int = 0) -> Duty:
         """The duty, if it is held now, whatever was held when this call began, and if nobody has heard of a
         later term."""
-        if self.duty is None or not self.machine.leads(self.now()) or self.duty.term < term:
+        if self.duty is None or not self.leads() or self.duty.term < term:
             raise SystemFailure(Code.NOT_LEADER)
         return self.duty
 
@@ -323,21 +366,59 @@
     async def decide(self, command: Command) -> bool:
         """True once a majority has it on disk and it is in force; False if it is void. Raises SystemFailure
         where that is not known."""
-        index, step = self.machine.propose(self.now(), command.out())
+        made = encoded(command)
+        if isinstance(made, bytes):
+            return await self._outcome(self._propose(made, self.machine.term))
+        task = self._loop.create_task(self._decide_in_parts(made))  # goes on though nobody waits any longer
+        self._tasks.append(task)
+        task.add_done_callback(self._tasks.remove)
+        return await asyncio.shield(task)
+
+    async def _decide_in_parts(self, made: Iterator[bytes]) -> bool:
+        async with self._one_in_parts:
+            term, ahead, applied = self.machine.term, deque[Pending](), False
+            try:
+                for data in made:
+                    await asyncio.sleep(0)
+                    if data:
+                        while len(ahead) >= WINDOW:
+                            await self._outcome(ahead.popleft())
+                        ahead.append(self._propose(data, term))
+                for pending in ahead:
+                    applied = await self._outcome(pending)
+            except SystemFailure:
+                for pending in ahead:
+                    self._pending.pop(pending.index, None)
+                    pending.future.cancel()
+                if self.machine.term == term:  # else there is a new one's first entry, which says the same
+                    self._do(self.machine.propose(self.now(), part(Kind.VOID, 0, b""))[1])
+                raise
+            return applied
+
+    def _propose(self, data: bytes, term: int) -> Pending:
+        """Raises SystemFailure where this one does not hold that term, or no longer."""
+        step, index = Step(), 0
+        if self.machine.term == term:
+            index, step = self.machine.propose(self.now(), data)
         if not index:
             raise SystemFailure(Code.NOT_LEADER)
-        pending = self._pending[index] = Pending(self.machine.term, self._loop.create_future())
+        pending = self._pending[index] = Pending(index, term, self._loop.create_future())
         self._do(step)
+        return pending
+
+    async def _outcome(self, pending: Pending) -> bool:
         try:
             async with asyncio.timeout(DECIDE):
                 return await pending.future
         except TimeoutError:
             raise SystemFailure(Code.SILENT, "no majority has it yet") from None
         finally:
-            if self._pending.get(index) is pending:
-                del self._pending[index]
+            if self._pending.get(pending.index) is pending:
+                del self._pending[pending.index]
 
     async def confirm(self, called: float, term: int, decided: bool = False, at_once: bool = True) -> None:
         """Until a majority has answered what was sent after `called`, in the term in which the state was
-        looked at; `decided`: and all that the log holds now is. Raises SystemFailure."""
-        await self._read_index.confirm(called, term, self.machine.last if decided else 0, at_once)
+        looked at, and what was decided by then is in force here; `decided`: and all that the log holds now
+        is. Raises SystemFailure."""
+        index = self.machine.last if decided else self.machine.commit_index
+        await self._read_index.confirm(called, term, index, at_once)
--- /dev/null
+++ b/playhouse/promptbook/applying.py
@@ -0,0 +1,128 @@
+"""Delivered entries come into force, in order and in steps of which none holds the loop. Pure.
+
+A large command stands in the log in parts (`parts.py`) and is read as they are delivered; the last one
+decides. What becomes of it rests on the log alone: it is void, alike at all members, if its parts are not one
+after the other in one term, if it was given up, or if it is not as it was made.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections import deque
+from collections.abc import Generator, Iterable, Iterator
+from dataclasses import dataclass, field
+from itertools import chain, islice
+from typing import Any
+
+from playhouse.promptbook import parts
+from playhouse.promptbook.messages import Entry, state_digest
+from playhouse.promptbook.upkeep import uncollected
+from playhouse.script import stored
+from playhouse.script.state import Command, State
+
+LARGE = 64 * 1024  # bytes of a command in one entry, as earlier programs wrote it, that makes many objects
+
+
+def encoded(command: Command) -> bytes | Iterator[bytes]:
+    """As one entry's data, or that of several (`parts.cut`): a step of work each, empty ones only that."""
+    pieces = stored.parts(command.raw())
+    begun = list(islice(pieces, 3))  # the format, and a second part if there is one
+    if len(begun) < 3 and len(data := command.out()) <= parts.PART:
+        return data
+    return parts.cut(chain(begun, pieces))
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    entry: Entry
+    changed: bool  # the state is another one for it
+
+
+@dataclass(slots=True)
+class _Begun:
+    """A command of which not all parts have come."""
+
+    term: int
+    count: int = 0
+    raw: dict[str, Any] = field(default_factory=dict)
+    digest: Any = field(default_factory=state_digest)
+    reading: stored.Reading = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.reading = stored.Reading(self.raw)
+
+
+class Applier:
+    def __init__(self, state: State, index: int = 0, term: int = 0) -> None:
+        """The state as it is after the entry at this index, of this term."""
+        self._queue: deque[Entry] = deque()
+        self.restore(state, index, term)
+
+    def restore(self, state: State, index: int, term: int) -> None:
+        """A snapshot takes the place of all that was delivered up to it."""
+        self.state, self.index, self.term = state, index, term
+        self._queue.clear()
+        self._work: Generator[None, None, bool] | None = None
+        self._begun: _Begun | None = None
+
+    @property
+    def is_behind(self) -> bool:
+        """Something was delivered that is not in force yet."""
+        return bool(self._queue)
+
+    @property
+    def is_whole(self) -> bool:
+        """No command has come in part: the state is all that the log says up to here."""
+        return self._begun is None and self._work is None
+
+    def take(self, entries: Iterable[Entry]) -> None:
+        self._queue.extend(entries)
+
+    def step(self) -> Applied | None:
+        """A step of work, where there is one; what has come into force with it, if it is an entry's last."""
+        if not self._queue:
+            return None
+        entry = self._queue[0]
+        if self._work is None:
+            self._work = self._applying(entry)
+        large = self._begun or len(entry.data) > LARGE or parts.is_part(entry.data)
+        try:
+            with uncollected() if large else contextlib.nullcontext():
+                next(self._work)
+        except StopIteration as ended:
+            self._queue.popleft()
+            self._work, self.index, self.term = None, entry.index, entry.term
+            return Applied(entry, ended.value)
+        return None
+
+    def _applying(self, entry: Entry) -> Generator[None, None, bool]:
+        if entry.opens:  # who made the parts before it leads no longer
+            self._begun = None
+        if not entry.data:
+            return False
+        if parts.is_part(entry.data):
+            command = yield from self._gathered(entry.term, parts.read(entry.data))
+        else:
+            command = Command.read(entry.data)
+        return (yield from self.state.applying(command)) if command else False
+
+    def _gathered(self, term: int, part: parts.Part) -> Generator[None, None, Command | None]:
+        """The command whose last part this is."""
+        if part.number == 0 and part.kind is not parts.Kind.VOID:
+            self._begun = _Begun(term)
+        begun, self._begun = self._begun, None
+        if begun is None or part.kind is parts.Kind.VOID or (begun.term, begun.count) != (term, part.number):
+            return None
+        last = part.kind is parts.Kind.LAST
+        data = part.data[parts.DIGEST :] if last else part.data
+        begun.count += 1
+        begun.digest.update(data)
+        try:
+            yield from begun.reading.feed(data)
+            if last and begun.digest.digest() == part.data[: parts.DIGEST]:
+                begun.reading.end()
+                return Command.of(begun.raw)
+        except (ValueError, KeyError, TypeError):
+            return None
+        self._begun = None if last else begun
+        return None
--- a/playhouse/promptbook/machine.py
+++ b/playhouse/promptbook/machine.py
@@ -14,7 +14,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from itertools import takewhile
 
+from playhouse.promptbook import parts
 from playhouse.promptbook.compaction import Compaction
 from playhouse.promptbook.election import Election
 from playhouse.promptbook.membership import Membership
@@ -39,7 +41,7 @@
 )
 from playhouse.promptbook.replica import Progress, Role
 
-BATCH = 32 * 1024  # bytes of entries in one append, but for one that is larger by itself: beats wait for it
+BATCH = 2 * parts.PART  # bytes of entries in one append, as beats wait for it; more in one entry of old only
 
 
 class Machine(Election, Membership, Compaction):
@@ -217,6 +219,9 @@
         if not self._heard(now, step, message):
             return
         entries, before, before_term = list(message.entries), message.prev_index, message.prev_term
+        sound = list(takewhile(lambda entry: parts.is_sound(entry.data), entries))
+        if len(sound) < len(entries):
+            step.spoilt, entries = f"entry {entries[len(sound)].index}: not as it was made", sound
         while entries and before < self.base.index:  # covered by the snapshot: delivered, so the same
             before, before_term = entries[0].index, entries[0].term
             entries.pop(0)
--- a/playhouse/promptbook/messages.py
+++ b/playhouse/promptbook/messages.py
@@ -204,4 +204,5 @@
     received: Snapshot | None = None  # whole: once its state has been read, it is to be installed
     restored: Snapshot | None = None  # the state is to become this, before what is delivered
     dropped: str = ""  # what came and was not taken, and why
+    spoilt: str = ""  # entries that came not as they were made, and are asked for again
     delivered: list[Entry] = field(default_factory=list)
--- a/playhouse/promptbook/store.py
+++ b/playhouse/promptbook/store.py
@@ -14,7 +14,7 @@
 import lmdb
 from google.protobuf.message import DecodeError
 
-from playhouse.promptbook import codec
+from playhouse.promptbook import codec, parts
 from playhouse.promptbook.messages import (
     HardState,
     KeepEntries,
@@ -136,6 +136,8 @@
                     due = kept.snapshot.index + len(kept.entries) + 1
                     if entry.index != due or struct.unpack(">Q", key)[0] != due:
                         raise StoreError(f"entry {entry.index} stands where another is due")
+                    if not parts.is_sound(entry.data):
+                        raise StoreError(f"entry {entry.index} is not as it was written")
                     kept.entries.append(entry)
         return kept
 
--- a/playhouse/script/state.py
+++ b/playhouse/script/state.py
@@ -8,6 +8,7 @@
 
 import json
 import zlib
+from collections.abc import Generator, Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -17,6 +18,7 @@
 
 KNOWN = 20_000  # accepted calls that are remembered, so that one sent again is known: a day's changes
 CALLS = 4_096  # calls for zones that are
+MANY = 4_096  # items that one step goes through
 REFUSED = -1  # in place of a gen: the call was refused, for good
 
 
@@ -40,16 +42,21 @@
     gone: tuple[str, ...] = ()  # ... and that hold none any longer
     call: str = ""  # the id of a call for a zone, given where it came in
 
-    def out(self) -> bytes:
-        raw = {
+    def raw(self) -> dict[str, Any]:
+        return {
             "verb": self.verb.value, "digest": self.digest, "order": self.order, "zone": self.zone,
-            "names": self.names, "gone": self.gone, "call": self.call,
+            "names": list(self.names), "gone": list(self.gone), "call": self.call,
         }  # fmt: skip
-        return zlib.compress(json.dumps(raw, separators=(",", ":")).encode(), 6)
+
+    def out(self) -> bytes:
+        return zlib.compress(json.dumps(self.raw(), separators=(",", ":")).encode(), 6)
 
     @classmethod
     def read(cls, data: bytes) -> Command:
-        raw = json.loads(zlib.decompress(data))
+        return cls.of(json.loads(zlib.decompress(data)))
+
+    @classmethod
+    def of(cls, raw: dict[str, Any]) -> Command:
         return cls(
             Verb(raw["verb"]),
             raw["digest"],
@@ -61,20 +68,31 @@
         )
 
 
-def updated(content: dict[str, Any], order: dict[str, Any]) -> dict[str, Any]:
-    """The configuration with items replaced by name, added behind, and removed."""
+def updating(content: dict[str, Any], order: dict[str, Any]) -> Generator[None, None, dict[str, Any]]:
+    """The configuration with items replaced by name, added behind, and removed; in steps."""
     made = {**content, "gen": order["gen"]}
     for table in TABLES:
-        put = {item["name"]: item for item in order.get("upsert", {}).get(table, ())}
+        put: dict[str, Any] = {}
+        for some in _some(order.get("upsert", {}).get(table, ())):
+            put |= {item["name"]: item for item in some}
+            yield
         out = set(order.get("remove", {}).get(table, ()))
         if not put and not out:
             continue
-        before = content.get(table, [])
-        kept = [put.pop(item["name"], item) for item in before if item["name"] not in out - put.keys()]
+        out -= put.keys()
+        kept: list[Any] = []
+        for some in _some(content.get(table, [])):
+            kept += [put.pop(item["name"], item) for item in some if item["name"] not in out]
+            yield
         made[table] = kept + list(put.values())
     return made
 
 
+def _some(items: Sequence[Any]) -> Iterator[Sequence[Any]]:
+    for at in range(0, len(items), MANY):
+        yield items[at : at + MANY]
+
+
 @dataclass(slots=True)
 class State:
     gen: int = 0
@@ -94,10 +112,10 @@
         if self.forgotten < 0:  # stored when 256 were known, and not what was forgotten
             self.forgotten = min(self.known.values()) - 1 if len(self.known) >= 256 else 0
 
-    def result(self, command: Command) -> dict[str, Any]:
-        """The configuration that a Replace or Update would bring about."""
+    def result(self, command: Command) -> Generator[None, None, dict[str, Any]]:
+        """The configuration that a Replace or Update would bring about; in steps."""
         if command.verb is Verb.UPDATE:
-            return updated(self.content, command.order)
+            return (yield from updating(self.content, command.order))
         return {name: value for name, value in command.order.items() if name != "parent"}
 
     def told(self) -> bytes:
@@ -108,14 +126,18 @@
         return self._told[1]
 
     def apply(self, command: Command) -> bool:
-        """False if it is void: another change came first, or it is no news to the data plane."""
+        return stored.at_once(self.applying(command))
+
+    def applying(self, command: Command) -> Generator[None, None, bool]:
+        """In steps: until the last one all is as it was. False if it is void: another change came first, or
+        it is no news to the data plane."""
         match command.verb:
             case Verb.REPLACE | Verb.UPDATE:
                 if command.order["parent"] != self.gen or command.order["gen"] <= self.gen:
                     return False
                 if command.digest in self.known:  # it was refused: that holds
                     return False
-                self.content = self.result(command)
+                self.content = yield from self.result(command)
                 self.gen = command.order["gen"]
                 self._remember(command.digest, self.gen)
             case Verb.REFUSE:
--- a/playhouse/script/stored.py
+++ b/playhouse/script/stored.py
@@ -11,8 +11,8 @@
 import json
 import struct
 import zlib
-from collections.abc import Iterator
-from typing import Any
+from collections.abc import Generator, Iterator
+from typing import Any, TypeVar
 
 FORMAT = b"\x02"
 FORMAT_1 = b"\x78"  # how zlib begins
@@ -21,6 +21,8 @@
 DEPTH = 2  # objects within objects that are taken apart
 MOST = 64 * 1024 * 1024  # bytes of text in one part: more is not ours
 
+T = TypeVar("T")
+
 _text = json.JSONEncoder(separators=(",", ":")).encode
 
 
@@ -72,31 +74,57 @@
         yield _text([path, value])
 
 
+class Reading:
+    """Fills `raw` from the stored form as it comes, cut anywhere."""
+
+    def __init__(self, raw: dict[str, Any]) -> None:
+        self._raw, self._held, self._begun = raw, bytearray(), False
+
+    def feed(self, data: bytes) -> Iterator[None]:
+        """All that is whole by now, with a pause after each part. Raises FormatError."""
+        self._held += data
+        at = 0
+        if self._held and not self._begun:
+            if self._held[:1] != FORMAT:
+                raise FormatError(f"format {bytes(self._held[:1])!r}, where {FORMAT!r} is known")
+            self._begun, at = True, 1
+        try:
+            while len(self._held) - at >= 4:
+                (size,) = struct.unpack_from(">I", self._held, at)
+                if at + 4 + size > len(self._held):
+                    break
+                self._read(bytes(self._held[at + 4 : at + 4 + size]))
+                at += 4 + size
+                yield
+        except (ValueError, TypeError, KeyError, AttributeError, zlib.error) as error:
+            raise error if isinstance(error, FormatError) else FormatError(repr(error)) from error
+        del self._held[:at]
+
+    def _read(self, part: bytes) -> None:
+        packed = zlib.decompressobj()
+        text = packed.decompress(part, MOST)
+        if not packed.eof:
+            raise FormatError("a part is not whole, or larger than any of ours")
+        for path, value in json.loads(text):
+            _put(self._raw, path, value)
+
+    def end(self) -> None:
+        """Raises FormatError where there was more to come."""
+        if self._held:
+            raise FormatError("a part is cut off")
+
+
 def read_parts(data: bytes, raw: dict[str, Any]) -> Iterator[None]:
     """Fills `raw`, one part after the other; nothing is an empty state. Raises FormatError."""
-    if not data:
-        return
-    try:
-        if data[:1] == FORMAT_1:
+    if data[:1] == FORMAT_1:
+        try:
             raw |= json.loads(zlib.decompress(data))
-            return
-        if data[:1] != FORMAT:
-            raise FormatError(f"format {data[:1]!r}, where {FORMAT!r} is known")
-        at = 1
-        while at < len(data):
-            (size,) = struct.unpack_from(">I", data, at)
-            if at + 4 + size > len(data):
-                raise FormatError("a part is cut off")
-            packed = zlib.decompressobj()
-            text = packed.decompress(data[at + 4 : at + 4 + size], MOST)
-            if not packed.eof:
-                raise FormatError("a part is not whole, or larger than any of ours")
-            for path, value in json.loads(text):
-                _put(raw, path, value)
-            at += 4 + size
-            yield
-    except (ValueError, TypeError, KeyError, AttributeError, zlib.error, struct.error) as error:
-        raise error if isinstance(error, FormatError) else FormatError(repr(error)) from error
+        except (ValueError, TypeError, zlib.error) as error:
+            raise FormatError(repr(error)) from error
+        return
+    reading = Reading(raw)
+    yield from reading.feed(data)
+    reading.end()
 
 
 def _put(raw: dict[str, Any], path: list[str], value: Any) -> None:
@@ -115,6 +143,16 @@
         at[path[-1]] = value
 
 
+def at_once(work: Generator[None, None, T]) -> T:
+    """What work in steps comes to, without the pauses."""
+    while True:
+        try:
+            next(work)
+        except StopIteration as ended:
+            made: T = ended.value
+            return made
+
+
 def whole(raw: dict[str, Any]) -> bytes:
     return b"".join(parts(raw))
 
--- a/playhouse/understudy/contact.py
+++ b/playhouse/understudy/contact.py
@@ -3,8 +3,9 @@
 Why that is enough. A majority answered, in this term, what was sent after the call had come. Whoever holds a
 later term needs the vote of one of them, which was given after its answer, so after the call: when the call
 came, nobody held a later term, and all that had been decided by then was decided by this leader or before its
-first entry. Its state at any later moment holds all of that. Nothing is asked of clocks but that this
-process's own does not go back, and a freeze at any line only makes the call longer.
+first entry. Its state holds all of that once it is applied as far as was decided when the call came. Nothing
+is asked of clocks but that this process's own does not go back, and a freeze at any line only makes the call
+longer.
 
 A loop looks at its clock once a round. What was sent in the round of a call bears the call's time, and may
 have been sent before it, with a freeze between the two: so only what bears a later time counts.
@@ -28,7 +29,6 @@
     """What is asked of the machine."""
 
     term: int
-    commit_index: int
 
     def leads(self, now: float) -> bool: ...
     def contact(self, now: float) -> float: ...
@@ -40,6 +40,9 @@
 
     @property
     def machine(self) -> Log: ...
+    def applied(self) -> int:
+        """Up to which entry the log is in force here."""
+
     def now(self) -> float: ...
     def carry_out(self, step: Step) -> None: ...
 
@@ -62,11 +65,11 @@
         log, now = self._process.machine, self._process.now()
         if log.term != term:
             raise SystemFailure(Code.NOT_LEADER)
-        return log.leads(now) and log.contact(now) > called and log.commit_index >= index
+        return log.leads(now) and log.contact(now) > called and self._process.applied() >= index
 
     async def confirm(self, called: float, term: int, index: int = 0, at_once: bool = True) -> None:
         """Until a majority has answered what was sent later than `called`, in the term in which the state was
-        looked at, and the log is decided up to `index`. `at_once`: a beat is sent for it, else the next one
+        looked at, and the log is in force up to `index`. `at_once`: a beat is sent for it, else the next one
         is waited for. Raises SystemFailure: this one may hold the duty no longer."""
         if self._is_met(called, term, index):
             return
--- a/playhouse/understudy/desk.py
+++ b/playhouse/understudy/desk.py
@@ -9,9 +9,9 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Generator
 from hashlib import blake2b
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 from playhouse.callboard.board import BeatError, read_beat
 from playhouse.errors import Code, SystemFailure
@@ -26,10 +26,22 @@
 TURNS = 64  # changes that wait for the one before
 PARENT = 0.2  # s for which an order waits for the version that it builds on: that may be under way
 UNREAD = object()
+T = TypeVar("T")
 
 Change = Callable[[], Awaitable[tuple[Answer, int]]]  # the answer, and the version that is to be everywhere
 
 
+async def in_turns(work: Generator[None, None, T]) -> T:
+    """What work in steps comes to; others get their turn after each."""
+    while True:
+        try:
+            next(work)
+        except StopIteration as ended:
+            made: T = ended.value
+            return made
+        await asyncio.sleep(0)
+
+
 class Leader(Protocol):
     """The process whose duty it is, if it is."""
 
@@ -179,7 +191,7 @@
             return wrong(400, *errors)  # whatever the state is
         gen, parent, in_force = order["gen"], order["parent"], state.gen
         if parent < gen and state.may_be_forgotten(gen):
-            if whole and (found := await self._content_errors(state.result(Command(verb, "", order)))):
+            if whole and (found := await self._content_errors(state, Command(verb, "", order))):
                 return wrong(400, *found)
             raise SystemFailure(Code.STALE, "so old that it is not known what became of it")
         if parent > in_force:  # a state that has it may come: the refusal is to stand there as well
@@ -190,11 +202,11 @@
         if parent != in_force:
             return wrong(412, f"parent: {parent} is not {in_force}, which is in force", *errors)
         if not errors:
-            errors = await self._content_errors(state.result(Command(verb, digest, order)))
+            errors = await self._content_errors(state, Command(verb, digest, order))
         return wrong(400, *errors) if errors else None
 
-    async def _content_errors(self, content: dict[str, Any]) -> list[str]:
-        errors = []
+    async def _content_errors(self, state: State, command: Command) -> list[str]:
+        content, errors = await in_turns(state.result(command)), list[str]()
         for some in content_looks(content):
             errors += some
             await asyncio.sleep(0)
--- a/playhouse/usher/__main__.py
+++ b/playhouse/usher/__main__.py
@@ -213,8 +213,8 @@
     options: ClassVar[list[Option]] = [option("config", None, "only the configuration in force", flag=True)]
 
     def handle(self) -> int:
+        from playhouse.promptbook.applying import Applier
         from playhouse.promptbook.store import Store, StoreError
-        from playhouse.script.state import Command as Change
         from playhouse.script.state import State
         from playhouse.script.stored import FormatError
 
@@ -230,9 +230,10 @@
         except (StoreError, FormatError) as error:
             self.line_error(f"{folder}: {error}")
             return REFUSED
-        for entry in kept.entries:
-            if entry.data:
-                state.apply(Change.read(entry.data))
+        applier = Applier(state)
+        applier.take(kept.entries)
+        while applier.is_behind:
+            applier.step()
         if self.option("config"):
             self.line(json.dumps(state.content, indent=2))
             return DONE
--- a/tests/test_playhouse_catching_up.py
+++ b/tests/test_playhouse_catching_up.py
@@ -4,10 +4,11 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import pytest
 
-from playhouse.promptbook import codec, compaction
+from playhouse.promptbook import codec, compaction, parts
 from playhouse.promptbook.machine import Machine
 from playhouse.promptbook.messages import AppendEntries, InstallSnapshot, Message, Step
 from playhouse.promptbook.replica import Role
@@ -207,13 +208,20 @@
         Way.every = every
 
 
-@pytest.mark.parametrize("planted", ["renewed", "whole", "no resume"])
+@pytest.mark.parametrize("planted", ["renewed", "whole", "no resume", "one entry", "no window"])
 def test_planted_defects_are_seen(planted: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """Each newer snapshot takes the place of the one being sent; all of it is sent at once, as it was
-    before; what was received is forgotten with each new leader."""
+    before; what was received is forgotten with each new leader. A command goes as one entry; all its parts at
+    once."""
     if planted == "renewed":
         monkeypatch.setattr(compaction, "still_serves", lambda t, now, base, tail: t.snapshot is base)
         seen = test_snapshots_renewed_faster_than_they_are_sent_do_not_keep_it_out
+    elif planted == "one entry":
+        monkeypatch.setattr(parts, "ROOM", 1 << 22)
+        seen = test_a_command_of_2_mb_in_parts_keeps_beats_lease_and_other_commands
+    elif planted == "no window":
+        monkeypatch.setattr(parts, "WINDOW", 1000)
+        seen = test_a_command_of_2_mb_in_parts_keeps_beats_lease_and_other_commands
     elif planted == "whole":
         monkeypatch.setattr("playhouse.promptbook.snapshot.WINDOW", 100_000)
         seen = test_who_is_sent_a_snapshot_keeps_the_leader_that_needs_it
@@ -228,10 +236,78 @@
         monkeypatch.setattr(Incoming, "take", forgets)
         seen = test_it_goes_on_where_it_was_after_a_cut_a_restart_and_a_change_of_the_leader
     said = {"renewed": "did not come", "whole": "the duty was lost", "no resume": "it began anew"}
+    said |= {"one entry": "behind", "no window": "small"}
     with pytest.raises(AssertionError, match=said[planted]):
         seen()
 
 
+# Large commands.
+
+
+@dataclass
+class Told:
+    """What came of a command of many bytes, given to a leader whose ways all carry 2 Mbit/s."""
+
+    world: Way
+    seconds: float  # until it was decided
+    held: float  # share of that time in which the leader held the duty
+    small: float  # s that the slowest of the commands given meanwhile took
+
+
+def large(seed: int, data: list[bytes], then: Callable[[Way, str, int], None] | None = None) -> Told:
+    """Each of these entries' data once the one `WINDOW` before it is in force, as `Core` does."""
+    world = Way(seed)
+    world.size = 8
+    world.run(3.0)
+    leader, begun, ahead, said = world.leader(), world.now, list[int](), dict[bytes, float]()
+    made, left, held, small = world.machines[leader], list(data), 0, 0.0
+    world.behind, polls = 0.0, 0
+    while left or made.commit_index < ahead[-1]:
+        while left and (len(ahead) < parts.WINDOW or made.commit_index >= ahead[-parts.WINDOW]):
+            index, step = made.propose(world.now, left.pop(0))
+            assert index, "nobody leads"
+            ahead.append(index)
+            world.do(leader, step)
+        if polls % 20 == 0:
+            world.say()
+            said[(b"w%d " % world.words).ljust(WORD, b".")] = world.now
+        world.run(0.005)
+        polls, held = polls + 1, held + made.leads(world.now)
+        small = max([small, *(world.now - at for word, at in said.items() if word in world.acked)])
+        said = {word: at for word, at in said.items() if word not in world.acked}
+        if then:
+            then(world, leader, polls)
+        assert polls < 10_000, "it did not come to that"
+    return Told(world, world.now - begun, held / polls, max([small, *(world.now - a for a in said.values())]))
+
+
+def in_parts(size: int) -> list[bytes]:
+    return [data for data in parts.cut([PADDING[:size]]) if data]
+
+
+def test_a_command_of_2_mb_in_parts_keeps_beats_lease_and_other_commands() -> None:
+    told = large(6, in_parts(2_000_000))
+    assert told.world.behind < 0.2 and told.held == 1.0 and told.small < 1.0
+    assert told.seconds < 14.0  # 8 s for the bytes alone
+
+
+def test_who_starts_again_amid_a_command_goes_on_where_it_was() -> None:
+    def again(world: Way, leader: str, polls: int) -> None:
+        one = next(d for d in SEEDS if d != leader)
+        if polls == 400:
+            world.kill(one)
+        elif polls == 500:
+            world.carried.clear()
+            world.start(one)
+
+    told = large(7, in_parts(1_000_000), again)
+    (leader,) = {told.world.leader()}
+    one = next(d for d in SEEDS if d != leader)
+    told.world.run(6.0)
+    assert told.world.caught_up(one)
+    assert told.world.carried[leader, one] < 700_000 + told.world.words * 2 * WORD, "it began anew"
+
+
 # A disk that hangs.
 
 
--- a/tests/test_playhouse_serving.py
+++ b/tests/test_playhouse_serving.py
@@ -6,7 +6,7 @@
 import asyncio
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Generator
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import pairwise
@@ -688,10 +688,12 @@
 
 def unsaid_refusal(monkeypatch: pytest.MonkeyPatch) -> None:
     """A refusal that a later state would take back is nowhere written down."""
-    apply = State.apply
-    monkeypatch.setattr(
-        State, "apply", lambda self, command: command.verb is not Verb.REFUSE and apply(self, command)
-    )
+    applying = State.applying
+
+    def unsaid(self: State, command: Command) -> Generator[None, None, bool]:
+        return (yield from applying(self, command)) if command.verb is not Verb.REFUSE else False
+
+    monkeypatch.setattr(State, "applying", unsaid)
 
 
 def by_count(monkeypatch: pytest.MonkeyPatch) -> None:
