--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -372,7 +372,12 @@
         task = self._loop.create_task(self._decide_in_parts(made))  # goes on though nobody waits any longer
         self._tasks.append(task)
         task.add_done_callback(self._tasks.remove)
-        return await asyncio.shield(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if not task.cancelled():
+                raise
+            raise SystemFailure(Code.SILENT, "this process ends") from None
 
     async def _decide_in_parts(self, made: Iterator[bytes]) -> bool:
         async with self._one_in_parts:
--- a/playhouse/promptbook/applying.py
+++ b/playhouse/promptbook/applying.py
@@ -42,7 +42,6 @@
 class _Begun:
     """A command of which not all parts have come."""
 
-    term: int
     count: int = 0
     raw: dict[str, Any] = field(default_factory=dict)
     digest: Any = field(default_factory=state_digest)
@@ -101,17 +100,17 @@
         if not entry.data:
             return False
         if parts.is_part(entry.data):
-            command = yield from self._gathered(entry.term, parts.read(entry.data))
+            command = yield from self._gathered(parts.read(entry.data))
         else:
             command = Command.read(entry.data)
         return (yield from self.state.applying(command)) if command else False
 
-    def _gathered(self, term: int, part: parts.Part) -> Generator[None, None, Command | None]:
+    def _gathered(self, part: parts.Part) -> Generator[None, None, Command | None]:
         """The command whose last part this is."""
         if part.number == 0 and part.kind is not parts.Kind.VOID:
-            self._begun = _Begun(term)
+            self._begun = _Begun()
         begun, self._begun = self._begun, None
-        if begun is None or part.kind is parts.Kind.VOID or (begun.term, begun.count) != (term, part.number):
+        if begun is None or part.kind is parts.Kind.VOID or part.number != begun.count:
             return None
         last = part.kind is parts.Kind.LAST
         data = part.data[parts.DIGEST :] if last else part.data
