--- a/playhouse/promptbook/upkeep.py
+++ b/playhouse/promptbook/upkeep.py
@@ -30,15 +30,17 @@
 
 
 @contextmanager
-def uncollected() -> Iterator[None]:
-    """For what makes many objects that stay: the collector would look at all of them again and again, for
-    0.2 s each time with 160,000 tenants. They have no cycles and are freed when their last holder goes."""
+def uncollected(stay: bool = True) -> Iterator[None]:
+    """For what makes many objects: the collector would look at all of them again and again, for 0.2 s each
+    time with 160,000 tenants. They have no cycles and are freed when their last holder goes; `stay`: they are
+    never looked at."""
     was = gc.isenabled()
     gc.disable()
     try:
         yield
     finally:
-        gc.freeze()
+        if stay:
+            gc.freeze()
         if was:
             gc.enable()
 
--- a/playhouse/script/check.py
+++ b/playhouse/script/check.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+from itertools import chain
 from typing import Any
 
 from schema import Optional
@@ -84,15 +85,17 @@
 FIELDS = {table: Fields(rules, WANTED) for table, rules in ITEMS.items()}
 
 
-def _twice(at: str, values: Iterable[tuple[str, Any]]) -> list[str]:
-    """Values that stand in two places."""
+def _twice(at: str, values: Iterable[tuple[str, Any]]) -> Iterator[list[str]]:
+    """Values that stand in two places; with pauses."""
     seen: dict[Any, str] = {}
     errors = []
-    for where, value in values:
+    for number, (where, value) in enumerate(values, 1):
         if value in seen:
             errors.append(f"{where}: {at} stands in {seen[value]} as well")
         seen.setdefault(value, where)
-    return errors
+        if number % (10 * MANY) == 0:
+            yield []
+    yield errors
 
 
 def content_errors(content: dict[str, Any]) -> list[str]:
@@ -117,10 +120,14 @@
                 sound[table].append((at, item))
             if number % MANY == MANY - 1:
                 yield []
-        errors += _twice("this name", ((f"{at}.name", item["name"]) for at, item in sound[table]))
+        for some in _twice("this name", ((f"{at}.name", item["name"]) for at, item in sound[table])):
+            errors += some
+            yield []
     yield []
     services = {item["name"] for _, item in sound["backends"]}
-    for at, route in sound["routes"]:
+    for number, (at, route) in enumerate(sound["routes"], 1):
+        if number % (10 * MANY) == 0:
+            yield []
         if ("backend" in route) == bool(route.get("split")):
             errors.append(f"{at}: wants one of backend and split")
         for part in [route] if "backend" in route else route.get("split") or []:
@@ -129,9 +136,10 @@
         if route.get("split") and not sum(part["weight"] for part in route["split"]) > 0:
             errors.append(f"{at}.split: no weight is over 0")
     places = ((at, (route["host"].lower(), route["pathPrefix"])) for at, route in sound["routes"])
-    errors += _twice("this host and prefix", places)
     keys = ((f"{at}.apiKeys", key) for at, tenant in sound["tenants"] for key in set(tenant["apiKeys"]))
-    errors += _twice("one of these keys", keys)
+    for some in chain(_twice("this host and prefix", places), _twice("one of these keys", keys)):
+        errors += some
+        yield []
     limits = content.get("limits", {})
     if not isinstance(limits, dict):
         errors.append("limits: is no object")
--- a/playhouse/understudy/desk.py
+++ b/playhouse/understudy/desk.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 from collections.abc import Awaitable, Callable, Generator
 from hashlib import blake2b
@@ -16,6 +17,8 @@
 from playhouse.callboard.board import BeatError, read_beat
 from playhouse.errors import Code, SystemFailure
 from playhouse.events import Event, note
+from playhouse.promptbook.upkeep import uncollected
+from playhouse.script.body import LARGE, loads
 from playhouse.script.check import content_looks, order_errors
 from playhouse.script.state import REFUSED, Command, State, Verb
 from playhouse.settings import Settings
@@ -25,21 +28,23 @@
 
 TURNS = 64  # changes that wait for the one before
 PARENT = 0.2  # s for which an order waits for the version that it builds on: that may be under way
+HASHED = 1024 * 1024  # bytes of a body that are hashed at once
 UNREAD = object()
 T = TypeVar("T")
 
 Change = Callable[[], Awaitable[tuple[Answer, int]]]  # the answer, and the version that is to be everywhere
 
 
-async def in_turns(work: Generator[None, None, T]) -> T:
-    """What work in steps comes to; others get their turn after each."""
-    while True:
-        try:
-            next(work)
-        except StopIteration as ended:
-            made: T = ended.value
-            return made
-        await asyncio.sleep(0)
+async def in_turns(work: Generator[None, None, T], large: bool = False) -> T:
+    """What work in steps comes to; others get their turn after each. `large`: it makes many objects."""
+    with uncollected() if large else contextlib.nullcontext():
+        while True:
+            try:
+                next(work)
+            except StopIteration as ended:
+                made: T = ended.value
+                return made
+            await asyncio.sleep(0)
 
 
 class Leader(Protocol):
@@ -136,11 +141,16 @@
 
     async def _configuration(self, verb: Verb, body: bytes) -> Answer:
         called = self._leader.now()
-        digest = blake2b(verb.value.encode() + b" " + body, digest_size=16).hexdigest()
+        hashed = blake2b(verb.value.encode() + b" ", digest_size=16)
+        for at in range(0, len(body), HASHED):
+            hashed.update(body[at : at + HASHED])
+            if at:
+                await asyncio.sleep(0)
+        digest = hashed.hexdigest()
         order: Any = UNREAD
         if digest not in self._leader.state.known:
             try:
-                order = json.loads(body)
+                order = await in_turns(loads(body), len(body) > LARGE)
             except ValueError as error:
                 return await self._refused(called, wrong(400, f"not JSON: {error}"))
             await self._parent_comes(order)
@@ -207,9 +217,10 @@
 
     async def _content_errors(self, state: State, command: Command) -> list[str]:
         content, errors = await in_turns(state.result(command)), list[str]()
-        for some in content_looks(content):
-            errors += some
-            await asyncio.sleep(0)
+        with uncollected(stay=False):
+            for some in content_looks(content):
+                errors += some
+                await asyncio.sleep(0)
         self._leader.held()
         return errors
 
--- a/tests/measure_snapshots.py
+++ b/tests/measure_snapshots.py
@@ -23,6 +23,8 @@
 from playhouse.promptbook.snapshot import Transfer, messages
 from playhouse.promptbook.store import Store
 from playhouse.promptbook.upkeep import Upkeep, uncollected
+from playhouse.script.body import loads
+from playhouse.script.check import content_looks
 from playhouse.script.state import Command, State, Verb
 from tests.test_playhouse_catching_up import PADDING, away, in_parts, large
 
@@ -126,6 +128,9 @@
     for name, work in kinds.items():
         with step(name), uncollected():
             work()
+    body = json.dumps(first).encode()
+    with step("at once: read the body"), uncollected():
+        json.loads(body)
 
 
 def update(first: dict[str, Any], gen: int) -> Command:
@@ -137,10 +142,14 @@
     """In parts and steps, as `Core` and `Desk` do it, with a disk."""
     side = Side(folder / "c", ME, founded([ME]), [])
     applier, count = Applier(State()), 0
+    body, content = json.dumps(first).encode(), {n: v for n, v in first.items() if n != "parent"}
+    for name, work in (("read the body", loads(body)), ("judge, look at it", content_looks(content))):
+        with uncollected(stay=name == "read the body"):
+            for _ in timed(f"replace: {name}", work):
+                pass
     for command in (Command(Verb.REPLACE, "d", first), update(first, 2)):
         kind = command.verb.value
-        work = applier.state.result(command)
-        for _ in timed(f"{kind}: judge, what it leads to", work):
+        for _ in timed(f"{kind}: judge, what it leads to", applier.state.result(command)):
             pass
         with step(f"{kind}: begin to encode"):
             made = encoded(command)
--- a/tests/test_playhouse_parts.py
+++ b/tests/test_playhouse_parts.py
@@ -22,8 +22,8 @@
 from playhouse.promptbook.parts import Kind
 from playhouse.promptbook.replica import Role
 from playhouse.promptbook.store import Store, StoreError
+from playhouse.script import body, stored
 from playhouse.script import state as script
-from playhouse.script import stored
 from playhouse.script.state import Command, State, Verb
 from tests.serving_world import World, configuration, in_memory, play
 from tests.test_playhouse_promptbook import SEEDS, Disk
@@ -456,3 +456,42 @@
     while applier.is_behind:
         applier.step()
     assert len(data) > applying.LARGE and applier.state.gen == 1 and Machine
+
+
+# The body of a call.
+
+
+def test_a_body_is_read_in_steps_to_what_json_makes_of_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    rng = random.Random(5)
+    monkeypatch.setattr(body, "LARGE", 0)
+    monkeypatch.setattr(body, "MANY", 3)
+    monkeypatch.setattr(body, "DECODED", 5)
+    item = [{"name": 'ä\u2028"', "a": [1, {}]}, 7, None, [], "x", 1e9]
+    raw = {
+        "gen": 1,
+        "routes": item * 3,
+        "upsert": {"tenants": item, "more": {"a": {"b": 1}}},
+        "e": {},
+        "l": [],
+    }
+    whole, wrong, steps = json.dumps(raw, indent=2, ensure_ascii=False), 0, 0
+    for n in range(3_000):
+        at = rng.randrange(len(whole))
+        text = (
+            whole[:at]
+            + rng.choice(["", ",", "]", "}", '"', ":", " ", "[", "{", "NaN", "\\", "5"])
+            + whole[at + n % 2 :]
+        )
+        data = text.encode(rng.choice(["utf-8", "utf-16", "utf-8-sig", "utf-32-le"]))[
+            : rng.choice([None, None, -1])
+        ]
+        try:
+            wanted: Any = json.loads(data)
+        except ValueError:
+            wrong += 1
+            with pytest.raises(ValueError):
+                stored.at_once(body.loads(data))
+            continue
+        assert repr(stored.at_once(body.loads(data))) == repr(wanted)
+        steps += sum(1 for _ in body.loads(data))
+    assert 300 < wrong < 2_900 and steps > 3_000
