--- /dev/null
+++ b/tests/test_playhouse_parts.py
@@ -0,0 +1,434 @@
+"""Large commands in parts: put together whole or not at all, alike at all members, beside a plain reading of
+the whole log; on disk, spoilt on the way, and in core machines of which some lag behind."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Callable, Generator, Iterable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+import playhouse.core
+from playhouse.core import Core
+from playhouse.promptbook import applying, parts
+from playhouse.promptbook.applying import Applier, encoded
+from playhouse.promptbook.machine import BATCH, Machine, founded
+from playhouse.promptbook.messages import AppendEntries, AppendReply, Entry, KeepEntries, Member
+from playhouse.promptbook.parts import Kind
+from playhouse.promptbook.replica import Role
+from playhouse.promptbook.store import Store, StoreError
+from playhouse.script import body, stored
+from playhouse.script import state as script
+from playhouse.script.state import Command, State, Verb
+from tests.serving_world import World, configuration, in_memory, play
+from tests.test_playhouse_serving import History, first, operator, read
+from tests.test_playhouse_snapshots import Kill, Killed
+
+ME = Member("a:1", "x")
+
+
+def whole_or_parts(command: Command) -> list[bytes]:
+    made = encoded(command)
+    return [made] if isinstance(made, bytes) else [data for data in made if data]
+
+
+def tenants(seed: int, count: int, start: int = 0) -> list[dict[str, Any]]:
+    rng = random.Random(seed)
+    return [{"name": f"t{n}", "apiKeys": [f"{rng.getrandbits(64):x}"]} for n in range(start, start + count)]
+
+
+def spoils(data: bytes, at: int = 99) -> bytes:
+    return data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :]
+
+
+def in_force(entries: Iterable[Entry], applier: Applier | None = None) -> Applier:
+    applier = applier or Applier(State())
+    applier.take(entries)
+    while applier.is_behind:
+        applier.step()
+    return applier
+
+
+def replaced(gen: int, parent: int, count: int = 3_000) -> Command:
+    order = {"gen": gen, "parent": parent, "routes": [], "backends": [], "tenants": tenants(gen, count)}
+    return Command(Verb.REPLACE, f"d{gen}", order, names=("n",), call="c")
+
+
+# The form.
+
+
+def test_a_command_comes_back_and_no_step_or_entry_has_more_than_its_share() -> None:
+    """The bound of 20 ms in units of work; `tests/measure_snapshots.py` says what these take."""
+    command = replaced(1, 0, 20_000)
+    data, applier, steps = whole_or_parts(command), Applier(State()), 0
+    assert len(data) > 8 and {len(d) for d in data[:-1]} == {parts.PART - parts.DIGEST}
+    assert 2 * parts.PART <= BATCH
+    applier.take(Entry(n, 1, d) for n, d in enumerate(data, 1))
+    while applier.is_behind:
+        assert applier.state == State()
+        applier.step()
+        steps += 1
+    assert steps > sum(1 for _ in stored.parts(command.raw())) - 2
+    plain = State()
+    assert plain.apply(Command.read(command.out())) and applier.state == plain and applier.index == len(data)
+    assert json.dumps(applier.state.content) == json.dumps(plain.content)
+    update = Command(Verb.UPDATE, "u", {"gen": 2, "parent": 1, "upsert": {"tenants": tenants(5, 1, 7)}})
+    (small,) = whole_or_parts(update)
+    assert Command.read(small) == update
+    many = sum(1 for _ in applier.state.applying(update))
+    assert many >= 20_000 // script.MANY and applier.state.content["tenants"][7] == tenants(5, 1, 7)[0]
+    item = {"name": "t", "apiKeys": [random.Random(1).randbytes(40_000).hex()]}
+    one = Command(Verb.REPLACE, "d", {"gen": 1, "parent": 0, "tenants": [item]})
+    assert max(len(d) for d in whole_or_parts(one)) <= parts.PART < len(one.out())  # one item is cut as well
+
+
+def drawn_log(seed: int) -> list[Entry]:
+    """Of several leaders: commands in parts, with others between, some cut short, doubled, spoilt."""
+    rng, data, gen, rest = random.Random(seed), list[bytes](), 0, list[bytes]()
+    for _ in range(rng.randint(1, 4)):
+        data += [b"", *rest]  # of one whose leader ended amid it
+        for _ in range(rng.randint(1, 4)):
+            gen += 1
+            made = whole_or_parts(replaced(gen, rng.choice((gen - 1, 0)), rng.randint(9, 40)))
+            kind, at = rng.random(), rng.randrange(len(made))
+            if kind < 0.4:
+                rest = made[at:]
+                made = rng.choice((made[:at], rest, made[:at] + made[at + 1 :], made[:at] + made))
+            elif kind < 0.5:
+                last = parts.read(made[-1])
+                made[-1] = parts.part(Kind.LAST, last.number, spoils(last.data, 0))
+            elif kind < 0.6:
+                made.insert(at, parts.part(Kind.VOID, 0, b""))
+            for part in made:
+                data.append(part)
+                if rng.random() < 0.2:
+                    data.append(Command(Verb.EVACUATE, f"o{len(data)}", zone=f"z{rng.randint(1, 3)}").out())
+    return [Entry(n, 1, d, opens=not d) for n, d in enumerate(data, 1)]
+
+
+def plain_reading(log: list[Entry]) -> State:
+    """At each last part, all before it are looked at anew."""
+    state = State()
+    for at, entry in enumerate(log):
+        if entry.data and not parts.is_part(entry.data):
+            state.apply(Command.read(entry.data))
+        if not parts.is_part(entry.data) or (last := parts.read(entry.data)).kind is not Kind.LAST:
+            continue
+        opened = max((n for n in range(at) if log[n].opens), default=0)
+        before = [parts.read(e.data) for e in log[opened:at] if parts.is_part(e.data)]
+        found = before[max(0, len(before) - last.number) :]
+        if [(p.kind, p.number) for p in found] == [(Kind.MORE, n) for n in range(last.number)]:
+            whole = b"".join(p.data for p in found) + last.data[parts.DIGEST :]
+            if parts.state_digest(whole).digest() == last.data[: parts.DIGEST]:
+                state.apply(Command.of(stored.read(whole)))
+    return state
+
+
+def compare(seed: int, made: type[Applier] = Applier) -> bool:
+    """Whether a command in parts came into force."""
+    log, rng = drawn_log(seed), random.Random(seed)
+    applier = made(State())
+    for entry in log:
+        in_force([entry], applier)
+        if applier.is_whole and rng.random() < 0.3:  # a snapshot, and a start from it
+            applier = made(State.read(applier.state.out()), entry.index, entry.term)
+    assert applier.state == plain_reading(log), "not as the plain reading of the log"
+    assert in_force([Entry(len(log) + 1, 99, opens=True)], applier).is_whole, "not as the plain reading: open"
+    return applier.state.gen > 0
+
+
+@pytest.fixture
+def small_parts(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(parts, "ROOM", 150)
+    monkeypatch.setattr(stored, "TEXT", 100)
+    monkeypatch.setattr(stored, "MANY", 3)
+
+
+def test_whole_or_not_at_all_as_the_log_says(small_parts: None) -> None:
+    assert sum(compare(seed) for seed in range(300)) > 100
+
+
+def reads(change: Callable[[Applier, parts.Part], parts.Part | None]) -> type[Applier]:
+    class Planted(Applier):
+        def _gathered(self, part: parts.Part) -> Generator[None, None, Command | None]:
+            changed = change(self, part)
+            return (yield from super()._gathered(changed)) if changed else None
+
+    return Planted
+
+
+def no_digest(applier: Applier, part: parts.Part) -> parts.Part:
+    if part.kind is not Kind.LAST:
+        return part
+    digest = (applier._begun.digest if applier._begun and part.number else parts.state_digest()).copy()
+    digest.update(part.data[parts.DIGEST :])
+    return replace(part, data=digest.digest() + part.data[parts.DIGEST :])
+
+
+def neither_number(applier: Applier, part: parts.Part) -> parts.Part:
+    """Each of the two alone finds a part that is missing."""
+    number = applier._begun.count if applier._begun and part.number else part.number
+    return replace(no_digest(applier, part), number=number)
+
+
+class StaysOpen(Applier):
+    def _applying(self, entry: Entry) -> Generator[None, None, bool]:
+        return (yield from super()._applying(replace(entry, opens=False)))
+
+
+class AlwaysWhole(Applier):
+    is_whole = True  # type: ignore[assignment]
+
+
+PLANTED = {
+    "digest": reads(no_digest),
+    "number": reads(neither_number),
+    "void": reads(lambda applier, part: None if part.kind is Kind.VOID else part),
+    "opens": StaysOpen,
+}
+
+
+@pytest.mark.parametrize("planted", PLANTED)
+def test_planted_defects_of_reading_are_seen(planted: str, small_parts: None) -> None:
+    with pytest.raises(AssertionError, match="not as the plain reading"):
+        for seed in range(300):
+            compare(seed, PLANTED[planted])
+
+
+# On disk, and on the way.
+
+
+def test_power_lost_at_each_write_leaves_the_older_configuration_or_the_whole_new_one(tmp_path: Path) -> None:
+    log = [Entry(n, 1, data) for n, data in enumerate(whole_or_parts(replaced(1, 0, 6_000)), 1)]
+    whole = plain_reading(log)
+    assert len(log) > 3
+    for after in range(100):
+        store = Store(tmp_path / str(after))
+        store.begin("x", founded([ME]))
+        env, store._env = store._env, Killed(store._env, after)
+        try:
+            for entry in log:
+                store.write([KeepEntries(entry.index, (entry,))])
+        except Kill:
+            pass
+        finally:
+            env.close()
+        kept = Store(tmp_path / str(after)).load()
+        assert kept.entries == log[:after]
+        assert in_force(kept.entries).state == (whole if after == len(log) else State())
+        if after == len(log):
+            return
+
+
+def test_a_part_that_a_disk_has_spoilt_is_told(tmp_path: Path) -> None:
+    store = Store(tmp_path)
+    store.begin("x", founded([ME]))
+    store.write([KeepEntries(1, (Entry(1, 1, spoils(whole_or_parts(replaced(1, 0))[0])),))])
+    with pytest.raises(StoreError, match="entry 1 is not as it was written"):
+        store.load()
+
+
+def test_a_part_that_is_spoilt_on_the_way_is_asked_for_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    log = [Entry(n, 1, data) for n, data in enumerate(whole_or_parts(replaced(1, 0, 9_000)), 1)]
+    came = (log[0], replace(log[1], data=spoils(log[1].data)), log[2])
+    machine = Machine(ME, founded([ME, Member("b:1", "y")]), 0.0, random.Random(1))
+    for entries, match in ((came, 1), (tuple(log), len(log))):
+        step = machine.received(1.0, AppendEntries(1, Member("b:1", "y"), 0, 0, entries, 0, 7))
+        (reply,) = (m for _, m in step.sends if isinstance(m, AppendReply))
+        assert reply.ok and reply.match == match == machine.last and bool(step.spoilt) == (match == 1)
+    assert machine.log == log
+    monkeypatch.setattr(parts, "is_sound", lambda data: True)
+    machine = Machine(ME, founded([ME, Member("b:1", "y")]), 0.0, random.Random(1))
+    machine.received(1.0, AppendEntries(1, Member("b:1", "y"), 0, 0, came, 0, 7))
+    assert machine.last == 3  # the plant is seen: what is spoilt is acknowledged
+
+
+# Core machines.
+
+
+@pytest.fixture
+def core_machines(monkeypatch: pytest.MonkeyPatch) -> None:
+    in_memory(monkeypatch)
+
+
+def slow(monkeypatch: pytest.MonkeyPatch, who: Callable[[Core], bool], pause: float = 0.1) -> None:
+    """These take so many s between two steps of what they apply."""
+
+    def leave(self: Core, more: Callable[[], None]) -> None:
+        self._loop.call_later(pause if who(self) else 0.0, more)
+
+    monkeypatch.setattr(Core, "_leave_the_loop", leave)
+    monkeypatch.setattr(playhouse.core, "APPLY", 0.0)
+
+
+async def begun(count: int = 6_000) -> tuple[World, History, Core]:
+    """A configuration in force, and a large one to come."""
+    world, history = World(Path("parts")), first()
+    await world.begin()
+    assert await operator(world, history, 1, world.hosts) == 200
+    history.sent[2] = 1, configuration(2, 1, tenants=tenants(2, count))
+    leader = world.leader()
+    assert leader
+    return world, history, leader
+
+
+async def alike(world: World) -> State:
+    await asyncio.sleep(8.0)
+    (state,) = {c.state.out() for c in world.cores.values()}
+    assert all(c._applier.is_whole for c in world.cores.values()), "it waits for what will never come"
+    return State.read(state)
+
+
+def log_of(core: Core) -> list[Entry]:
+    return [*core.machine.tail._entries, *core.machine.log]
+
+
+def told(core: Core) -> list[parts.Part]:
+    """The parts in its log."""
+    return [parts.read(e.data) for e in log_of(core) if parts.is_part(e.data)]
+
+
+async def amid_a_snapshot() -> None:
+    """Snapshots after each 2nd entry: a member that starts again has the command all the same."""
+    world, history, leader = await begun(15_000)
+    host = next(h for h in world.hosts if h != leader.settings.ip)
+    task = asyncio.create_task(operator(world, history, 2, world.hosts))
+    await world.until(lambda: len(told(leader)) >= 10)
+    await world.crash(host)
+    await world.start(host)
+    assert await task == 200
+    await alike(world)
+
+
+async def read_amid() -> None:
+    """It is decided, and in force a little later: who reads in between waits for it."""
+    world, history, leader = await begun()
+    host, log = leader.settings.ip, leader.machine
+    task = asyncio.create_task(world.call(host, "POST", "Config.Replace", history.sent[2][1]))
+    await world.until(lambda: any(p.kind is Kind.LAST for p in told(leader)) and log.commit_index == log.last)
+    assert leader.state.gen == 1 and leader._applier.index < log.commit_index
+    _, body = await world.call(host, "GET", "Config.Read")
+    assert body["gen"] == 2, "an older one was read"
+    assert (await task)[0] == 200
+
+
+async def leader_behind(quick: set[str]) -> None:
+    """Acknowledged by a leader that ends at once; who leads next has yet to apply it."""
+    world, history, leader = await begun(12_000)
+    quick.add(leader.me.door)
+    assert await operator(world, history, 2, [leader.settings.ip]) == 200
+    await world.crash(leader.settings.ip)
+    assert max(c.state.gen for c in world.cores.values()) == 1
+    for _ in range(60):
+        await asyncio.gather(*(read(world, history, host) for host in world.cores))
+        await asyncio.sleep(0.05)
+    assert not history.broken([0, 1, 2]), "an older one was read"
+    assert any(t.gen == 2 for t in history.tries if t.what == "read")
+
+
+async def ends_amid() -> None:
+    """The leader ends amid a command: it is void everywhere, sent again it is taken, once."""
+    world, history, leader = await begun(15_000)
+    task = asyncio.create_task(operator(world, history, 2, world.hosts))
+    await world.until(lambda: len(told(leader)) >= 3)
+    assert told(leader)[-1].kind is Kind.MORE
+    await world.crash(leader.settings.ip)
+    assert await task == 200
+    assert list((await alike(world)).known.values()) == [1, 2]
+
+
+async def given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """No part is decided in time, and the leader stays: its next snapshot does not wait for the rest."""
+    world, history, _ = await begun()
+    with monkeypatch.context() as hasty:
+        hasty.setattr(playhouse.core, "DECIDE", 0.03)
+        assert (await world.call(world.hosts[0], "POST", "Config.Replace", history.sent[2][1]))[0] == 503
+    assert (await alike(world)).gen == 1
+    assert await operator(world, history, 2, world.hosts) == 200
+
+
+def test_core_machines_take_a_large_command(core_machines: None) -> None:
+    async def scene() -> None:
+        world, history, leader = await begun()
+        assert await operator(world, history, 2, world.hosts) == 200
+        assert len((await alike(world)).content["tenants"]) == 6_000
+        *before, last = (p.kind for p in told(leader))
+        assert last is Kind.LAST and {*before} == {Kind.MORE} and len(before) > 2
+        assert max(len(e.data) for c in world.cores.values() for e in log_of(c)) <= parts.PART
+
+    play(scene())
+
+
+def test_no_snapshot_is_made_amid_a_command(core_machines: None, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(playhouse.core, "ENTRIES", 2)
+    play(amid_a_snapshot())
+    monkeypatch.setattr(playhouse.core, "Applier", AlwaysWhole)
+    with pytest.raises(ValueError, match="too many values"):  # states that differ
+        play(amid_a_snapshot())
+
+
+def test_who_reads_waits_for_what_is_decided(core_machines: None, monkeypatch: pytest.MonkeyPatch) -> None:
+    slow(monkeypatch, lambda core: core.machine.role is Role.LEADER, 0.03)
+    play(read_amid())
+    monkeypatch.setattr(Core, "applied", lambda self: self.machine.commit_index)
+    with pytest.raises(AssertionError, match="an older one"):
+        play(read_amid())
+
+
+def test_who_leads_next_applies_all_first(core_machines: None, monkeypatch: pytest.MonkeyPatch) -> None:
+    quick: set[str] = set()
+    slow(monkeypatch, lambda core: core.me.door not in quick)
+    play(leader_behind(quick))
+    monkeypatch.setattr(Core, "leads", lambda self: self.machine.leads(self.now()))
+    monkeypatch.setattr(Core, "applied", lambda self: self.machine.commit_index)
+    with pytest.raises(AssertionError, match="an older one"):
+        play(leader_behind(quick))
+
+
+def test_a_command_whose_leader_ends_or_gives_it_up_is_void(
+    core_machines: None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    play(ends_amid())
+    play(given_up(monkeypatch))
+    monkeypatch.setattr(playhouse.core, "part", lambda *_: b"")
+    with pytest.raises(AssertionError, match="it waits"):
+        play(given_up(monkeypatch))
+
+
+def test_commands_of_disks_of_old_are_read() -> None:
+    """A large one in one entry."""
+    data = replaced(1, 0, 30_000).out()
+    assert len(data) > applying.LARGE and in_force([Entry(1, 1, data)]).state.gen == 1
+
+
+# The body of a call.
+
+
+def test_a_body_is_read_in_steps_to_what_json_makes_of_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    rng = random.Random(5)
+    monkeypatch.setattr(body, "LARGE", 0)
+    monkeypatch.setattr(body, "MANY", 3)
+    monkeypatch.setattr(body, "DECODED", 5)
+    item = [{"name": 'ä"', "a": [1, {}]}, 7, None, [], "x", 1e9]
+    raw = {"gen": 1, "a": item * 3, "upsert": {"b": item, "c": {"d": {"b": 1}}}, "e": {}, "l": []}
+    whole, wrong, steps = json.dumps(raw, indent=2, ensure_ascii=False), 0, 0
+    for n in range(3_000):
+        at, put = rng.randrange(len(whole)), rng.choice(["", *',]}":[{\\5 ', "NaN"])
+        text = whole[:at] + put + whole[at + n % 2 :]
+        data = text.encode(rng.choice(["utf-8", "utf-16", "utf-8-sig", "utf-32-le"]))
+        data = data[: rng.choice((None, None, -1))]
+        try:
+            wanted = repr(json.loads(data))
+        except ValueError:
+            wrong += 1
+            with pytest.raises(ValueError):
+                stored.at_once(body.loads(data))
+            continue
+        assert repr(stored.at_once(body.loads(data))) == wanted
+        steps += sum(1 for _ in body.loads(data))
+    assert 300 < wrong < 2_900 and steps > 3_000
