--- a/playhouse/extras/hollow.py
+++ b/playhouse/extras/hollow.py
@@ -124,6 +124,7 @@
         now, before, gen = time.monotonic(), self.news.lease_end, self.news.seen[4]
         if cue.has_content:
             self.tenants, cue.content = self._shared.tenants(cue.content), b""
+        cue.ClearField("difference")  # it holds no items, and goes by the gen alone
         if self.news.take(cue, node, asked, now, 0) is None:
             return
         if cue.gen != gen:
--- /dev/null
+++ b/playhouse/script/differences.py
@@ -0,0 +1,196 @@
+"""What changed of the configuration from one gen to the next: told in place of the whole content.
+
+A content is weighed by a sum over its items, whatever their order: the sum of their digests (64 bits) and of
+their texts' lengths. A difference names the gen and the digest before it and after it, so that who takes it
+finds out whether it fits.
+"""
+
+from __future__ import annotations
+
+import json
+import zlib
+from collections import deque
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from hashlib import blake2b
+from itertools import islice
+from marshal import dumps
+from typing import Any
+
+from playhouse.script.check import TABLES
+
+KEPT = 256  # gens back to which differences are known
+ITEMS = 2_000  # that one change may put or remove; after more the whole is told
+WEIGHED = 400  # items weighed at once: some 2 ms
+PART = 8  # a difference is told where its text is this many times shorter than the whole's, or more
+MOST = 64 * 1024 * 1024  # bytes of text of a difference that are unpacked
+FIELDS = ""  # in the place of a table: what else a content says, each by its name as a list of one
+DIGESTS = 1 << 64
+
+Changes = dict[str, dict[str, Any]]  # by table and name: the item from now on, or None if it is gone
+
+_text = json.JSONEncoder(separators=(",", ":"), sort_keys=True).encode
+
+
+class DifferenceError(ValueError):
+    """A difference that does not fit what it is to be applied to."""
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    before: int  # gen
+    gen: int
+    digest_before: int
+    digest: int
+    change: bytes  # packed
+
+    def changes(self) -> Changes:
+        """Raises DifferenceError."""
+        packer = zlib.decompressobj()
+        try:
+            made = json.loads(packer.decompress(self.change, MOST))
+            sound = isinstance(made, dict) and made.keys() <= {*TABLES, FIELDS}
+            if not (packer.eof and sound and all(isinstance(named, dict) for named in made.values())):
+                raise DifferenceError("no difference, or not a whole one")
+        except (ValueError, zlib.error) as error:
+            raise DifferenceError(str(error)) from None
+        return dict(made)
+
+
+@dataclass(frozen=True, slots=True)
+class Weight:
+    digest: int = 0
+    size: int = 0  # bytes of text
+
+    def __add__(self, other: Weight) -> Weight:
+        return Weight((self.digest + other.digest) % DIGESTS, self.size + other.size)
+
+    def __sub__(self, other: Weight) -> Weight:
+        return Weight((self.digest - other.digest) % DIGESTS, self.size - other.size)
+
+
+def weight(table: str, name: str, item: Any) -> Weight:
+    text = _text([table, name, item]).encode()
+    return Weight(int.from_bytes(blake2b(text, digest_size=8).digest(), "big"), len(text))
+
+
+def named(content: Mapping[str, Any], table: str) -> Iterator[tuple[str, Any]]:
+    """A table's items, or the fields, each with its name."""
+    if table == FIELDS:
+        return ((n, [value]) for n, value in content.items() if n not in TABLES and n != "gen")
+    return ((item["name"], item) for item in content.get(table, ()))
+
+
+def weighed(content: Mapping[str, Any]) -> Iterator[Weight]:
+    """Of each item."""
+    return (weight(table, name, item) for table in (*TABLES, FIELDS) for name, item in named(content, table))
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """From one gen to the next."""
+
+    before: int
+    gen: int
+    changes: Changes
+    weight: Weight  # by how much the content's is more
+
+
+def step(before: Mapping[str, Any], after: Mapping[str, Any], order: Mapping[str, Any] | None) -> Step | None:
+    """`order`: the update that led from one to the other; without one they are compared whole. None: too many
+    items differ."""
+    changes: Changes = {}
+    total, count = Weight(), 0
+    for table in (*TABLES, FIELDS):
+        if before.get(table) is after.get(table) and table != FIELDS:
+            continue
+        old, new = named(before, table), named(after, table)
+        if order is not None:
+            only = {item["name"] for item in order.get("upsert", {}).get(table, ())}
+            only.update(order.get("remove", {}).get(table, ()))
+            old, new = (((name, item) for name, item in some if name in only) for some in (old, new))
+        gone = dict(old)
+        for name, item in new:
+            was = gone.pop(name, None)
+            if was is not None and dumps(was, 2) == dumps(item, 2):  # by type too: 1 and 1.0 are two texts
+                continue
+            count += 1
+            if count > ITEMS:
+                return None
+            changes.setdefault(table, {})[name] = item
+            total += weight(table, name, item)
+            if was is not None:
+                total -= weight(table, name, was)
+        count += len(gone)
+        if count > ITEMS:
+            return None
+        for name, was in gone.items():
+            changes.setdefault(table, {})[name] = None
+            total -= weight(table, name, was)
+    return Step(before.get("gen", 0), after["gen"], changes, total)
+
+
+class History:
+    """The newest steps, alike at every member of the core that applied them, and what the content in force
+    weighs: counted a few items at a time, as nobody waits for it."""
+
+    def __init__(self) -> None:
+        self._steps: deque[Step] = deque(maxlen=KEPT)
+        self._weight = Weight()
+        self._left: Iterator[Weight] | None = None  # of what is being weighed
+        self._weighed = False
+        self._made: dict[int, Difference | None] = {}  # by the gen that they begin at, up to the newest
+
+    def took(
+        self, before: Mapping[str, Any], after: Mapping[str, Any], order: Mapping[str, Any] | None
+    ) -> None:
+        """One content came in the other's place. Neither is changed later."""
+        self._made = {}
+        made = step(before, after, order) if before.get("gen", 0) else None
+        if made is None:
+            self._steps.clear()
+            self._left, self._weighed = None, False
+            return
+        self._steps.append(made)
+        self._weight += made.weight  # also while what was before is being weighed
+
+    def weigh(self, content: Mapping[str, Any]) -> bool:
+        """Some more items of the content in force; True once all are. Before, no difference is known."""
+        if not self._weighed:
+            if self._left is None:
+                self._left, self._weight = weighed(content), Weight()
+            some = list(islice(self._left, WEIGHED))
+            for one in some:
+                self._weight += one
+            self._weighed = len(some) < WEIGHED
+            self._made = {}
+        return self._weighed
+
+    def since(self, gen: int) -> Difference | None:
+        """From there to the newest; None: not known, or not worth it."""
+        if gen not in self._made:
+            self._made[gen] = self._since(gen) if self._weighed else None
+        return self._made[gen]
+
+    def _since(self, gen: int) -> Difference | None:
+        steps = list(self._steps)
+        at = next((n for n, one in enumerate(steps) if one.before == gen), len(steps))
+        if at == len(steps):
+            return None
+        merged, more = merge(one.changes for one in steps[at:]), Weight()
+        for one in steps[at:]:
+            more += one.weight
+        text = _text(merged).encode()
+        if len(text) * PART > self._weight.size:
+            return None
+        before = self._weight - more
+        return Difference(gen, steps[-1].gen, before.digest, self._weight.digest, zlib.compress(text, 6))
+
+
+def merge(some: Iterable[Changes]) -> Changes:
+    """One after the other."""
+    merged: Changes = {}
+    for changes in some:
+        for table, items in changes.items():
+            merged.setdefault(table, {}).update(items)
+    return merged
--- a/playhouse/script/playbill.py
+++ b/playhouse/script/playbill.py
@@ -4,11 +4,14 @@
 
 import random
 import re
+from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
 from ironledge import interface as it
 from ironledge.interface import Repeat
+from playhouse.script.differences import DIGESTS, FIELDS, Difference, DifferenceError, named, weight
 from playhouse.settings import seconds
 
 TOKEN = re.compile(rb"[Tt][Oo][Kk][Ee][Nn] +([!-~]+)")
@@ -24,6 +27,9 @@
     public: bool
     homes: frozenset[str]  # empty: anywhere
     prio: int
+    host: bytes
+    prefix: bytes
+    digest: int  # of what it was read from
 
     def service(self, rng: random.Random) -> str:
         return self.services[0] if len(self.services) == 1 else rng.choices(self.services, self.weights)[0]
@@ -36,6 +42,8 @@
     rate: float  # requests a second; 0: no limit
     burst: float
     homes: frozenset[str]
+    keys: tuple[bytes, ...]
+    digest: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,56 +52,160 @@
     warmup: float  # s that a server is cold after a start
     warm_per_s: float  # requests a second that it can handle while cold; 0: unknown
     most: int  # connections that it takes from all callers
+    digest: int
+
+
+@dataclass(frozen=True, slots=True)
+class Field:
+    """What else a content says."""
+
+    name: str
+    value: Any
+    digest: int
+
+
+Item = Route | Tenant | Service | Field
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """Items that stand otherwise than before, as they are now."""
+
+    routes: list[Route]
+    tenants: list[Tenant]
 
 
 def _us(text: str) -> int:
     return max(1, round(seconds(text) * 1e6))
 
 
+def _digest(item: Item | None) -> int:
+    return item.digest if item else 0
+
+
+def _less(counts: Counter[str], names: Iterable[str]) -> None:
+    for name in names:
+        counts[name] -= 1
+        if not counts[name]:
+            del counts[name]
+
+
 class Playbill:
+    """It changes item by item (`change`); whoever keeps what it found here knows by `gen` whether it may have
+    changed since."""
+
     def __init__(self, content: dict[str, Any]) -> None:
         self.gen: int = content.get("gen", 0)
+        self.digest = 0  # as `playhouse.script.differences` has it
         self.hosts: dict[bytes, dict[bytes, Route]] = {}
         self.keys: dict[bytes, Tenant] = {}
+        self.routes: dict[str, Route] = {}
         self.tenants: dict[str, Tenant] = {}
         self.services: dict[str, Service] = {}
-        self.named: set[str] = set()  # services that routes name
-        self.classes: dict[str, it.RequestClass] = {}
-        self.limits: dict[str, Any] = content.get("limits", {})
-        for raw in content.get("backends", ()):
-            self.services[raw["name"]] = Service(
-                raw["name"], seconds(raw.get("warmup", "0s")), float(raw.get("warmupPerS", 0)),
-                int(raw.get("maxConns", 0)),
-            )  # fmt: skip
-        for raw in content.get("tenants", ()):
-            tenant = Tenant(
-                raw["name"], int(raw.get("prio", 0)), float(raw.get("ratePerS") or 0),
-                float(raw.get("burst") or 0), frozenset(raw.get("homeRegions") or ()),
-            )  # fmt: skip
-            self.tenants[tenant.name] = tenant
-            for key in raw["apiKeys"]:
-                self.keys[key.encode()] = tenant
-        for raw in content.get("routes", ()):
-            split = raw.get("split") or [{"backend": raw["backend"], "weight": 1}]
-            route = Route(
-                raw["name"], self._cls(raw), tuple(p["backend"] for p in split),
-                tuple(float(p["weight"]) for p in split), bool(raw.get("public")),
-                frozenset(raw.get("homeRegions") or ()), int(raw.get("prio", 0)),
-            )  # fmt: skip
-            self.named.update(route.services)
-            self.hosts.setdefault(raw["host"].lower().encode(), {})[raw["pathPrefix"].encode()] = route
+        self.named: Counter[str] = Counter()  # services that routes name, and how many do
+        self.classes: dict[str, it.RequestClass] = {}  # of routes
+        self._of_class: Counter[str] = Counter()  # how many are of each
+        self.fields: dict[str, Field] = {}
+        self._tables: dict[str, dict[str, Any]] = {
+            "routes": self.routes, "tenants": self.tenants, "backends": self.services, FIELDS: self.fields,
+        }  # fmt: skip
+        for table in self._tables:
+            for name, raw in named(content, table):
+                self._drop(table, name)
+                self._put(table, self._read(table, name, raw))
+
+    @property
+    def limits(self) -> dict[str, Any]:
+        return self.fields["limits"].value if "limits" in self.fields else {}
+
+    def change(self, told: Difference) -> Changed:
+        """Whole or not at all. Raises DifferenceError where it does not fit."""
+        if (told.before, told.digest_before) != (self.gen, self.digest):
+            raise DifferenceError(f"from gen {told.before}, where gen {self.gen} stands, or by its digest")
+        changes, digest = told.changes(), self.digest
+        made: list[tuple[str, str, Item | None]] = []
+        try:
+            for table, items in changes.items():
+                for name, raw in items.items():
+                    item = None if raw is None else self._read(table, name, raw)
+                    made.append((table, name, item))
+                    digest += _digest(item) - _digest(self._tables[table].get(name))
+        except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
+            raise DifferenceError(f"{name!r} in {table!r}: {error!r}") from None
+        if digest % DIGESTS != told.digest:
+            raise DifferenceError(f"gen {told.gen}: another digest than was told")
+        for table, name, _ in made:  # all of them first: one may come in another's place
+            self._drop(table, name)
+        for table, _, item in made:
+            if item is not None:
+                self._put(table, item)
+        self.gen = told.gen
+        now = [item for _, _, item in made]
+        return Changed([i for i in now if isinstance(i, Route)], [i for i in now if isinstance(i, Tenant)])
+
+    def _read(self, table: str, name: str, raw: Any) -> Item:
+        digest = weight(table, name, raw).digest
+        match table:
+            case "backends":
+                return Service(
+                    name, seconds(raw.get("warmup", "0s")), float(raw.get("warmupPerS", 0)),
+                    int(raw.get("maxConns", 0)), digest,
+                )  # fmt: skip
+            case "tenants":
+                return Tenant(
+                    name, int(raw.get("prio", 0)), float(raw.get("ratePerS") or 0),
+                    float(raw.get("burst") or 0), frozenset(raw.get("homeRegions") or ()),
+                    tuple(key.encode() for key in raw["apiKeys"]), digest,
+                )  # fmt: skip
+            case "routes":
+                split = raw.get("split") or [{"backend": raw["backend"], "weight": 1}]
+                return Route(
+                    name, self._cls(raw), tuple(p["backend"] for p in split),
+                    tuple(float(p["weight"]) for p in split), bool(raw.get("public")),
+                    frozenset(raw.get("homeRegions") or ()), int(raw.get("prio", 0)),
+                    raw["host"].lower().encode(), raw["pathPrefix"].encode(), digest,
+                )  # fmt: skip
+        return Field(name, raw[0], digest)
+
+    def _put(self, table: str, item: Item) -> None:
+        self.digest = (self.digest + item.digest) % DIGESTS
+        self._tables[table][item.name] = item
+        if isinstance(item, Tenant):
+            for key in item.keys:
+                self.keys[key] = item
+        elif isinstance(item, Route):
+            self.hosts.setdefault(item.host, {})[item.prefix] = item
+            self.classes.setdefault(item.cls.name, item.cls)
+            self._of_class[item.cls.name] += 1
+            self.named.update(item.services)
+
+    def _drop(self, table: str, name: str) -> None:
+        item: Item | None = self._tables[table].pop(name, None)
+        self.digest = (self.digest - _digest(item)) % DIGESTS
+        if isinstance(item, Tenant):
+            for key in item.keys:
+                if self.keys.get(key) is item:
+                    del self.keys[key]
+        elif isinstance(item, Route):
+            prefixes = self.hosts[item.host]
+            if prefixes.get(item.prefix) is item:
+                del prefixes[item.prefix]
+            if not prefixes:
+                del self.hosts[item.host]
+            _less(self._of_class, [item.cls.name])
+            if item.cls.name not in self._of_class:
+                del self.classes[item.cls.name]
+            _less(self.named, item.services)
 
     def _cls(self, raw: dict[str, Any]) -> it.RequestClass:
         """Routes of the same kind, times and tries are one class to the module."""
         deadline, aim = raw.get("deadline", DEADLINE), raw.get("target_time", AIM)
         tries = int(raw.get("tries", 1))
         name = f"{raw['kind']} {deadline} {aim} {tries}"
-        if name not in self.classes:
-            repeat = Repeat.SAFE if raw["kind"] == "idempotent" else Repeat.UNSAFE
-            self.classes[name] = it.RequestClass(
-                name, _us(aim), _us(deadline), repeat, late_worth=0.5, tries=max(1, tries)
-            )
-        return self.classes[name]
+        if known := self.classes.get(name):
+            return known
+        repeat = Repeat.SAFE if raw["kind"] == "idempotent" else Repeat.UNSAFE
+        return it.RequestClass(name, _us(aim), _us(deadline), repeat, late_worth=0.5, tries=max(1, tries))
 
     def route(self, host: bytes, target: bytes) -> Route | None:
         """The one whose prefix is the longest that begins the path."""
--- a/playhouse/script/state.py
+++ b/playhouse/script/state.py
@@ -14,6 +14,7 @@
 
 from playhouse.script import stored
 from playhouse.script.check import TABLES
+from playhouse.script.differences import History
 
 KNOWN = 20_000  # accepted calls that are remembered, so that one sent again is known: a day's changes
 CALLS = 4_096  # calls for zones that are
@@ -89,6 +90,7 @@
     system: str = ""  # its name: the first that was drawn
     # A gen, and its content as ingresses are told it.
     _told: tuple[int, bytes] = field(default=(-1, b""), compare=False, repr=False)
+    _history: History = field(default_factory=History, compare=False, repr=False)
 
     def __post_init__(self) -> None:
         if self.forgotten < 0:  # stored when 256 were known, and not what was forgotten
@@ -107,6 +109,10 @@
             self._told = (self.gen, zlib.compress(text, 6))
         return self._told[1]
 
+    @property
+    def history(self) -> History:
+        return self._history
+
     def apply(self, command: Command) -> bool:
         """False if it is void: another change came first, or it is no news to the data plane."""
         match command.verb:
@@ -115,8 +121,9 @@
                     return False
                 if command.digest in self.known:  # it was refused: that holds
                     return False
-                self.content = self.result(command)
+                was, self.content = self.content, self.result(command)
                 self.gen = command.order["gen"]
+                self._history.took(was, self.content, command.order if command.verb is Verb.UPDATE else None)
                 self._remember(command.digest, self.gen)
             case Verb.REFUSE:
                 if command.digest not in self.known:
--- a/playhouse/stage/choice.py
+++ b/playhouse/stage/choice.py
@@ -53,6 +53,9 @@
 
     def listed(self, event: it.BackendsListed) -> None:
         super().listed(event)
+        for info in event.backends:
+            if info.state is it.BackendState.GONE:
+                self.backends.pop(info.id, None)
         self.rows = {}
         for backend in self.ready:
             self.rows.setdefault(backend.info.service, []).append(backend)
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -7,12 +7,11 @@
 from typing import Any
 
 from ironledge import interface as it
-from ironledge.brain import Gateway
 from ironledge.net.backends import Backends
 from ironledge.net.bodies import Memory
 from ironledge.net.clients import Listener
 from ironledge.net.discovery import Entry, Listing
-from ironledge.net.engine import Clock, Engine, Names
+from ironledge.net.engine import Clock, Names
 from ironledge.net.sockets import Sockets
 from playhouse.boxoffice.purse import FURTHER
 from playhouse.boxoffice.till import EXPIRY, saved_most
@@ -20,12 +19,13 @@
 from playhouse.errors import Code, SystemFailure
 from playhouse.events import Event, note
 from playhouse.foyer.lookup import lookup
-from playhouse.script.playbill import Playbill
+from playhouse.script.playbill import Changed, Playbill, Tenant
 from playhouse.settings import Settings, seconds, shown
 from playhouse.stage.choice import Rows
 from playhouse.stage.dialect import judge
-from playhouse.stage.news import News
+from playhouse.stage.news import Known, News
 from playhouse.stage.reading import Reading
+from playhouse.stage.tuning import TunedEngine, TunedGateway
 from playhouse.stage.units import LEASE_PATIENCE, Units
 from playhouse.stagedoor.doors import Answer, Doors, told, wrong
 from playhouse.stagedoor.tree import FOYER, READY, Wrong, match
@@ -80,10 +80,11 @@
     def _stage(self) -> None:
         settings = self.settings
         first = self._settings_of(self.bill)
-        self.gateway = Gateway(first, random.getrandbits(32), Rows)
+        self.gateway = TunedGateway(first, random.getrandbits(32), Rows)
         self.gateway.in_touch, self.gateway.alone_since = self.in_touch, self._alone_since
         self.sockets = Sockets(settings.descriptors - 200)
-        self.engine = Engine(self.gateway, first, Names(first, {}), self._loop, self.clock.now)
+        self.engine = TunedEngine(self.gateway, first, Names(first, {}), self._loop, self.clock.now)
+        self.gateway.numbers = self.engine.number_of_plan
         self.engine.refusals = (429, 503)
         self.engine.describe = self._describe
         self.backends = Backends(self.sockets, IDLE, CONNECT)
@@ -106,13 +107,7 @@
         self._set_place()
 
     def _settings_of(self, bill: Playbill) -> it.Settings:
-        plans = tuple(
-            it.Plan(
-                t.name, t.rate, max(1.0, t.burst) if t.rate else 0.0,
-                saved_most=saved_most(t.rate, t.burst, self.settings.bounds),
-            )
-            for t in bill.tenants.values()
-        )
+        plans = tuple(self._plan(t) for t in bill.tenants.values())
         limits = it.Limits(
             max_attempts=6,
             advises_retry=True,
@@ -130,11 +125,19 @@
             expiry=round(EXPIRY * 0.95 * 1e6),
         )
         return it.Settings(
-            0, max(1, self.news.edges), self._zones.get(self.settings.zone, 0), 50_000,
+            0, self._fleet_size(), self._zones.get(self.settings.zone, 0), 50_000,
             (NO_CLASS, *bill.classes.values()), (it.Plan("", 0.0, 0.0), *plans), limits,
             it.Safety(0, 0, 1.0, 1, 1.0, 1), counter,
         )  # fmt: skip
 
+    def _plan(self, tenant: Tenant) -> it.Plan:
+        rate, burst = tenant.rate, tenant.burst
+        most = saved_most(rate, burst, self.settings.bounds)
+        return it.Plan(tenant.name, rate, max(1.0, burst) if rate else 0.0, saved_most=most)
+
+    def _fleet_size(self) -> int:
+        return max(1, self.news.edges)
+
     async def start(self) -> None:
         await self.wings.listen()
         await self._readyz.listen(self.settings.listen["readyz"])
@@ -301,18 +304,25 @@
         changed = self.news.take(cue, node, asked, self._loop.time(), self.clock.now())
         if changed is None:
             return
+        if changed.dropped:
+            note(Event.DIFFERENCE_DROPPED, "%s", changed.dropped)
+            return
         if changed.bill:
-            self._take_bill(self.news.bill)
+            self._take_bill(self.news.bill, changed.items)
         if changed.place:
             self._set_place()
         if changed.servers:
-            self._list_servers()
+            self._list_servers(changed.named)
 
-    def _take_bill(self, bill: Playbill) -> None:
+    def _take_bill(self, bill: Playbill, items: Changed | None) -> None:
         limits = bill.limits
         self.listener.idle_for = seconds(limits.get("idleTimeout", "15s"))
         self.listener.head_for = seconds(limits.get("headerTimeout", "3s"))
-        self.engine.retune(self._settings_of(bill), {})
+        if items is None:
+            self.engine.retune(self._settings_of(bill), {})
+        else:
+            plans = [self._plan(tenant) for tenant in items.tenants]
+            self.engine.adjust(self._fleet_size(), [route.cls for route in items.routes], plans)
         note(Event.NEWS_APPLIED, "gen %d", bill.gen)
 
     def _set_place(self) -> None:
@@ -328,23 +338,33 @@
         place.ratio, place.slack = bounds.retry_ratio, bounds.retry_slack
         self.rows.placed()
 
-    def _list_servers(self) -> None:
-        entries: list[Entry] = []
-        for known in self.news.servers.values():
-            server = known.server
-            away = server.state != "ready" or server.zone in self.news.evacuated
-            raw = {
-                "name": server.id, "address": server.addr, "zone": server.zone,
-                "status": "draining" if away else "up",
-            }  # fmt: skip
+    def _list_servers(self, named: frozenset[str] | None) -> None:
+        """Those named, of which some may be gone; None: all there are, and no others."""
+        servers, entries = self.news.servers, list[Entry]()
+        for id in servers if named is None else named:
             try:
-                entries.append(Standing(raw, server.service, server.capacity, known.cold_until))
+                if id in servers:
+                    entries.append(self._standing(servers[id]))
+                    continue
             except ValueError as error:
-                note(Event.FAILED, "server %s: %s", server.id, error)
-        self.engine.listed(Listing.of(self.news.seen[2], entries, True))
+                note(Event.FAILED, "server %s: %s", id, error)
+            if self.engine.knows(id):
+                entries.append(Standing({"name": id, "status": "removed"}, "", 0, 0))
+        self.engine.listed(Listing.of(self.news.seen[2], entries, named is None))
+
+    def _standing(self, known: Known) -> Standing:
+        server = known.server
+        away = server.state != "ready" or server.zone in self.news.evacuated
+        raw = {
+            "name": server.id, "address": server.addr, "zone": server.zone,
+            "status": "draining" if away else "up",
+        }  # fmt: skip
+        return Standing(raw, server.service, server.capacity, known.cold_until)
 
     def _describe(self, entry: Entry, number: int) -> it.ListedBackend:
         assert isinstance(entry, Standing)
+        if entry.status == "removed":
+            return it.ListedBackend(number, it.BackendState.GONE, -1, 0, 0, 1.0, 0, number)
         state = it.BackendState.READY if entry.status == "up" else it.BackendState.DRAINING
         zone = self._zones.get(entry.zone, -1)
         region = self._regions.get(self.settings.zones.get(entry.zone, ""), -1)
--- a/playhouse/stage/news.py
+++ b/playhouse/stage/news.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass
 
 from playhouse.company.roll import LOST, PROMPT, hold
+from playhouse.script.differences import Difference, DifferenceError
+from playhouse.script.playbill import Changed as Items
 from playhouse.script.playbill import Playbill
 from playhouse.settings import DRIFT
 from playhouse.wings import cues_pb2 as pb
@@ -28,8 +30,11 @@
     """What a cue has changed."""
 
     bill: bool = False
+    items: Items | None = None  # of the bill; None: all of it may be otherwise
     servers: bool = False
+    named: frozenset[str] | None = None  # of the servers; None: all of them may be
     place: bool = False
+    dropped: str = ""  # nothing was taken: why
 
 
 class News:
@@ -47,6 +52,7 @@
         self._alone_at = now  # when it last lost touch otherwise than by hearing nothing
         self._told_of: set[str] = set()  # servers, in the term of the newest cue
         self._told: tuple[str, pb.Node] | None = None  # what the leader knows of it, and in which epoch
+        self._wants_whole = False  # a difference did not fit
         self._clock = (0, 0.0)  # what the newest cue said of the leader's, in ms, and when it came
 
     # What is known.
@@ -96,6 +102,7 @@
             epoch=epoch, script=script, gen=gen, servers=servers, nodes=nodes, wait_ms=round(wait * 1000),
             counting=self._counting and now - self.heard_at <= PROMPT, clock_ms=self._clock_ms(now),
             idle_ms=0 if self.edges else round((now - self._began) * 1000),
+            differences=not self._wants_whole,
         )  # fmt: skip
         if (epoch, node) == self._told:
             ask.name, ask.life = node.name, node.life
@@ -113,13 +120,28 @@
 
     def take(self, cue: pb.Cue, node: pb.Node, asked: float, now: float, us: int) -> Changed | None:
         """`asked`: when, and by which `node`; `us`: the engine's clock now. None: it says nothing new enough,
-        as nothing goes back within a life."""
+        as nothing goes back within a life. A difference that does not fit is dropped with all that came with
+        it, and the whole content is asked for next."""
         if cue.script < self.seen[1]:
             return None
-        if cue.has_script:
-            self.evacuated = frozenset(cue.evacuated)
-        if cue.has_content:
+        items = None
+        if cue.HasField("difference"):
+            told = cue.difference
+            try:
+                if told.gen != cue.gen:
+                    raise DifferenceError(f"to gen {told.gen}, and not to gen {cue.gen}")
+                items = self.bill.change(
+                    Difference(told.before, told.gen, told.digest_before, told.digest, told.change)
+                )
+            except DifferenceError as error:
+                self._wants_whole = True
+                return Changed(dropped=str(error))
+        elif cue.has_content:
             self.bill = Playbill(json.loads(zlib.decompress(cue.content)) if cue.content else {})
+            self._wants_whole = False
+        moved = cue.has_script and self.evacuated != frozenset(cue.evacuated)
+        if moved:
+            self.evacuated = frozenset(cue.evacuated)
         if cue.servers_whole:
             self.servers = {}
         if cue.epoch.rstrip("~") != self.seen[0].rstrip("~"):
@@ -142,11 +164,12 @@
         self.seen, self._told = (cue.epoch, cue.script, cue.servers, cue.nodes, cue.gen), (cue.epoch, node)
         self.heard_at, self._clock = now, (cue.clock_ms, now)
         self.lease_end = asked + cue.lease_ms / 1000 * (1 - DRIFT)
+        anew, bill = cue.servers_whole or cue.rest_gone or moved, cue.has_content or items is not None
         return Changed(
-            cue.has_content,
-            bool(cue.server) or cue.servers_whole or cue.rest_gone or cue.has_script,
-            bool(cue.node) or bool(cue.node_gone) or cue.nodes_whole or cue.has_content,
-        )
+            bill, items,
+            bool(cue.server) or anew, None if anew else frozenset(server.id for server in cue.server),
+            bool(cue.node) or bool(cue.node_gone) or cue.nodes_whole or bill,
+        )  # fmt: skip
 
     def _know_server(self, server: pb.Server, us: int) -> None:
         if server.state == "gone":
--- a/playhouse/stage/reading.py
+++ b/playhouse/stage/reading.py
@@ -83,13 +83,13 @@
         plan = names.plans[tenant.name.encode()] if tenant else names.plans[b""]
         customer = scene.customer(tenant.name) if tenant else 0
         made = head(message, id)
-        body, bill = message.body, scene.bill
+        body, gen = message.body, scene.bill.gen
 
         def dress(server: str, left: int) -> bytes | None:
             """The whole request, as its first byte is written; None if what allowed it holds no longer."""
             if not scene.may_serve() or not scene.stands(server, service):
                 return None
-            if scene.bill is not bill:
+            if scene.bill.gen != gen:
                 try:
                     route_now, tenant_now = self.find(host, target, key)
                 except BadRequest:
--- /dev/null
+++ b/playhouse/stage/tuning.py
@@ -0,0 +1,83 @@
+"""The engine and the module of `ironledge`, retuned by what changed alone: there are as many plans as
+tenants."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
+from typing import Any, Protocol, TypeVar
+
+from ironledge import interface as it
+from ironledge.brain import Gateway
+from ironledge.net.engine import Engine
+
+
+class Named(Protocol):
+    @property
+    def name(self) -> str: ...
+
+
+Kind = TypeVar("Kind", bound=Named)
+
+
+class TunedGateway(Gateway):
+    numbers: Callable[[str], int]  # of plans, by name: for good
+
+    def follow(self, settings: it.Settings) -> None:
+        """Accounts find their plans by number: a search for each would take the square of the tenants."""
+        accounts, self.accounts = self.accounts, {}
+        super().follow(settings)
+        self.accounts = accounts
+        for account in accounts.values():
+            account.follow(settings.plans[self.numbers(account.plan.name)])
+
+
+class TunedEngine(Engine):
+    """A name of a class or plan that was dropped stays known, as its number does: who may be named at all is
+    the configuration's affair."""
+
+    def retune(self, settings: it.Settings, raw: dict[str, Any]) -> None:
+        super().retune(settings, raw)
+        self._know_dropped()
+
+    def _know_dropped(self) -> None:
+        for numbers, items in self._numbers():
+            for number, item in enumerate(items):
+                numbers.setdefault(item.name.encode(), number)
+
+    def _numbers(self) -> tuple[tuple[dict[bytes, int], Sequence[Named]], ...]:
+        return (self.names.classes, self.settings.classes), (self.names.plans, self.settings.plans)
+
+    def adjust(
+        self, fleet_size: int, classes: Iterable[it.RequestClass], plans: Iterable[it.Plan]
+    ) -> None:  # fmt: skip
+        """These in the place of those of the same names, or behind all; whatever else there is stands."""
+        before = self.settings
+        made = replace(
+            before, fleet_size=fleet_size,
+            classes=_put(self.names.classes, before.classes, classes),
+            plans=_put(self.names.plans, before.plans, plans),
+        )  # fmt: skip
+        if made.classes is before.classes and made.plans is before.plans and fleet_size == before.fleet_size:
+            return
+        self.settings, self.names.gateways = made, fleet_size
+        self._post(it.SettingsChanged(made))
+
+    def number_of_plan(self, name: str) -> int:
+        return self.names.plans[name.encode()]
+
+
+def _put(numbers: dict[bytes, int], before: tuple[Kind, ...], items: Iterable[Kind]) -> tuple[Kind, ...]:
+    """The same object where nothing differs."""
+    made: list[Kind] | None = None
+    for item in items:
+        number = numbers.get(item.name.encode(), len(made or before))
+        if number < len(made or before) and (made or before)[number] == item:
+            continue
+        made = made if made is not None else list(before)
+        if number == len(made):
+            made.append(item)
+            numbers[item.name.encode()] = number
+        else:
+            made[number] = item
+    return before if made is None else tuple(made)
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -64,6 +64,8 @@
         # By what those who ask have of servers and nodes: when it was packed, up to which numbers, and what.
         self._lists: dict[tuple[int, int, bool], tuple[float, tuple[int, int], bytes]] = {}
         self._expired_at = float("-inf")
+        self._state: State | None = None  # as it was last followed
+        self._followed: tuple[Any, Any] = (None, None)  # its tenants and backends, by object
         for seen in board.servers.values():
             seen.heard_at = now
         roll.begin(now, edges)
@@ -77,21 +79,25 @@
         return not self._from_nothing or now - self.began > SETTLE * self._beat
 
     def follow(self, state: State) -> None:
-        """The configuration has changed."""
-        self.till.quotas(
-            {
-                t["name"]: (float(t["ratePerS"]), float(t.get("burst") or 0))
-                for t in state.content.get("tenants", ())
-                if t.get("ratePerS")
-            }
-        )
-
-        self._warm_per_s = {
-            b["name"]: float(b.get("warmupPerS") or 0) for b in state.content.get("backends", ())
-        }
+        """The configuration has changed. A table that is the same object as before is the same."""
+        self._state, before = state, self._followed
+        tenants, backends = (state.content.get(table, ()) for table in ("tenants", "backends"))
+        self._followed = tenants, backends
+        if tenants is not before[0]:
+            self.till.quotas(
+                {
+                    t["name"]: (float(t["ratePerS"]), float(t.get("burst") or 0))
+                    for t in tenants
+                    if t.get("ratePerS")
+                }
+            )
+        if backends is not before[1]:
+            self._warm_per_s = {b["name"]: float(b.get("warmupPerS") or 0) for b in backends}
 
     def tick(self, now: float) -> bool:
         """True if there is news."""
+        if self._state:
+            self._state.history.weigh(self._state.content)
         return self._count(now, anew=True) | self._expire(now)
 
     def _count(self, now: float, anew: bool = False) -> bool:
@@ -212,9 +218,8 @@
         if ask.script != state.version:
             cue.evacuated.extend(state.evacuated)
             cue.has_script = True
-            if ask.gen != state.gen:
-                cue.has_content = True
-                cue.content = state.told()
+            if ask.gen != state.gen and ask.node.kind == "edge":  # others have the log
+                self._tell_content(cue, ask, state)
         of_term = ask.epoch in (cue.epoch, f"{self.term}~")
         # Once all had time to say that they are there, an ingress need not be told again of those who were.
         cue.rest_gone = of_term and ask.epoch != cue.epoch and ask.node.kind == "edge"
@@ -224,6 +229,18 @@
         )
         return cue
 
+    def _tell_content(self, cue: pb.Cue, ask: pb.Ask, state: State) -> None:
+        """What differs from the gen that an ingress has, where it takes that and it is known; else all."""
+        if ask.differences and (found := state.history.since(ask.gen)):
+            cue.difference.CopyFrom(
+                pb.Difference(
+                    before=found.before, gen=found.gen, digest_before=found.digest_before,
+                    digest=found.digest, change=found.change,
+                )
+            )  # fmt: skip
+        else:
+            cue.has_content, cue.content = True, state.told()
+
     def renew(self, now: float, ask: pb.Ask) -> pb.Cue:
         """What it knows stands, and its lease begins anew; news of servers, nodes and the configuration may
         be kept for its next ask."""
