--- /dev/null
+++ b/tests/test_playhouse_differences.py
@@ -0,0 +1,253 @@
+"""Differences of the configuration, from the leader's history to an ingress: against ingresses that read the
+whole content anew at every change."""
+
+from __future__ import annotations
+
+import json
+import random
+import zlib
+from collections.abc import Iterator
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ironledge.account import Account
+from playhouse.callboard.board import Board
+from playhouse.company.roll import Roll
+from playhouse.script import differences
+from playhouse.script.check import TABLES
+from playhouse.script.playbill import Playbill
+from playhouse.script.state import Command, State, Verb
+from playhouse.settings import checked
+from playhouse.stage.house import House
+from playhouse.stage.news import News
+from playhouse.understudy.duty import Duty
+from playhouse.wings import cues_pb2 as pb
+from tests.test_playhouse_control import SETTINGS, content, route
+
+NODE = pb.Node(name="e", life="1", kind="edge", door="d", http="h")
+
+
+def seen(bill: Playbill) -> list[Any]:
+    """All that a bill says to those who use it."""
+    items = [bill.hosts, bill.keys, bill.routes, bill.tenants, bill.services, bill.limits]
+    return [bill.gen, bill.digest, *items, dict(bill.named), set(bill.classes.values())]
+
+
+def tenant(n: int, rng: random.Random) -> dict[str, Any]:
+    keys = [f"k{n}", *(f"k{n}.{rng.randrange(3)}" for _ in range(rng.randrange(2)))]
+    return {"name": f"t{n}", "apiKeys": keys, "ratePerS": rng.choice([0, 1, 1.0, 50]), "burst": 50}
+
+
+def a_route(n: int, rng: random.Random) -> dict[str, Any]:
+    place = f"/p{n if rng.random() < 0.8 else 'x'}/"  # sometimes one takes another's place
+    aim, service = f"{rng.randint(1, 4)}s", f"s{rng.randrange(2)}"
+    return route(f"r{n}", pathPrefix=place, backend=service, target_time=aim)
+
+
+def first(rng: random.Random, size: int = 60) -> Command:
+    made = content(gen=1, routes=[a_route(n, rng) | {"pathPrefix": f"/p{n}/"} for n in range(size)],
+                   tenants=[tenant(n, rng) for n in range(size)])  # fmt: skip
+    return Command(Verb.REPLACE, "first", made)
+
+
+def order(state: State, rng: random.Random, size: int = 60) -> Command:
+    """On top of what is in force, and sound."""
+    gen, parent, few = state.gen + rng.randint(1, 3), state.gen, rng.sample(range(size), rng.randint(1, 3))
+    frame: dict[str, Any] = {"gen": gen, "parent": parent}
+    if rng.random() < 0.2:
+        limits = {"idleTimeout": f"{rng.randint(1, 3)}s"}
+        tables = {t: rng.sample(state.content[t], len(state.content[t])) for t in ("routes", "tenants")}
+        tables["routes"] = tables["routes"][rng.randrange(3) :]
+        return Command(Verb.REPLACE, f"{gen}", state.content | frame | tables | {"limits": limits})
+    places = {r["name"]: r["pathPrefix"] for r in state.content["routes"]}
+    out, put = [f"r{n}" for n in rng.sample(range(size), rng.randrange(2))], dict[str, dict[str, Any]]()
+    for n in few:
+        made = a_route(n, rng)
+        holders = [name for name, place in places.items() if place == made["pathPrefix"]]
+        if all(name in out or name == made["name"] for name in holders):
+            put[made["name"]], places[made["name"]] = made, made["pathPrefix"]
+    upsert = {"routes": list(put.values()), "tenants": [tenant(n, rng) for n in rng.sample(range(size), 2)]}
+    remove = {"routes": [n for n in out if n not in put], "tenants": [f"t{rng.randrange(size)}"]}
+    return Command(Verb.UPDATE, f"{gen}", frame | {"upsert": upsert, "remove": remove})
+
+
+def weighed(state: State) -> State:
+    while not state.history.weigh(state.content):
+        pass
+    return state
+
+
+def told(state: State, news: News, now: float, term: int) -> pb.Cue:
+    """What the duty of that term tells for the ask of that ingress."""
+    duty = Duty(term, now, False, Board(), Roll(), [], checked(SETTINGS).bounds, 1.5)
+    ask = news.ask(NODE, now, 0)
+    ask.node.CopyFrom(NODE)
+    duty.follow(state)
+    return duty.cue(now, ask, state)
+
+
+def changes(rng: random.Random, count: int, restored: float = 0.0) -> Iterator[tuple[State, State]]:
+    """Two members' states that apply the same commands; the second is now and then restored."""
+    states = State(), State()
+    for number in range(count):
+        command = order(states[0], rng) if number else first(rng)
+        for state in states:
+            assert state.apply(Command.read(command.out()))
+        yield states
+        if rng.random() < restored:
+            states = states[0], State.read(states[1].out())
+
+
+def spoil(told: pb.Difference, rng: random.Random) -> None:
+    """It fits no longer, or is none."""
+    raw = json.loads(zlib.decompress(told.change)) or {"tenants": {}}
+    table = rng.choice(list(raw))
+    put = [name for name, item in raw[table].items() if item is not None]
+    match rng.randrange(6):
+        case 0:
+            told.before -= 1
+        case 1:
+            told.change = told.change[: rng.randrange(len(told.change))]
+        case 2:
+            raw[table]["another"] = {"name": "another", "apiKeys": 7, "pathPrefix": "/"}
+            told.change = zlib.compress(json.dumps(raw).encode())
+        case 3 if put:
+            del raw[table][put[0]]
+            told.change = zlib.compress(json.dumps(raw).encode())
+        case 4:
+            told.gen += 1
+        case _:
+            told.digest_before += 1
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.integers(0, 1 << 32))
+def test_an_ingress_told_differences_serves_as_one_that_reads_the_whole(seed: int) -> None:
+    """Cues are lost or spoilt, another member leads each time, its content is or is not weighed by then."""
+    rng, news = random.Random(seed), News(0.0, [])
+    for number, states in enumerate(changes(rng, 12, restored=0.1)):
+        leader, now, before = states[rng.randrange(2)], 100.0 + number, seen(news.bill)
+        leader.history.weigh(leader.content)
+        if rng.random() < 0.3:
+            continue
+        cue = told(leader, news, now, number)
+        assert cue.HasField("difference") != cue.has_content
+        if cue.HasField("difference") and rng.random() < 0.3:
+            assert len(cue.difference.change) < len(leader.told())
+            spoil(cue.difference, rng)
+            changed = news.take(cue, NODE, now, now, 0)
+            assert changed and changed.dropped and not changed.bill
+            assert seen(news.bill) == before and news.seen[4] == before[0] and news.heard_at < now
+            cue = told(leader, news, now, number)
+            assert cue.has_content  # as it asks for the whole
+        changed = news.take(cue, NODE, now, now, 0)
+        assert changed and changed.bill and not changed.dropped
+        assert seen(news.bill) == seen(Playbill(leader.content)) and news.seen[4] == leader.gen
+        assert news.ask(NODE, now, 0).differences and news.lease_end > now
+
+
+def test_each_leader_tells_one_change_as_a_difference_whatever_the_order_of_items() -> None:
+    rng, news = random.Random(2), News(0.0, [])
+    for number, states in enumerate(changes(rng, 30)):
+        leader = weighed(states[number % 2])
+        cue = told(leader, news, 100.0 + number, number)
+        assert cue.has_content == (number == 0)
+        news.take(cue, NODE, 100.0, 100.0, 0)
+        turned = Playbill(leader.content | {t: leader.content[t][::-1] for t in TABLES})
+        assert turned.digest == news.bill.digest == (cue.difference.digest or turned.digest)
+    ask = news.ask(NODE, 200.0, 0)
+    ask.node.CopyFrom(NODE)
+    ask.node.kind, ask.script, ask.gen = "core", 1, 1
+    duty = Duty(99, 200.0, False, Board(), Roll(), [], checked(SETTINGS).bounds, 1.5)
+    cue = duty.cue(200.0, ask, leader)  # which has the log
+    assert cue.has_script and not cue.has_content and not cue.HasField("difference")
+
+
+def test_what_is_kept_weighed_at_once_and_told_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    rng, state, counted, real = random.Random(3), State(), list[str](), differences.weight
+    assert state.apply(first(rng)) and weighed(state).history.since(0) is None  # from nothing it is the whole
+
+    def many(count: int) -> Command:
+        items = [tenant(n, rng) | {"prio": state.gen} for n in range(count)]
+        frame = {"gen": state.gen + 1, "parent": state.gen, "upsert": {"tenants": items}}
+        return Command(Verb.UPDATE, f"many {state.gen}", frame)
+
+    assert state.apply(many(30)) and state.history.since(1) is None  # over an eighth of the whole
+    for name, bound in (("WEIGHED", 7), ("KEPT", 5), ("ITEMS", 12), ("PART", 0)):
+        monkeypatch.setattr(differences, name, bound)
+    monkeypatch.setattr(differences, "weight", lambda *of: counted.append(of[1]) or real(*of))
+    state = State()
+    assert state.apply(first(rng))
+    for _ in range(3):
+        counted.clear()
+        assert not state.history.weigh(state.content) and len(counted) <= 7
+    assert state.apply(many(12)) and state.history.since(1) is None  # amid the weighing
+    known = weighed(state).history.since(1)
+    assert known and known.digest == Playbill(state.content).digest
+    gens = [state.gen]
+    for _ in range(8):
+        assert state.apply(many(2))
+        gens.append(state.gen)
+    assert [state.history.since(gen) is not None for gen in gens] == [False] * 3 + [True] * 5 + [False]
+    assert state.apply(many(13)) and weighed(state).history.since(gens[-1]) is None
+
+
+def plans(house: House) -> dict[str, Any]:
+    """What engine and module hold of what the bill names, by name."""
+    engine, bill = house.engine, house.news.bill
+    by_name = {name: engine.settings.plans[engine.names.plans[name.encode()]] for name in ["", *bill.tenants]}
+    classes = {name: engine.settings.classes[engine.names.classes[name.encode()]] for name in bill.classes}
+    assert house.gateway.settings is engine.settings and house.rows.settings is engine.settings
+    assert len(house.rows.usual) == len(engine.settings.classes)
+    return by_name | classes
+
+
+def rows(house: House) -> Any:
+    """Servers as the choice finds them, by service, and those to which connections are kept."""
+    return (
+        {
+            house._service_names[service]: {
+                house.engine.name_of(b.info.id): replace(b.info, id=0, key=0, service=0) for b in backends
+            }
+            for service, backends in house.rows.rows.items()
+        },
+        {house.engine.name_of(number) for number in house.rows.backends},
+        {house.engine.name_of(number) for number in house.backends._pools},
+        {entry.name: entry.raw() for entry in house.engine.entries()},
+    )
+
+
+async def test_a_house_retuned_by_what_changed_is_as_one_that_takes_everything_anew() -> None:
+    """Tenants with accounts that get other plans, servers that come, go, drain, come back and are unsound."""
+    rng, house = random.Random(5), House(checked(SETTINGS))
+    known: dict[str, pb.Server] = {}
+    for number, states in enumerate(changes(rng, 40)):
+        state, now, plain = weighed(states[0]), house._loop.time(), House(checked(SETTINGS))
+        cue = told(state, house.news, now, 3)
+        cue.epoch, cue.servers, before = "3", number + 1, dict(house.engine.names.plans)
+        for name in rng.sample("abcdefgh", 3):
+            addr = rng.choice(["10.1.0.9:80", "10.1.0.8:80", "10.1.0.8:no"])
+            server = pb.Server(id=name, service=f"s{rng.randrange(2)}", addr=addr, zone="z", capacity=2,
+                               state=rng.choice(["ready", "ready", "draining", "gone"]))  # fmt: skip
+            known[name] = server
+            cue.server.append(server)
+        house._apply(cue, NODE, now)
+        here = [server for server in known.values() if server.state != "gone"]
+        content = zlib.compress(json.dumps(state.content).encode())
+        whole = pb.Cue(epoch="3", script=cue.script, gen=cue.gen, has_content=True, content=content)
+        whole.server.extend(here)
+        plain._apply(whole, NODE, now)
+        assert cue.has_content == (number == 0) and seen(house.bill) == seen(plain.bill)
+        assert plans(house) == plans(plain) and rows(house) == rows(plain)
+        assert before.items() <= house.engine.names.plans.items() or not number  # numbers are for good
+        for customer, account in house.gateway.accounts.items():
+            assert account.plan == plans(house).get(f"t{customer}", account.plan)
+        plain.backends.stop()
+        for name in rng.sample(list(house.bill.tenants), 5):
+            plan = plans(house)[name]
+            house.gateway.accounts.setdefault(int(name[1:]), Account(plan, 1, 1, 0)).plan = plan
+    house.backends.stop()
