--- a/playhouse/script/differences.py
+++ b/playhouse/script/differences.py
@@ -57,21 +57,10 @@
         return dict(made)
 
 
-@dataclass(frozen=True, slots=True)
-class Weight:
-    digest: int = 0
-    size: int = 0  # bytes of text
-
-    def __add__(self, other: Weight) -> Weight:
-        return Weight((self.digest + other.digest) % DIGESTS, self.size + other.size)
-
-    def __sub__(self, other: Weight) -> Weight:
-        return Weight((self.digest - other.digest) % DIGESTS, self.size - other.size)
-
-
-def weight(table: str, name: str, item: Any) -> Weight:
+def weight(table: str, name: str, item: Any) -> tuple[int, int]:
+    """An item's digest, and the bytes of its text."""
     text = _text([table, name, item]).encode()
-    return Weight(int.from_bytes(blake2b(text, digest_size=8).digest(), "big"), len(text))
+    return int.from_bytes(blake2b(text, digest_size=8).digest(), "big"), len(text)
 
 
 def named(content: Mapping[str, Any], table: str) -> Iterator[tuple[str, Any]]:
@@ -81,7 +70,7 @@
     return ((item["name"], item) for item in content.get(table, ()))
 
 
-def weighed(content: Mapping[str, Any]) -> Iterator[Weight]:
+def weighed(content: Mapping[str, Any]) -> Iterator[tuple[int, int]]:
     """Of each item."""
     return (weight(table, name, item) for table in (*TABLES, FIELDS) for name, item in named(content, table))
 
@@ -93,22 +82,26 @@
     before: int
     gen: int
     changes: Changes
-    weight: Weight  # by how much the content's is more
+    digest: int  # added to the content's
+    size: int
 
 
 def step(before: Mapping[str, Any], after: Mapping[str, Any], order: Mapping[str, Any] | None) -> Step | None:
     """`order`: the update that led from one to the other; without one they are compared whole. None: too many
     items differ."""
     changes: Changes = {}
-    total, count = Weight(), 0
+    digest = size = count = 0
     for table in (*TABLES, FIELDS):
         if before.get(table) is after.get(table) and table != FIELDS:
             continue
-        old, new = named(before, table), named(after, table)
+        old: Iterable[tuple[str, Any]] = named(before, table)
+        new: Iterable[tuple[str, Any]] = named(after, table)
         if order is not None:
             only = {item["name"] for item in order.get("upsert", {}).get(table, ())}
             only.update(order.get("remove", {}).get(table, ()))
-            old, new = (((name, item) for name, item in some if name in only) for some in (old, new))
+            old, new = (
+                [(i["name"], i) for i in c.get(table, ()) if i["name"] in only] for c in (before, after)
+            )
         gone = dict(old)
         for name, item in new:
             was = gone.pop(name, None)
@@ -118,16 +111,16 @@
             if count > ITEMS:
                 return None
             changes.setdefault(table, {})[name] = item
-            total += weight(table, name, item)
-            if was is not None:
-                total -= weight(table, name, was)
+            more, less = weight(table, name, item), (0, 0) if was is None else weight(table, name, was)
+            digest, size = digest + more[0] - less[0], size + more[1] - less[1]
         count += len(gone)
         if count > ITEMS:
             return None
         for name, was in gone.items():
             changes.setdefault(table, {})[name] = None
-            total -= weight(table, name, was)
-    return Step(before.get("gen", 0), after["gen"], changes, total)
+            less = weight(table, name, was)
+            digest, size = digest - less[0], size - less[1]
+    return Step(before.get("gen", 0), after["gen"], changes, digest, size)
 
 
 class History:
@@ -136,8 +129,8 @@
 
     def __init__(self) -> None:
         self._steps: deque[Step] = deque(maxlen=KEPT)
-        self._weight = Weight()
-        self._left: Iterator[Weight] | None = None  # of what is being weighed
+        self._digest = self._size = 0
+        self._left: Iterator[tuple[int, int]] | None = None  # of what is being weighed
         self._weighed = False
         self._made: dict[int, Difference | None] = {}  # by the gen that they begin at, up to the newest
 
@@ -152,16 +145,18 @@
             self._left, self._weighed = None, False
             return
         self._steps.append(made)
-        self._weight += made.weight  # also while what was before is being weighed
+        self._add(made.digest, made.size)  # also while what was before is being weighed
+
+    def _add(self, digest: int, size: int) -> None:
+        self._digest, self._size = (self._digest + digest) % DIGESTS, self._size + size
 
     def weigh(self, content: Mapping[str, Any]) -> bool:
         """Some more items of the content in force; True once all are. Before, no difference is known."""
         if not self._weighed:
             if self._left is None:
-                self._left, self._weight = weighed(content), Weight()
+                self._left, self._digest, self._size = weighed(content), 0, 0
             some = list(islice(self._left, WEIGHED))
-            for one in some:
-                self._weight += one
+            self._add(sum(digest for digest, _ in some), sum(size for _, size in some))
             self._weighed = len(some) < WEIGHED
             self._made = {}
         return self._weighed
@@ -177,14 +172,11 @@
         at = next((n for n, one in enumerate(steps) if one.before == gen), len(steps))
         if at == len(steps):
             return None
-        merged, more = merge(one.changes for one in steps[at:]), Weight()
-        for one in steps[at:]:
-            more += one.weight
-        text = _text(merged).encode()
-        if len(text) * PART > self._weight.size:
+        text = _text(merge(one.changes for one in steps[at:])).encode()
+        if len(text) * PART > self._size:
             return None
-        before = self._weight - more
-        return Difference(gen, steps[-1].gen, before.digest, self._weight.digest, zlib.compress(text, 6))
+        before = (self._digest - sum(one.digest for one in steps[at:])) % DIGESTS
+        return Difference(gen, steps[-1].gen, before, self._digest, zlib.compress(text, 6))
 
 
 def merge(some: Iterable[Changes]) -> Changes:
--- a/playhouse/script/playbill.py
+++ b/playhouse/script/playbill.py
@@ -111,7 +111,8 @@
         }  # fmt: skip
         for table in self._tables:
             for name, raw in named(content, table):
-                self._drop(table, name)
+                if name in self._tables[table]:
+                    self._drop(table, name)
                 self._put(table, self._read(table, name, raw))
 
     @property
@@ -143,7 +144,7 @@
         return Changed([i for i in now if isinstance(i, Route)], [i for i in now if isinstance(i, Tenant)])
 
     def _read(self, table: str, name: str, raw: Any) -> Item:
-        digest = weight(table, name, raw).digest
+        digest = weight(table, name, raw)[0]
         match table:
             case "backends":
                 return Service(
