--- a/playhouse/script/state.py
+++ b/playhouse/script/state.py
@@ -15,6 +15,7 @@
 
 from playhouse.script import stored
 from playhouse.script.check import TABLES
+from playhouse.script.differences import History, comparing
 
 KNOWN = 20_000  # accepted calls that are remembered, so that one sent again is known: a day's changes
 CALLS = 4_096  # calls for zones that are
@@ -107,6 +108,7 @@
     system: str = ""  # its name: the first that was drawn
     # A gen, and its content as ingresses are told it.
     _told: tuple[int, bytes] = field(default=(-1, b""), compare=False, repr=False)
+    _history: History = field(default_factory=History, compare=False, repr=False)
 
     def __post_init__(self) -> None:
         if self.forgotten < 0:  # stored when 256 were known, and not what was forgotten
@@ -125,6 +127,10 @@
             self._told = (self.gen, zlib.compress(text, 6))
         return self._told[1]
 
+    @property
+    def history(self) -> History:
+        return self._history
+
     def apply(self, command: Command) -> bool:
         return stored.at_once(self.applying(command))
 
@@ -137,8 +143,11 @@
                     return False
                 if command.digest in self.known:  # it was refused: that holds
                     return False
-                self.content = yield from self.result(command)
-                self.gen = command.order["gen"]
+                content = yield from self.result(command)
+                order = command.order if command.verb is Verb.UPDATE else None
+                made = (yield from comparing(self.content, content, order)) if self.gen else None
+                self.content, self.gen = content, command.order["gen"]
+                self._history.took(made)
                 self._remember(command.digest, self.gen)
             case Verb.REFUSE:
                 if command.digest not in self.known:
--- /dev/null
+++ b/tests/test_playhouse_differences.py
@@ -0,0 +1,310 @@
+"""Differences of the configuration, from the leader's history to an ingress: against ingresses that read the
+whole content anew at every change."""
+
+from __future__ import annotations
+
+import json
+import random
+import zlib
+from collections.abc import Iterator
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ironledge.account import Account
+from ironledge.net.http import Message
+from playhouse.callboard.board import Board
+from playhouse.company.roll import Roll
+from playhouse.script import differences
+from playhouse.script.check import TABLES, content_errors
+from playhouse.script.playbill import Playbill
+from playhouse.script.state import Command, State, Verb
+from playhouse.settings import checked
+from playhouse.stage.house import House
+from playhouse.stage.news import News
+from playhouse.stage.reading import Reading
+from playhouse.understudy.duty import Duty
+from playhouse.wings import cues_pb2 as pb
+from tests.test_playhouse_control import SETTINGS, content, route
+
+NODE = pb.Node(name="e", life="1", kind="edge", door="d", http="h")
+
+
+def seen(bill: Playbill) -> list[Any]:
+    """All that a bill says to those who use it."""
+    items = [bill.hosts, bill.keys, bill.routes, bill.tenants, bill.services, bill.limits]
+    return [bill.gen, bill.digest, *items, dict(bill.named), set(bill.classes.values())]
+
+
+def tenant(n: int, rng: random.Random) -> dict[str, Any]:
+    keys = [f"k{n}", *(f"k{n}.{rng.randrange(3)}" for _ in range(rng.randrange(2)))]
+    return {"name": f"t{n}", "apiKeys": keys, "ratePerS": rng.choice([0, 1, 1.0, 50]), "burst": 50}
+
+
+def a_route(n: int, rng: random.Random) -> dict[str, Any]:
+    place = n if rng.random() < 0.6 else "x"  # sometimes one takes another's place
+    aim, service = f"{rng.randint(1, 40)}s", f"s{rng.randrange(2)}"
+    return route(f"r{n}", host=f"H{place}", pathPrefix=f"/p{place}/", backend=service, target_time=aim)
+
+
+def first(rng: random.Random, size: int = 60) -> Command:
+    routes = [a_route(n, rng) | {"host": f"h{n}", "pathPrefix": f"/p{n}/"} for n in range(size)]
+    services = [{"name": f"s{n}", "warmupPerS": 5} for n in range(2)]
+    tenants = [tenant(n, rng) for n in range(size - size // 3)]
+    made = content(gen=1, routes=routes, backends=services, tenants=tenants)
+    return Command(Verb.REPLACE, "first", made)
+
+
+def order(state: State, rng: random.Random, size: int = 60) -> Command:
+    """On top of what is in force, and sound."""
+    gen, parent, few = state.gen + rng.randint(1, 3), state.gen, rng.sample(range(size), rng.randint(1, 3))
+    frame: dict[str, Any] = {"gen": gen, "parent": parent}
+    if rng.random() < 0.2:
+        limits = {"idleTimeout": f"{rng.randint(1, 3)}s"}
+        tables = {t: rng.sample(state.content[t], len(state.content[t])) for t in ("routes", "tenants")}
+        tables["routes"] = tables["routes"][rng.randrange(3) :]
+        return Command(Verb.REPLACE, f"{gen}", state.content | frame | tables | {"limits": limits})
+    places = {r["name"]: r["pathPrefix"] for r in state.content["routes"]}
+    out, put = [f"r{n}" for n in rng.sample(range(size), rng.randrange(2))], dict[str, dict[str, Any]]()
+    for n in few:
+        made = a_route(n, rng)
+        holders = [name for name, place in places.items() if place == made["pathPrefix"]]
+        if all(name == made["name"] or (name in out and name not in put) for name in holders):
+            put[made["name"]], places[made["name"]] = made, made["pathPrefix"]
+    upsert = {"routes": list(put.values()), "tenants": [tenant(n, rng) for n in rng.sample(range(size), 2)]}
+    upsert["backends"] = [{"name": "s1", "warmupPerS": rng.randint(0, 9)}]
+    remove = {"routes": [n for n in out if n not in put], "tenants": [f"t{rng.randrange(size)}"]}
+    return Command(Verb.UPDATE, f"{gen}", frame | {"upsert": upsert, "remove": remove})
+
+
+def weighed(state: State) -> State:
+    while not state.history.weigh(state.content):
+        pass
+    return state
+
+
+def told(state: State, news: News, now: float, term: int) -> pb.Cue:
+    """What the duty of that term tells for the ask of that ingress."""
+    duty = Duty(term, now, False, Board(), Roll(), [], checked(SETTINGS).bounds, 1.5)
+    ask = news.ask(NODE, now, 0)
+    ask.node.CopyFrom(NODE)
+    duty.follow(state)
+    return duty.cue(now, ask, state)
+
+
+def changes(rng: random.Random, count: int, restored: float = 0.0) -> Iterator[tuple[State, State]]:
+    """Two members' states that apply the same commands; the second is now and then restored."""
+    states = State(), State()
+    for number in range(count):
+        command = order(states[0], rng) if number else first(rng)
+        for state in states:
+            assert state.apply(Command.read(command.out()))
+        assert content_errors(states[0].content) == []
+        yield states
+        if rng.random() < restored:
+            states = states[0], State.read(states[1].out())
+
+
+def spoil(told: pb.Difference, rng: random.Random) -> None:
+    """It fits no longer, or is none."""
+    raw = json.loads(zlib.decompress(told.change)) or {"tenants": {}}
+    table = rng.choice(list(raw))
+    put = [name for name, item in raw[table].items() if item is not None]
+    match rng.randrange(6):
+        case 0:
+            told.before -= 1
+        case 1:
+            told.change = told.change[: rng.randrange(len(told.change))]
+        case 2:
+            raw[table]["another"] = {"name": "another", "apiKeys": 7, "pathPrefix": "/"}
+            told.change = zlib.compress(json.dumps(raw).encode())
+        case 3 if put:
+            del raw[table][put[0]]
+            told.change = zlib.compress(json.dumps(raw).encode())
+        case 4:
+            told.gen += 1
+        case _:
+            told.digest_before += 1
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.integers(0, 1 << 32))
+def test_an_ingress_told_differences_serves_as_one_that_reads_the_whole(seed: int) -> None:
+    """Cues are lost or spoilt, another member leads each time, its content is or is not weighed by then."""
+    rng, news = random.Random(seed), News(0.0, [])
+    for number, states in enumerate(changes(rng, 12, restored=0.1)):
+        leader, now, before = states[rng.randrange(2)], 100.0 + number, seen(news.bill)
+        leader.history.weigh(leader.content)
+        if rng.random() < 0.3:
+            continue
+        cue = told(leader, news, now, number)
+        assert cue.HasField("difference") != cue.has_content
+        if cue.HasField("difference") and rng.random() < 0.3:
+            assert len(cue.difference.change) < len(leader.told())
+            spoil(cue.difference, rng)
+            changed = news.take(cue, NODE, now, now, 0)
+            assert changed and changed.dropped and not changed.bill
+            assert seen(news.bill) == before and news.seen[4] == before[0] and news.heard_at < now
+            cue = told(leader, news, now, number)
+            assert cue.has_content  # as it asks for the whole
+        changed = news.take(cue, NODE, now, now, 0)
+        assert changed and changed.bill and not changed.dropped
+        assert seen(news.bill) == seen(Playbill(leader.content)) and news.seen[4] == leader.gen
+        assert news.ask(NODE, now, 0).differences and news.lease_end > now
+
+
+def test_each_leader_tells_one_change_as_a_difference_whatever_the_order_of_items() -> None:
+    rng, news = random.Random(2), News(0.0, [])
+    duty = Duty(99, 0.0, False, Board(), Roll(), [], checked(SETTINGS).bounds, 1.5)
+    for number, states in enumerate(changes(rng, 30)):
+        leader = states[number % 2]
+        for state in states:  # as the leader's does, a few items at a time
+            duty.follow(state)
+            duty.tick(number)
+        raw, rates = leader.content, (t for t in leader.content["tenants"] if t["ratePerS"])
+        assert duty.till._quotas == {t["name"]: (t["ratePerS"], t["burst"]) for t in rates}
+        assert duty._warm_per_s == {b["name"]: b["warmupPerS"] for b in raw["backends"]}
+        cue = told(leader, news, 100.0 + number, number)
+        assert cue.has_content == (number == 0)
+        news.take(cue, NODE, 100.0, 100.0, 0)
+        turned = Playbill(leader.content | {t: leader.content[t][::-1] for t in TABLES})
+        assert turned.digest == news.bill.digest == (cue.difference.digest or turned.digest)
+    ask = news.ask(NODE, 200.0, 0)
+    ask.node.CopyFrom(NODE)
+    ask.node.kind, ask.script, ask.gen = "core", 1, 1
+    cue = duty.cue(200.0, ask, leader)  # which has the log
+    assert cue.has_script and not cue.has_content and not cue.HasField("difference")
+
+
+def test_what_is_kept_weighed_at_once_and_told_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    rng, state, counted, real = random.Random(3), State(), list[str](), differences.weight
+    assert state.apply(first(rng)) and weighed(state).history.since(0) is None  # from nothing it is the whole
+
+    def many(count: int) -> Command:
+        items = [tenant(n, rng) | {"prio": state.gen} for n in range(count)]
+        frame = {"gen": state.gen + 1, "parent": state.gen, "upsert": {"tenants": items}}
+        return Command(Verb.UPDATE, f"many {state.gen}", frame)
+
+    assert state.apply(many(30)) and state.history.since(1) is None  # over an eighth of the whole
+    for name, bound in (("WEIGHED", 7), ("KEPT", 5), ("ITEMS", 12), ("PART", 0)):
+        monkeypatch.setattr(differences, name, bound)
+    monkeypatch.setattr(differences, "weight", lambda *of: counted.append(of[1]) or real(*of))
+    state = State()
+    assert state.apply(first(rng))
+    for _ in range(3):
+        counted.clear()
+        assert not state.history.weigh(state.content) and len(counted) <= 7
+    assert state.apply(many(12)) and state.history.since(1) is None  # amid the weighing
+    known = weighed(state).history.since(1)
+    assert known and known.digest == Playbill(state.content).digest
+    gens = [state.gen]
+    for _ in range(8):
+        assert state.apply(many(2))
+        assert (known := state.history.since(gens[-3:][0])) and known.gen == state.gen
+        gens.append(state.gen)
+    assert [state.history.since(gen) is not None for gen in gens] == [False] * 3 + [True] * 5 + [False]
+    counted.clear()
+    assert state.apply(many(13)) and len(counted) <= 2 * 12
+    assert weighed(state).history.since(gens[-2]) is None
+    assert state.apply(many(2)) and (known := state.history.since(state.gen - 1))
+    assert known.digest == Playbill(state.content).digest
+    state = State()
+    assert state.apply(first(rng, 3)) and weighed(state).history.since(0) is None
+
+
+def plans(house: House) -> dict[str, Any]:
+    """What engine and module hold of what the bill names, by name."""
+    engine, bill = house.engine, house.news.bill
+    by_name = {name: engine.settings.plans[engine.names.plans[name.encode()]] for name in ["", *bill.tenants]}
+    classes = {name: engine.settings.classes[engine.names.classes[name.encode()]] for name in bill.classes}
+    assert house.gateway.settings is engine.settings and house.rows.settings is engine.settings
+    assert len(house.rows.usual) == len(engine.settings.classes)
+    return by_name | classes
+
+
+def rows(house: House) -> Any:
+    """Servers as the choice finds them, by service, and those to which connections are kept."""
+    return (
+        {
+            house._service_names[service]: {
+                house.engine.name_of(b.info.id): replace(b.info, id=0, key=0, service=0) for b in backends
+            }
+            for service, backends in house.rows.rows.items()
+        },
+        {house.engine.name_of(number) for number in house.rows.backends},
+        {house.engine.name_of(number) for number in house.backends._pools},
+        {entry.name: entry.raw() for entry in house.engine.entries()},
+    )
+
+
+async def test_a_house_retuned_by_what_changed_is_as_one_that_takes_everything_anew() -> None:
+    """Tenants with accounts that get other plans, servers that come, go, drain, come back and are unsound."""
+    rng, house = random.Random(5), House(checked(SETTINGS))
+    known: dict[str, pb.Server] = {}
+    for number, states in enumerate(changes(rng, 40)):
+        state, now, plain = weighed(states[0]), house._loop.time(), House(checked(SETTINGS))
+        house.news._wants_whole = whole = rng.random() < 0.2
+        cue = told(state, house.news, now, 3)
+        cue.epoch, cue.servers, before = "3", number + 1, dict(house.engine.names.plans)
+        if rng.random() < 0.1:
+            known, cue.servers_whole = {}, True
+        cue.evacuated.extend(["y"] if rng.random() < 0.3 else [])
+        for name in rng.sample("abcdefgh", 3):
+            addr, service = rng.choice(["10.1.0.9:80", "10.1.0.8:80", "10.1.0.8:no"]), f"s{rng.randrange(2)}"
+            server = pb.Server(id=name, service=service, addr=addr, zone=rng.choice("yz"), capacity=2,
+                               state=rng.choice(["ready", "ready", "draining", "gone"]))  # fmt: skip
+            known[name] = server
+            cue.server.append(server)
+        house._apply(cue, NODE, now)
+        here = [server for server in known.values() if server.state != "gone"]
+        content = zlib.compress(json.dumps(state.content).encode())
+        anew = pb.Cue(epoch="3", script=cue.script, gen=cue.gen, has_content=True, content=content)
+        anew.server.extend(here)
+        anew.has_script, anew.evacuated[:] = True, cue.evacuated
+        plain._apply(anew, NODE, now)
+        assert cue.has_content == (whole or number == 0) and seen(house.bill) == seen(plain.bill)
+        assert plans(house) == plans(plain) and rows(house) == rows(plain)
+        assert before.items() <= house.engine.names.plans.items() or not number  # numbers are for good
+        for customer, account in house.gateway.accounts.items():
+            assert account.plan == plans(house).get(f"t{customer}", account.plan)
+        plain.backends.stop()
+        for name in rng.sample(list(house.bill.tenants), 5):
+            plan = plans(house)[name]
+            house.gateway.accounts.setdefault(int(name[1:]), Account(plan, 1, 1, 0)).plan = plan
+    house.backends.stop()
+
+
+@pytest.mark.parametrize(
+    ("out", "put", "goes"),
+    [
+        ([], {"apiKeys": ["k1"]}, True),
+        ([], {"apiKeys": ["k2"]}, False),
+        ([], {"apiKeys": ["k1"], "homeRegions": ["elsewhere"]}, False),
+        (["t1"], None, False),
+    ],
+)
+async def test_a_request_is_checked_anew_once_the_bill_has_changed_under_it(
+    out: list[str], put: dict[str, Any] | None, goes: bool
+) -> None:
+    house, state = House(checked(SETTINGS)), State()
+    assert state.apply(Command(Verb.REPLACE, "1", content(routes=[route(f"r{n}") for n in range(1, 60)])))
+    first = told(weighed(state), house.news, house._loop.time(), 3)
+    first.server.add(id="i", service="s1", addr="10.1.0.9:80", zone="z", capacity=2, state="ready")
+    house._apply(first, NODE, house._loop.time())
+    message = Message()
+    message.method, message.target = b"GET", b"/r1/x"
+    message.headers = {b"host": b"a.example", b"authorization": b"Token k1", b"x-request-id": b"1"}
+    reading, engine = Reading(house, random.Random(1), house.clock.now), house.engine
+    wanted = reading(message, engine.names, engine.settings.classes, house.clock.now())
+    assert wanted.dress and b"X-Tenant: t1" in (wanted.dress("i", 1000) or b"")
+    upsert = {"routes": [route("r2")], "tenants": [{"name": "t1"} | put] if put else []}
+    frame = {"gen": 9, "parent": 7, "upsert": upsert, "remove": {"tenants": out}}
+    assert state.apply(Command(Verb.UPDATE, "2", frame))
+    cue = told(state, house.news, house._loop.time(), 3)
+    assert cue.HasField("difference")
+    house._apply(cue, NODE, house._loop.time())
+    assert (wanted.dress("i", 1000) is not None) == goes
+    house.backends.stop()
