--- a/playhouse/wings/reach.py
+++ b/playhouse/wings/reach.py
@@ -54,6 +54,10 @@
         if self.hint:
             self._wings.tell(self.hint, envelope)
 
+    async def _rest(self, pause: float, end: float) -> None:
+        """Not beyond the end of the call: whoever waits for it is to hear in time that it failed."""
+        await asyncio.sleep(min(pause, max(0.0, end - self._wings.now())))
+
     async def call(self, envelope: pb.Envelope, within: float, patience: float) -> pb.Envelope:
         """The leader's answer, in `within` seconds over all tries and `patience` for one. Raises
         SystemFailure. The call may reach the leader more than once, and late: `KINDS` says what each kind
@@ -84,24 +88,24 @@
                     self._avoid(way, wings.now())
                     if way != door or not self._peers():
                         self.hint = ""
-                await asyncio.sleep(random.uniform(*PAUSE) / 2)
+                await self._rest(random.uniform(*PAUSE) / 2, end)
                 continue
             self._bad.pop(way, None)
             if answer.fault == Code.NOT_LEADER:
                 self.hint = answer.pass_to if answer.pass_to != door else ""
                 if not self.hint:
-                    await asyncio.sleep(random.uniform(*PAUSE))
+                    await self._rest(random.uniform(*PAUSE), end)
                 continue
             if wings.outdated(answer, door):
                 failure, self.hint = SystemFailure(Code.SILENT, "an older leader's word"), ""
-                await asyncio.sleep(random.uniform(*PAUSE))
+                await self._rest(random.uniform(*PAUSE), end)
                 continue
             try:
                 unpack(answer.cue)
             except ValueError as error:  # whoever leads has said something: it is asked anew, not believed
                 note(Event.GARBLED_FRAME, "%s: %s", door, error)
                 failure = SystemFailure(Code.SILENT, str(error))
-                await asyncio.sleep(random.uniform(*PAUSE))
+                await self._rest(random.uniform(*PAUSE), end)
                 continue
             self.hint = door
             return answer
