--- a/playhouse/boxoffice/till.py
+++ b/playhouse/boxoffice/till.py
@@ -12,7 +12,8 @@
 half of what the bound leaves (many ingresses, a small quota), nobody saves while in touch: each begins with
 nothing when it loses touch, and the room for one unit is left only for those that may be out of touch now.
 What such a one saves from then on is no more than what the store refills less. A new leader of the duty
-begins to count, with empty stores, once all who may spend so have been heard of.
+begins to count with empty stores, or as full as they must be where all have been heard of and nobody spent
+anything. Those it has not heard of count as out of touch, and those in touch think of the number it told.
 """
 
 from __future__ import annotations
@@ -63,7 +64,7 @@
         `idle`: s before now in which nobody spent anything: stores have refilled for so long."""
         self._idle = idle
         self._bounds, self._ever, self._edges, self._silent = bounds, ever, 1, 1
-        self._fewest, self._fewest_at = 1, now
+        self._fewest, self._fewest_at = 0, now  # 0: nobody has been told of a number by this one
         self._at, self._part, self._time = now, 1.0, 0.0  # s of refill at the whole rate, since the beginning
         self._stores: dict[str, Store] = {}
         self._quotas: dict[str, tuple[float, float]] = {}
@@ -81,7 +82,7 @@
         """So many of all ingresses may be out of touch from now on."""
         self._refilled(now)
         self._edges, self._part, self._silent = max(1, edges), max(0.0, 1 - count / max(1, edges)), count
-        if edges <= self._fewest or now - self._fewest_at > FEWEST:
+        if not 0 < self._fewest < edges or now - self._fewest_at > FEWEST:
             self._fewest, self._fewest_at = edges, now
 
     def _refilled(self, now: float) -> float:
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -56,7 +56,7 @@
         self.board, self.roll, self.till = board, roll, Till(now, bounds, ever)
         self.moves, self._repeats = Moves(now, bounds.ack, ever), Repeats()
         self.purse, self._warm_per_s = Purse(now, ever), dict[str, float]()
-        self._from_nothing = not board.servers
+        self._from_nothing, self._was_spent = not board.servers, False
         self._bounds, self.counting = bounds, not ever
         self._shared: dict[str, float] = {}  # ingresses of late, and until when they count
         self._shared_at, self._shared_of = float("-inf"), -1  # when that was looked at, and by which roll
@@ -95,8 +95,9 @@
         return self._count(now, anew=True) | self._expire(now)
 
     def _count(self, now: float, anew: bool = False) -> bool:
-        """Begins to count once all who may spend without it have been heard, or their leases are over. True
-        if it begins now."""
+        """Begins to count once all who may spend without it have been heard, or their leases are over: it may
+        be known then that nobody has spent anything. Where one that was heard has, it begins at once. True if
+        it begins now."""
         if not anew and 0 <= now - self._looked_at < LOOK:
             return False
         self._looked_at = now
@@ -104,7 +105,7 @@
         if self.counting:
             self.till.silent(now, self.roll.silent(now, edges), edges)
             return False
-        if self.roll.all_heard(now):
+        if self._was_spent or self.roll.all_heard(now):
             quotas, self.till = self.till, Till(now, self._bounds, idle=self.roll.idle(now))
             self.till.follow(quotas)
             self.counting = True
@@ -193,6 +194,7 @@
         held = self.roll.leases[ask.node.name]
         if held.idle_from == float("inf"):
             held.idle_from = now - ask.idle_ms / 1000
+            self._was_spent |= not ask.idle_ms and ask.node.kind == "edge"
         held.current = ask.servers == self.board.number
         held.counting = is_of_term and ask.counting and self.counting
         news |= self._count(now, anew=first)
--- /dev/null
+++ b/tests/test_playhouse_zones.py
@@ -0,0 +1,98 @@
+"""A zone is lost together with the leader: requests within their quota are served again at once; and a call
+that nobody answers ends in its time."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from pathlib import Path
+
+import pytest
+
+from playhouse.errors import SystemFailure
+from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.reach import Reach
+from tests.serving_world import World as Machines
+from tests.serving_world import in_memory, play
+from tests.test_playhouse_serving import now
+from tests.test_playhouse_units import SMALL, Edge, Trouble, World, broken, drawn
+
+ZONE = 5  # of the ingresses: those that are lost with the leader
+
+
+def test_a_call_that_nobody_answers_ends_in_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    in_memory(monkeypatch)
+
+    async def scene() -> None:
+        world = Machines(Path("silent"))
+        await world.begin()
+        await asyncio.sleep(2.0)
+        leader = world.leader()
+        assert leader
+        host = next(h for h in world.hosts if h != leader.settings.ip)
+        world.part(host, [*world.hosts, *(i.host for i in world.ingresses)])
+        reach: Reach = world.cores[host].reach
+        for within in [0.95, *(random.Random(1).uniform(0.05, 1.0) for _ in range(40))]:
+            began = now()
+            with pytest.raises(SystemFailure):
+                await reach.call(pb.Envelope(order=pb.Order(path=json.dumps(within))), within, 0.4)
+            assert now() - began <= within + 1e-6
+
+    play(scene())
+
+
+class OneAsks(World):
+    """Only one ingress has requests, of a tenant with a small quota; the last ZONE of all are lost."""
+
+    began = 0.0  # when the later leader's duty did
+
+    def spend(self, edge: Edge) -> None:
+        if edge.name == "e0":
+            super().spend(edge)
+
+    def lease(self, edge: Edge) -> None:
+        assert self.duty
+        left = self.duty.lease(self.now, pb.Lease(tenant="t", amount=1.0))
+        if left is not None and left >= 0.0:
+            self.spent.append((self.now, 1.0))
+
+    def hold_duty(self, ever: bool) -> None:
+        super().hold_duty(ever)
+        self.began = self.now
+
+    def had(self, since: float, until: float) -> float:
+        """Units, in these seconds of the later leader's duty."""
+        return sum(units for at, units in self.spent if since < at - self.began <= until)
+
+
+LOST: list[Trouble] = [(1.0, "cut", SMALL[2] - ZONE), (0.0, "leader", 0)]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_quota_can_be_had_within_a_second_of_a_later_leaders_duty(seed: int) -> None:
+    """Though some that held leases of the leader before are not heard of, and may spend their parts."""
+    world = OneAsks(seed, quota=SMALL)
+    world.run(LOST, 12.0)
+    assert 5.0 < world.began < 8.0 and world.duty
+    assert world.had(1.0, 4.0) > 0.75 * SMALL[0] * 3.0
+
+
+def test_a_later_leaders_stores_hold_a_burst_before_long() -> None:
+    world = OneAsks(1, quota=SMALL)
+    world.spend = lambda edge: None  # type: ignore[method-assign]
+    world.run(LOST, 9.5)
+    assert world.duty and world.duty.counting and world.now - world.began < 4.0
+    left = world.duty.lease(world.now, pb.Lease(tenant="t", amount=SMALL[1]))
+    assert left is not None and left >= 0.0
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_no_window_sees_more_than_the_whole_as_zones_and_leaders_are_lost(seed: int) -> None:
+    """All spend all that they may."""
+    rng = random.Random(seed)
+    kinds = (("cut", SMALL[2] - ZONE), ("leader", 0), ("heal", 0))
+    lost = [(rng.uniform(0.0, 3.0), kind, who) for kind, who in kinds]
+    world = World(seed, quota=SMALL)
+    world.run([*lost, *lost, *drawn(seed, 2, SMALL[2])])
+    assert broken(world) == []
