--- a/playhouse/rehearsal/core_plants.py
+++ b/playhouse/rehearsal/core_plants.py
@@ -23,7 +23,7 @@
 
 def unconfirmed() -> None:
     """Whoever once took the lead answers at once, whether anybody follows it still or not."""
-    _module("playhouse.understudy.contact").ReadIndex._is_met = lambda self, called, term, index: True
+    _module("playhouse.understudy.contact").ReadIndex._is_met = lambda self, waiting, stand: True
     machine = _module("playhouse.promptbook.machine")
     machine.Machine.leads = lambda self, now: self.role is machine.Role.LEADER and self._opened
     follow = machine.Machine._become_follower
--- a/playhouse/understudy/contact.py
+++ b/playhouse/understudy/contact.py
@@ -52,25 +52,38 @@
     future: asyncio.Future[None]
 
 
+@dataclass(frozen=True, slots=True)
+class _Stand:
+    """How the log stands at one moment."""
+
+    term: int
+    leads: bool
+    contact: float
+    commit_index: int
+
+
 class ReadIndex:
     def __init__(self, process: Process) -> None:
         self._process = process
         self._waiting: set[_Waiting] = set()
         self._timer: asyncio.TimerHandle | None = None
 
-    def _is_met(self, called: float, term: int, index: int) -> bool:
+    def _stand(self) -> _Stand:
         log, now = self._process.machine, self._process.now()
-        if log.term != term:
+        return _Stand(log.term, log.leads(now), log.contact(now), log.commit_index)
+
+    def _is_met(self, waiting: _Waiting, stand: _Stand) -> bool:
+        if stand.term != waiting.term:
             raise SystemFailure(Code.NOT_LEADER)
-        return log.leads(now) and log.contact(now) > called and log.commit_index >= index
+        return stand.leads and stand.contact > waiting.called and stand.commit_index >= waiting.index
 
     async def confirm(self, called: float, term: int, index: int = 0, at_once: bool = True) -> None:
         """Until a majority has answered what was sent later than `called`, in the term in which the state was
         looked at, and the log is decided up to `index`. `at_once`: a beat is sent for it, else the next one
         is waited for. Raises SystemFailure: this one may hold the duty no longer."""
-        if self._is_met(called, term, index):
-            return
         waiting = _Waiting(called, term, index, asyncio.get_running_loop().create_future())
+        if self._is_met(waiting, self._stand()):
+            return
         self._waiting.add(waiting)
         try:
             if at_once:
@@ -100,12 +113,15 @@
             self.look()
 
     def look(self) -> None:
-        """After each step."""
+        """After each step. What is asked of the log is asked once for all who wait."""
+        if not self._waiting:
+            return
+        stand = self._stand()
         for waiting in list(self._waiting):
             if waiting.future.done():
                 continue
             try:
-                if self._is_met(waiting.called, waiting.term, waiting.index):
+                if self._is_met(waiting, stand):
                     waiting.future.set_result(None)
             except SystemFailure as failure:
                 waiting.future.set_exception(failure)
