--- a/playhouse/callboard/collector.py
+++ b/playhouse/callboard/collector.py
@@ -4,7 +4,7 @@
 
 import json
 
-from playhouse.callboard.board import BeatError, Board, read_beat
+from playhouse.callboard.board import Board, Seen, read_beat
 from playhouse.company.roll import Roll
 from playhouse.settings import Settings
 from playhouse.wings import cues_pb2 as pb
@@ -30,16 +30,20 @@
             near = [n for n in cores if n.region == region]
         return {"beatUrl": f"http://{near[0].ctl}"} if near else {}
 
+    def read(self, id: str, body: bytes, now: float) -> Seen | None:
+        """None: not a beat that is sound; the leader says what is wrong."""
+        try:
+            return read_beat(id, json.loads(body), now)
+        except ValueError:
+            return None
+
     def plain(self, id: str, body: bytes, now: float) -> bool:
         """A beat that says what is known already: the leader hears of it with others."""
         known = self._board.servers.get(id)
         if known is None or known.state != "ready":
             return False
-        try:
-            seen = read_beat(id, json.loads(body), now)
-        except (ValueError, BeatError):
-            return False
-        if not known.plain(seen):
+        seen = self.read(id, body, now)
+        if seen is None or not known.plain(seen):
             return False
         self._beats[id] = max((seen.seq, now), self._beats.get(id, (0, now)))
         return True
--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -29,6 +29,7 @@
 from playhouse.script.stored import FormatError
 from playhouse.settings import Settings, shown
 from playhouse.stagedoor.doors import Doors
+from playhouse.understudy.arrivals import hear
 from playhouse.understudy.contact import ReadIndex
 from playhouse.understudy.desk import Desk
 from playhouse.understudy.duty import Duty
@@ -308,6 +309,8 @@
                     duty.beats(now, envelope.beats)
                     await self.confirm(now, duty.term, at_once=False)
                     return pb.Envelope(term=duty.term)
+                case "arrivals":
+                    return pb.Envelope(term=await self.hear(envelope.arrivals, envelope.term))
                 case "order":
                     term, order = self.held(envelope.term).term, envelope.order
                     status, body = await self.desk.settle(order.method, order.path, order.body, order.id)
@@ -320,6 +323,15 @@
             return pb.Envelope(fault=Code.NOT_LEADER, pass_to=hint)
         raise SystemFailure(Code.REFUSED, "not known here")
 
+    async def hear(self, arrivals: pb.Arrivals, term: int = 0) -> int:
+        """Beats that say something new; the term in which they were heard, with a majority behind it. Raises
+        SystemFailure."""
+        duty, now = self.held(term), self.now()
+        if hear(duty.board, arrivals, now):
+            self.publish()
+        await self.confirm(now, duty.term, at_once=False)
+        return duty.term
+
     async def decide(self, command: Command) -> bool:
         """True once a majority has it on disk and it is in force; False if it is void. Raises SystemFailure
         where that is not known."""
--- a/playhouse/reception.py
+++ b/playhouse/reception.py
@@ -15,15 +15,12 @@
 from playhouse.stagedoor.tree import CONTROL, FOYER, Wrong, match
 from playhouse.understudy.desk import Desk
 from playhouse.understudy.duty import Duty
-from playhouse.understudy.follower import Follower
+from playhouse.understudy.follower import BEAT, PASS_ON, WAY, Follower
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.reach import Reach
 
-PASS_ON = 0.95  # s for the leader to answer what is passed on to it: callers go elsewhere after one ...
-PASS_LARGE = 2.5  # ... or later with a body ...
+PASS_LARGE = 2.5  # s for the leader to answer what is passed on to it with a body ...
 LARGE = 16 * 1024  # ... of so many bytes
-WAY = 0.4  # s for one way to the leader, where one is out of contact ...
-BEAT = 0.45  # ... and for a beat, by whatever way: its server has to get to another in time
 
 
 class Process(Protocol):
@@ -76,6 +73,12 @@
             return told(200, self._nearer(body))
         if self._process.duty is None and self._follower.is_cut_off(now):
             return wrong(503, "out of contact")
+        if self._process.duty is None and (seen := self._collector.read(found.args["id"], body, now)):
+            try:
+                await self._follower.arrivals.say(seen)
+            except SystemFailure as failure:
+                return wrong(503, str(failure))
+            return told(200, self._nearer(body))
         status, answer = await self._settle(method, target, body, BEAT)
         return told(200, self._nearer(body)) if status == 200 else (status, answer)
 
--- a/playhouse/understudy/follower.py
+++ b/playhouse/understudy/follower.py
@@ -15,8 +15,10 @@
 from playhouse.callboard.collector import Collector
 from playhouse.company.roll import Roll
 from playhouse.errors import SystemFailure
+from playhouse.promptbook.messages import Member
 from playhouse.script.state import State
 from playhouse.settings import Settings, shown
+from playhouse.understudy.arrivals import Arrivals, Batch
 from playhouse.understudy.duty import Duty, server_in
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.links import Wings
@@ -28,6 +30,14 @@
 REPORT_WAIT = 0.7  # s for the leader's answer, after which the next goes by another way
 AGAIN = 0.5  # s that a failure speaks for what comes after it
 ASK_WAIT = 1.0  # s that the leader may keep an ask for news
+PASS_ON = 0.95  # s for the leader to answer what is passed on to it: callers go elsewhere after one
+WAY = 0.4  # s for one way to the leader, where one is out of contact ...
+BEAT = 0.45  # ... and for a beat, by whatever way: its server has to get to another in time
+
+
+class Log(Protocol):
+    @property
+    def members(self) -> tuple[Member, ...]: ...
 
 
 class Process(Protocol):
@@ -39,7 +49,11 @@
     reach: Reach
     duty: Duty | None
 
+    @property
+    def machine(self) -> Log: ...
     def now(self) -> float: ...
+    async def hear(self, arrivals: pb.Arrivals, term: int = 0) -> int:
+        """At the leader. Raises SystemFailure."""
 
 
 class Follower:
@@ -50,6 +64,7 @@
         self._seen: tuple[str, int, int] = ("", 0, 0)  # epoch, servers, nodes
         self._answered = float("-inf")  # when the newest was sent that the leader has answered
         self._failed = float("-inf")  # when a call was last given up
+        self.arrivals = Arrivals(process.now, lambda: len(process.machine.members), self._tell_arrivals)
 
     def span(self) -> float:
         return min(CONTACT_MOST, CONTACT * self._process.settings.heartbeat)
@@ -72,6 +87,17 @@
         self._answered = max(self._answered, sent)
         return answer
 
+    async def _tell_arrivals(self, batch: Batch) -> None:
+        """Within the time of the beat that came first. Raises SystemFailure."""
+        process, now = self._process, self._process.now()
+        arrivals = batch.out(now)
+        if process.duty:  # this one leads by now
+            await process.hear(arrivals)
+            return
+        is_in_contact = self.in_contact(now)
+        within = batch.began + (PASS_ON if is_in_contact else BEAT) - now
+        await self.call(pb.Envelope(arrivals=arrivals), within, within if is_in_contact else WAY)
+
     def _node(self) -> pb.Node:
         settings = self._process.settings
         ctl = shown(settings.listen["ctl"]) if "ctl" in settings.listen else ""
--- a/playhouse/wings/kinds.py
+++ b/playhouse/wings/kinds.py
@@ -38,6 +38,7 @@
     "beats": Kind(Repeat.STATE, answered=True),  # by `seq`
     "deal": Kind(Repeat.REMEMBERED, answered=True),
     "dealt": Kind(Repeat.ANSWER, leader=True),
+    "arrivals": Kind(Repeat.STATE, answered=True),  # by `seq`
     "receipt": Kind(Repeat.KEYED),  # the order's name, in the term that gave it
 }
 
--- a/tests/serving_world.py
+++ b/tests/serving_world.py
@@ -58,7 +58,8 @@
         tasks = asyncio.all_tasks(loop)
         for task in tasks:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        if tasks:
+            loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
         loop.close()
 
 
--- /dev/null
+++ b/tests/test_playhouse_arrivals.py
@@ -0,0 +1,190 @@
+"""Beats that say something new are passed on together, beside a plain model of when; what waits for
+contact is looked at once a step."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from playhouse.callboard.board import Board, read_beat
+from playhouse.errors import Code, SystemFailure
+from playhouse.promptbook.messages import Step
+from playhouse.understudy import arrivals
+from playhouse.understudy.arrivals import APART_MOST, Arrivals, Batch, apart, hear
+from playhouse.understudy.contact import ReadIndex
+from playhouse.understudy.duty import server_out
+from playhouse.wings import cues_pb2 as pb
+from tests.serving_world import World, in_memory, play
+from tests.test_playhouse_control import beat
+from tests.test_playhouse_serving import first, now, operator
+
+WAY = 0.3  # s until the leader has answered, in the plain scenes
+
+
+def plainly(came: list[float], pause: float) -> list[tuple[float, int]]:
+    """When each call is made, and how many beats go with it."""
+    calls: list[tuple[float, int]] = []
+    at = float("-inf")
+    while came:
+        at = max(came[0], at + pause)
+        together = [one for one in came if one <= at]
+        calls, came = [*calls, (at, len(together))], came[len(together) :]
+    return calls
+
+
+@pytest.mark.parametrize(
+    ("cores", "beats", "within"), [(12, 400, 1.5), (36, 400, 1.5), (5, 9, 30.0), (1, 60, 0.5)]
+)
+def test_what_comes_close_together_goes_together_as_in_the_plain_model(
+    cores: int, beats: int, within: float
+) -> None:
+    async def scene() -> None:
+        rng, told, answered = random.Random(cores), list[tuple[float, int]](), dict[str, float]()
+
+        async def tell(batch: Batch) -> None:
+            told.append((now(), len(batch.out(now()).server)))
+            await asyncio.sleep(WAY)
+
+        made, began = Arrivals(now, lambda: cores, tell), now()
+        came = sorted(began + rng.uniform(0.0, within) for _ in range(beats))
+
+        async def server(id: str, at: float) -> None:
+            await asyncio.sleep(at - now())
+            await made.say(read_beat(id, beat(1), now()))
+            answered[id] = now() - at
+
+        await asyncio.gather(*(server(f"i{n}", at) for n, at in enumerate(came)))
+        model = plainly(came, min(APART_MOST, 0.01 * cores))
+        assert [n for _, n in told] == [n for _, n in model]
+        assert [at for at, _ in told] == pytest.approx([at for at, _ in model], abs=1e-6)
+        assert max(answered.values()) < apart(cores) + WAY + 1e-6 and len(answered) == beats
+
+    play(scene())
+
+
+def test_a_call_that_fails_fails_for_all_who_went_with_it_and_for_nobody_else() -> None:
+    async def scene() -> None:
+        calls = 0
+
+        async def tell(batch: Batch) -> None:
+            nonlocal calls
+            calls += 1
+            number = calls
+            await asyncio.sleep(WAY)
+            if number == 2:
+                raise SystemFailure(Code.SILENT)
+
+        made = Arrivals(now, lambda: 36, tell)
+
+        async def server(id: str, at: float) -> bool:
+            await asyncio.sleep(at)
+            try:
+                await made.say(read_beat(id, beat(1), now()))
+            except SystemFailure:
+                return False
+            return True
+
+        done = await asyncio.gather(*(server(f"i{n}", at) for n, at in enumerate((0.0, 0.1, 0.2, 0.3))))
+        assert done == [True, False, False, True]
+        tasks = [asyncio.ensure_future(server(f"j{n}", 0.0)) for n in range(arrivals.MOST + 3)]
+        assert sum(await asyncio.gather(*tasks)) == arrivals.MOST  # the rest goes to another machine at once
+
+    play(scene())
+
+
+def test_the_leader_hears_a_copy_or_an_older_word_once_and_nothing_unsound() -> None:
+    board = Board()
+    told = [server_out(read_beat(id, beat(seq), 5.0), 5.0) for id, seq in (("i", 7), ("j", 3))]
+    assert hear(board, pb.Arrivals(server=told), 6.0)
+    assert not hear(board, pb.Arrivals(server=told), 7.0)
+    older = server_out(read_beat("i", beat(6, state="draining"), 5.0), 5.0)
+    odd = pb.Server(id="k", service="s", addr="10.0.0.1:1", state="gone", capacity=1)
+    assert not hear(board, pb.Arrivals(server=[older, odd]), 8.0)
+    assert {s.id: (s.seq, s.state, s.heard_at) for s in board.servers.values()} == {
+        "i": (7, "ready", 7.0),
+        "j": (3, "ready", 7.0),
+    }
+
+
+@pytest.mark.parametrize("killed", [False, True])
+def test_the_first_beats_of_many_servers_take_few_calls(
+    killed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """`killed`: at the same moment the leader is, and nothing that it had acknowledged may be missing."""
+    in_memory(monkeypatch)
+
+    async def scene() -> None:
+        random.seed(3)
+        world, calls = World(Path("arrivals")), 0
+        await world.begin()
+        assert await operator(world, first(), 1, world.hosts) == 200
+        await asyncio.sleep(2.0)
+        leader = world.leader()
+        assert leader
+        others = [h for h in world.hosts if h != leader.settings.ip]
+        whole = world.net.go
+
+        def go(sender: str, receiver: str, envelope: pb.Envelope) -> None:
+            nonlocal calls
+            calls += not envelope.answer and envelope.WhichOneof("body") in ("arrivals", "order")
+            whole(sender, receiver, envelope)
+
+        world.net.go = go  # type: ignore[method-assign]
+        acked = dict[str, float]()
+
+        async def server(id: str) -> None:
+            await asyncio.sleep(random.uniform(0.0, 1.5))
+            began, seq = now(), 1
+            while await world.beat(random.choice(others), id, seq, "z1") != 200:
+                seq += 1
+                await asyncio.sleep(0.05)
+            acked[id] = now() - began
+
+        tasks = [asyncio.ensure_future(server(f"i{n}")) for n in range(300)]
+        if killed:
+            await asyncio.sleep(0.7)
+            await world.crash(leader.settings.ip)
+        await asyncio.gather(*tasks)
+        if not killed:
+            assert calls < 4 * (1.5 / apart(5) + 2) and max(acked.values()) < 0.45
+        await asyncio.sleep(1.0)
+        holder = world.leader()
+        assert holder and {s.id for s in holder.board.servers.values() if s.state == "ready"} >= set(acked)
+
+    play(scene())
+
+
+def test_what_waits_for_contact_is_looked_at_once_a_step() -> None:
+    async def scene() -> None:
+        asked = 0
+
+        def contact(at: float) -> float:
+            nonlocal asked
+            asked += 1
+            return reached
+
+        log = SimpleNamespace(
+            term=1, commit_index=4, leads=lambda at: True, contact=contact, hurry=lambda at, apart: Step()
+        )
+        made: Any = ReadIndex(SimpleNamespace(machine=log, now=now, carry_out=lambda step: None))  # type: ignore[arg-type]
+        began = reached = now()
+        tasks = [
+            asyncio.ensure_future(made.confirm(began + n / 1000, 1, index, at_once=False))
+            for n, index in enumerate([0] * 200 + [5] * 100)
+        ]
+        await asyncio.sleep(0)
+        asked, reached = 0, began + 0.25
+        made.look()
+        await asyncio.sleep(0)
+        assert asked == 1 and sum(task.done() for task in tasks) == 200
+        log.term = 2
+        made.look()
+        ended = await asyncio.gather(*tasks, return_exceptions=True)
+        assert sum(isinstance(one, SystemFailure) for one in ended) == 100
+
+    play(scene())
