--- a/playhouse/callboard/board.py
+++ b/playhouse/callboard/board.py
@@ -32,6 +32,7 @@
     heard_at: float
     ended: bool = False  # it said so itself: no word of it counts any longer
     changed: int = 0  # the board's number at its last change
+    told: tuple[int, bytes] = (-1, b"")  # at which change, and how others are told of it while it is not cold
 
     def plain(self, told: Seen) -> bool:
         """A later word that says nothing which the data plane would have to hear."""
@@ -88,10 +89,13 @@
     def __init__(self) -> None:
         self.servers: dict[str, Seen] = {}
         self.number = 0  # rises with every change
+        self._changed: dict[str, None] = {}  # those known, by their last change: the newest last
 
     def _change(self, seen: Seen) -> None:
         self.number += 1
         seen.changed = self.number
+        self._changed.pop(seen.id, None)
+        self._changed[seen.id] = None
 
     def beat(self, told: Seen) -> bool:
         """True if it is news to the data plane."""
@@ -135,6 +139,7 @@
             if seen.state == "gone":
                 if silent > REMEMBER:
                     del self.servers[id]
+                    self._changed.pop(id, None)
             elif silent > MISSED * beat:
                 seen.state = "gone"
                 self._change(seen)
@@ -152,12 +157,19 @@
         return news
 
     def since(self, number: int) -> list[Seen]:
-        return [seen for seen in self.servers.values() if seen.changed > number]
+        found = []
+        for id in reversed(self._changed):
+            if (seen := self.servers[id]).changed <= number:
+                break
+            found.append(seen)
+        return found
 
     def take(self, told: Iterable[Seen], number: int, whole: bool) -> None:
         """What the leader's board says, for one that may hold the duty next."""
         if whole:
-            self.servers = {}
+            self.servers, self._changed = {}, {}
         for seen in told:
             self.servers[seen.id] = replace(seen, changed=number)
+            self._changed.pop(seen.id, None)
+            self._changed[seen.id] = None
         self.number = number
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -26,6 +26,7 @@
 COUNTED = 20.0  # s that an ingress counts where shares are parted, after it was last here
 LOOK = 0.05  # s for which a look over all ingresses holds good: each costs their number
 PACKED = 0.2  # s for which lists that were packed hold good: so much longer a server counts as cold
+PACKED_EACH = 0.0007  # s, for each ingress, that those of changes do: half of what lies between two rounds
 LISTS = 64  # of them that are kept
 EXPIRE_EACH = 50e-6  # s, for each server, between looks for those that are silent
 
@@ -38,6 +39,16 @@
     )  # fmt: skip
 
 
+def encoded(seen: Seen, now: float) -> bytes:
+    """`server_out` as it stands in a cue, made once for each change of one that is not cold."""
+    if seen.told[0] == seen.changed and seen.cold_until <= now:
+        return seen.told[1]
+    made = pb.Cue(server=[server_out(seen, now)]).SerializeToString()
+    if seen.cold_until <= now:
+        seen.told = (seen.changed, made)
+    return made
+
+
 def server_in(made: pb.Server, now: float) -> Seen:
     return Seen(
         made.id, made.service, made.addr, made.zone, made.gen, made.capacity, made.state,
@@ -245,16 +256,17 @@
 
     def _packed(self, now: float, servers: int, nodes: int) -> tuple[tuple[int, int], bytes]:
         """Lists for all who have heard of servers and nodes up to these numbers (-1: of none in this term),
-        and up to which they tell. Whole ones are told for a while though there is news since: who hears them
-        is told that next."""
+        and up to which they tell. They are told for a while though there is news since: who hears them is
+        told that next, and all who are told in one round have the same numbers in the next."""
         settled, of = self.settled(now), (self.board.number, self.roll.number)
         key = (servers, nodes, settled)
         at, upto, made = self._lists.get(key, (float("-inf"), of, b""))
-        if not 0 <= now - at < PACKED or (upto != of and min(servers, nodes) >= 0):
+        holds = PACKED if min(servers, nodes) < 0 else min(PACKED, PACKED_EACH * self.shared_by(now))
+        if not 0 <= now - at < (PACKED if upto == of else holds):
             part, upto = pb.Cue(servers_whole=servers < 0 and settled, nodes_whole=nodes < 0), of
             seen = self.board.since(max(0, servers)) if servers != of[0] else []
             seen = [s for s in seen if servers >= 0 or s.state != "gone" or s.ended]
-            part.server.extend(server_out(s, now) for s in seen)
+            part.MergeFromString(b"".join([encoded(s, now) for s in seen]))
             if nodes != of[1]:
                 here, gone = self.roll.since(nodes) if nodes >= 0 else (self.roll.here(), [])
                 part.node.extend(here)
--- a/tests/test_playhouse_arrivals.py
+++ b/tests/test_playhouse_arrivals.py
@@ -15,12 +15,16 @@
 from playhouse.errors import Code, SystemFailure
 from playhouse.promptbook.messages import Step
 from playhouse.understudy import arrivals
+from playhouse.understudy import duty as duties
+from playhouse.understudy import prompter as prompting
 from playhouse.understudy.arrivals import APART_MOST, Arrivals, Batch, apart, hear
 from playhouse.understudy.contact import ReadIndex
 from playhouse.understudy.duty import server_out
 from playhouse.wings import cues_pb2 as pb
 from tests.serving_world import World, in_memory, play
 from tests.test_playhouse_control import beat
+from tests.test_playhouse_return import World as Fleet
+from tests.test_playhouse_return import play as play_fleet
 from tests.test_playhouse_serving import first, now, operator
 
 WAY = 0.3  # s until the leader has answered, in the plain scenes
@@ -188,3 +192,56 @@
         assert sum(isinstance(one, SystemFailure) for one in ended) == 100
 
     play(scene())
+
+
+def test_what_changed_since_is_as_in_the_plain_model() -> None:
+    rng, board, follower = random.Random(5), Board(), Board()
+    for step in range(3000):
+        at, id = step / 10, f"i{rng.randrange(30)}"
+        match rng.randrange(12):
+            case 0:
+                board.end(id, at)
+            case 1:
+                board.expire(at, 1.5)
+            case 2:
+                board.chill(rng.choice(("z", "y")), at, {"s1": 2.0})
+            case _:
+                state = rng.choice(("ready", "ready", "ready", "draining"))
+                board.beat(read_beat(id, beat(step, state, zone=rng.choice(("z", "y"))), at))
+        number = rng.choice((0, board.number - 3, board.number - 20, follower.number))
+        since = board.since(number)
+        assert {s.id for s in since} == {s.id for s in board.servers.values() if s.changed > number}
+        assert len({s.id for s in since}) == len(since)
+        for seen in since:  # and what was made before is what would be made now
+            fresh = pb.Cue(server=[server_out(seen, at)])
+            made = pb.Cue.FromString(duties.encoded(seen, at))
+            made.server[0].seq = fresh.server[0].seq
+            assert made == fresh
+        if rng.random() < 0.1:
+            follower.take(board.since(follower.number), board.number, rng.random() < 0.1)
+            assert {s.id for s in follower.since(-1)} == set(follower.servers)
+
+
+def test_servers_are_encoded_once_each_and_lists_once_a_round(monkeypatch: pytest.MonkeyPatch) -> None:
+    counts = {"server_out": 0, "packed": 0}
+
+    async def scene(world: Fleet) -> None:
+        await world.until(world.returned, 8.0)
+        await asyncio.sleep(4.0)
+        for name in counts:
+            monkeypatch.setattr(duties, name, counted(name, getattr(duties, name)))
+        world.begin()  # a later leader that knows of no server
+        began = world.now()
+        await world.until(world.returned, 5.0)
+        await asyncio.sleep(2 * 1.5)
+        assert counts["server_out"] <= 1.2 * len(world.up)
+        assert counts["packed"] <= 2.5 * (world.now() - began) / prompting.gather(len(world.ingresses))
+
+    def counted(name: str, whole: Any) -> Any:
+        def count(*args: Any) -> Any:
+            counts[name] += 1
+            return whole(*args)
+
+        return count
+
+    play_fleet(150, 1000, scene, monkeypatch)
