--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -26,6 +26,7 @@
 COUNTED = 20.0  # s that an ingress counts where shares are parted, after it was last here
 LOOK = 0.05  # s for which a look over all ingresses holds good: each costs their number
 PACKED = 0.2  # s for which lists that were packed hold good: so much longer a server counts as cold
+PACKED_EACH = 0.0007  # s, for each ingress, that those of changes do: half of what lies between two rounds
 LISTS = 64  # of them that are kept
 EXPIRE_EACH = 50e-6  # s, for each server, between looks for those that are silent
 
@@ -38,6 +39,16 @@
     )  # fmt: skip
 
 
+def encoded(seen: Seen, now: float) -> bytes:
+    """`server_out` as it stands in a cue, made once for each change of one that is not cold."""
+    if seen.told[0] == seen.changed and seen.cold_until <= now:
+        return seen.told[1]
+    made = pb.Cue(server=[server_out(seen, now)]).SerializeToString()
+    if seen.cold_until <= now:
+        seen.told = (seen.changed, made)
+    return made
+
+
 def server_in(made: pb.Server, now: float) -> Seen:
     return Seen(
         made.id, made.service, made.addr, made.zone, made.gen, made.capacity, made.state,
@@ -56,7 +67,7 @@
         self.board, self.roll, self.till = board, roll, Till(now, bounds, ever)
         self.moves, self._repeats = Moves(now, bounds.ack, ever), Repeats()
         self.purse, self._warm_per_s = Purse(now, ever), dict[str, float]()
-        self._from_nothing = not board.servers
+        self._from_nothing, self._was_spent = not board.servers, False
         self._bounds, self.counting = bounds, not ever
         self._shared: dict[str, float] = {}  # ingresses of late, and until when they count
         self._shared_at, self._shared_of = float("-inf"), -1  # when that was looked at, and by which roll
@@ -101,8 +112,9 @@
         return self._count(now, anew=True) | self._expire(now)
 
     def _count(self, now: float, anew: bool = False) -> bool:
-        """Begins to count once all who may spend without it have been heard, or their leases are over. True
-        if it begins now."""
+        """Begins to count once all who may spend without it have been heard, or their leases are over: it may
+        be known then that nobody has spent anything. Where one that was heard has, it begins at once. True if
+        it begins now."""
         if not anew and 0 <= now - self._looked_at < LOOK:
             return False
         self._looked_at = now
@@ -110,7 +122,7 @@
         if self.counting:
             self.till.silent(now, self.roll.silent(now, edges), edges)
             return False
-        if self.roll.all_heard(now):
+        if self._was_spent or self.roll.all_heard(now):
             quotas, self.till = self.till, Till(now, self._bounds, idle=self.roll.idle(now))
             self.till.follow(quotas)
             self.counting = True
@@ -199,6 +211,7 @@
         held = self.roll.leases[ask.node.name]
         if held.idle_from == float("inf"):
             held.idle_from = now - ask.idle_ms / 1000
+            self._was_spent |= not ask.idle_ms and ask.node.kind == "edge"
         held.current = ask.servers == self.board.number
         held.counting = is_of_term and ask.counting and self.counting
         news |= self._count(now, anew=first)
@@ -260,16 +273,17 @@
 
     def _packed(self, now: float, servers: int, nodes: int) -> tuple[tuple[int, int], bytes]:
         """Lists for all who have heard of servers and nodes up to these numbers (-1: of none in this term),
-        and up to which they tell. Whole ones are told for a while though there is news since: who hears them
-        is told that next."""
+        and up to which they tell. They are told for a while though there is news since: who hears them is
+        told that next, and all who are told in one round have the same numbers in the next."""
         settled, of = self.settled(now), (self.board.number, self.roll.number)
         key = (servers, nodes, settled)
         at, upto, made = self._lists.get(key, (float("-inf"), of, b""))
-        if not 0 <= now - at < PACKED or (upto != of and min(servers, nodes) >= 0):
+        holds = PACKED if min(servers, nodes) < 0 else min(PACKED, PACKED_EACH * self.shared_by(now))
+        if not 0 <= now - at < (PACKED if upto == of else holds):
             part, upto = pb.Cue(servers_whole=servers < 0 and settled, nodes_whole=nodes < 0), of
             seen = self.board.since(max(0, servers)) if servers != of[0] else []
             seen = [s for s in seen if servers >= 0 or s.state != "gone" or s.ended]
-            part.server.extend(server_out(s, now) for s in seen)
+            part.MergeFromString(b"".join([encoded(s, now) for s in seen]))
             if nodes != of[1]:
                 here, gone = self.roll.since(nodes) if nodes >= 0 else (self.roll.here(), [])
                 part.node.extend(here)
