--- a/playhouse/extras/tally.py
+++ b/playhouse/extras/tally.py
@@ -22,8 +22,8 @@
 def totals(ingresses: list[dict[str, Any]], servers: list[dict[str, Any]]) -> dict[str, Any]:
     """Over all hollow ones of a run."""
     span = max(row["span"] for row in ingresses)
-    made: dict[str, Any] = {}
-    made |= {k: sum(r[k] for r in ingresses) for k in ("ingresses", "lapsed", "failed", "contents", "tenants")}
+    summed_up = ("ingresses", "lapsed", "failed", "contents", "tenants")
+    made: dict[str, Any] = {k: sum(r[k] for r in ingresses) for k in summed_up}
     made["failures"] = dict(sum((Counter(r["failures"]) for r in ingresses), Counter()))
     made |= {k: sum(r[k] for r in servers) for k in ("servers", "beats", "beats_lost")}
     made["with a lease"] = max(0.0, 1 - made["lapsed"] / (span * max(1, made["ingresses"])))
--- a/playhouse/wings/links.py
+++ b/playhouse/wings/links.py
@@ -23,7 +23,8 @@
 
 DIAL = 0.3  # s for a connection to come up: what goes to a machine that is dark is not sent again for seconds
 PAUSE = (0.05, 0.4)  # s between dials of a door that fail: the first, the longest
-CALLERS = 1024  # calls of others that are worked on at once
+CALLERS = 16_384  # calls of others that are worked on at once: an ask of each ingress is kept, and after a
+# start of all one of each of their lives before
 DIALLED = 256  # envelopes that wait for one connection to come up
 PASSED = 2.0  # s for the answer to a call that is passed on
 REMARK = 5.0  # s between two lines of the log about the same kind of foreign word
--- a/tests/test_playhouse_return.py
+++ b/tests/test_playhouse_return.py
@@ -9,7 +9,8 @@
 import socket
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 import uvloop
@@ -25,6 +26,8 @@
 from playhouse.understudy.duty import Duty
 from playhouse.understudy.prompter import Prompter
 from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.frames import Frames
+from playhouse.wings.links import Wings
 from playhouse.wings.listener import Listener
 from playhouse.wings.lists import packed, unpack
 
@@ -379,6 +382,36 @@
     assert uvloop.run(dialled(400)) < 20
 
 
+def test_asks_that_are_kept_leave_room_for_other_calls() -> None:
+    """Of 6,300 ingresses, each with one ask of this life and one of the life before."""
+
+    async def kept() -> list[pb.Envelope]:
+        async def handle(envelope: pb.Envelope) -> pb.Envelope:
+            if envelope.HasField("ask"):
+                await asyncio.sleep(1.0)
+            return pb.Envelope()
+
+        wings, said = Wings(("10.0.0.1", 1), lambda envelope: None, handle), list[pb.Envelope]()
+        frames = cast(Frames, SimpleNamespace(peer=None, write=said.append))
+        for number in range(2 * 6300):
+            wings.came(frames, pb.Envelope(call=number + 1, ask=pb.Ask(name="e")))
+        wings.came(frames, pb.Envelope(call=1 << 20, lease=pb.Lease(tenant="t")))
+        await asyncio.sleep(0.5)
+        answered = list(said)
+        for number in range(20_000):  # and there is a bound
+            wings.came(frames, pb.Envelope(call=number + 1, ask=pb.Ask(name="e")))
+        assert any(answer.fault == Code.FULL for answer in said)
+        await asyncio.sleep(2.0)
+        return answered
+
+    loop = Virtual()
+    try:
+        (answer,) = loop.run_until_complete(kept())
+    finally:
+        loop.close()
+    assert answer.call == 1 << 20 and not answer.fault
+
+
 def test_lists_that_were_packed_come_out_as_they_were() -> None:
     part = pb.Cue(servers_whole=True, node_gone=["e1"], node=[pb.Node(name="e2")])
     part.server.extend(pb.Server(id=f"i{n}", seq=n) for n in range(300))
