--- a/playhouse/wings/reach.py
+++ b/playhouse/wings/reach.py
@@ -23,7 +23,7 @@
         """`cores`: doors where the duty may be held; `peers`: those that may pass calls on."""
         self._wings, self._cores, self._peers = wings, cores, peers
         self.hint = ""
-        self._turn = self._id = 0
+        self._turn, self._id = random.getrandbits(16), 0  # those that start together do not all dial the same
         self._bad: dict[str, tuple[float, float]] = {}  # by door: until when, and for how long that was
 
     def _next(self) -> str:
--- a/tests/test_playhouse_return.py
+++ b/tests/test_playhouse_return.py
@@ -7,6 +7,7 @@
 import random
 import selectors
 import socket
+from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from types import SimpleNamespace
@@ -30,6 +31,7 @@
 from playhouse.wings.links import Wings
 from playhouse.wings.listener import Listener
 from playhouse.wings.lists import packed, unpack
+from playhouse.wings.reach import Reach
 
 SHARE = 0.279  # of a core, that the leader has
 FRAME, SERVER, LOOK, PACK = 150e-6, 4e-6, 0.3e-6, 30e-9  # s of a core: one frame, server, ingress, byte
@@ -412,6 +414,12 @@
     assert answer.call == 1 << 20 and not answer.fault
 
 
+def test_those_that_start_together_dial_different_machines() -> None:
+    wings = cast(Wings, SimpleNamespace(own="e"))
+    made = [Reach(wings, lambda: [f"c{n}" for n in range(5)], lambda: []) for _ in range(200)]
+    assert Counter(reach._next() for reach in made).most_common(1)[0][1] < 90
+
+
 def test_lists_that_were_packed_come_out_as_they_were() -> None:
     part = pb.Cue(servers_whole=True, node_gone=["e1"], node=[pb.Node(name="e2")])
     part.server.extend(pb.Server(id=f"i{n}", seq=n) for n in range(300))
