--- a/playhouse/company/roll.py
+++ b/playhouse/company/roll.py
@@ -55,6 +55,7 @@
     def __init__(self) -> None:
         self.leases: dict[str, NodeLease] = {}  # by name
         self.number = 0  # rises with every change of who is here
+        self.joined = 0  # rises with every name that is new
         self._changed: dict[str, int] = {}  # by name, of those no longer known as well; the newest last
 
     def _change(self, name: str) -> None:
@@ -68,6 +69,7 @@
             if name not in self.leases:
                 unheard = pb.Node(name=name, kind="edge")
                 self.leases[name] = NodeLease(unheard, now + LEASE, float("-inf"), float("-inf"), -1)
+                self.joined += 1
         for held in self.leases.values():
             held.lease_end, held.script = now + LEASE, -1
             held.asked_at = held.made_at = float("-inf")
@@ -93,6 +95,7 @@
                 node, now + LEASE, now, asked, script, made_at, here=True, waiting=True
             )
             self._change(node.name)
+            self.joined += 1
             return True
         news = known.node != node or not known.here
         new_life = known.node.life != node.life  # a machine runs one life of a role: the one before is over
--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -124,8 +124,8 @@
 
     def shared_by(self, now: float) -> int:
         """Ingresses that static parts of a whole are counted over."""
-        if self._shared_of != self.roll.number or not 0 <= now - self._shared_at < LOOK:
-            self._shared_at, self._shared_of = now, self.roll.number
+        if self._shared_of != self.roll.joined or not 0 <= now - self._shared_at < LOOK:
+            self._shared_at, self._shared_of = now, self.roll.joined
             for held in self.roll.leases.values():
                 if held.node.kind == "edge":
                     self._shared[held.node.name] = now + COUNTED
--- a/tests/test_playhouse_return.py
+++ b/tests/test_playhouse_return.py
@@ -420,6 +420,30 @@
     assert Counter(reach._next() for reach in made).most_common(1)[0][1] < 90
 
 
+def test_ingresses_are_counted_in_a_return_without_a_look_at_all_for_each() -> None:
+    """Against a plain count; a look over all is for every 50 ms, and for a name that is new."""
+
+    class Looked(dict[str, Any]):
+        looks = 0
+
+        def values(self) -> Any:
+            self.looks += 1
+            return super().values()
+
+    rng, roll, names = random.Random(4), Roll(), [f"e{n}" for n in range(300)]
+    looked = roll.leases = Looked()
+    duty = Duty(1, 0.0, True, Board(), roll, names, Bounds(), BEAT)
+    counted = {name: duties.COUNTED for name in names}
+    for turn in range(600):
+        now, looked.looks = 0.001 * turn, 0
+        name = rng.choice(names) if turn % 100 else f"new{turn}"
+        roll.ask(now, pb.Node(name=name, life=f"{turn}", kind="edge"), 0)
+        counted[name] = now + duties.COUNTED
+        before = duty._shared_at
+        assert duty.shared_by(now) == len(counted)
+        assert looked.looks == 0 or name.startswith("new") or now - before >= duties.LOOK
+
+
 def test_lists_that_were_packed_come_out_as_they_were() -> None:
     part = pb.Cue(servers_whole=True, node_gone=["e1"], node=[pb.Node(name="e2")])
     part.server.extend(pb.Server(id=f"i{n}", seq=n) for n in range(300))
