--- a/tests/test_playhouse_return.py
+++ b/tests/test_playhouse_return.py
@@ -128,6 +128,7 @@
         self.prompter = Prompter(self)
         self.up = {f"i{n}": self.rng.random() * BEAT for n in range(servers)}  # phases of their beats
         self.sent_at, self.longest, self.bytes, self.lapsed = 0.0, 0.0, 0, 0
+        self.behind = 0.0  # s, the longest that what the leader sends has waited behind what it sent before
         self.tasks = [self.loop.create_task(work()) for work in (self.prompter.run, self.ticks, self.beats)]
         self.begin()
         self.ingresses = {name: Ingress(self, name) for name in names}
@@ -167,6 +168,7 @@
         data = cue.SerializeToString()
         self.bytes, ingress.bytes = self.bytes + len(data), ingress.bytes + len(data)
         self.sent_at = max(self.sent_at, self.now()) + len(data) / LINK
+        self.behind = max(self.behind, self.sent_at - self.now())
         ingress.free_at = max(ingress.free_at, self.sent_at) + len(data) / THIN
         await asyncio.sleep(ingress.free_at - self.now() + WAY)
         return pb.Cue.FromString(data)
@@ -319,6 +321,47 @@
     play(100, 1000, storm, monkeypatch)
 
 
+def test_the_log_s_beats_do_not_wait_behind_a_configuration(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Told whole to 300: 9 MB, which is 0.6 s of the leader's link, and its lease ends after 0.45 s."""
+
+    async def changed(world: World) -> None:
+        await world.until(world.returned, 8.0)
+        await asyncio.sleep(5.0)
+        world.behind, world.bytes = 0.0, 0
+        routes = [{"name": f"{world.rng.getrandbits(256):x}", "backend": "s"} for _ in range(800)]
+        raw = world.state.content | {"gen": 2, "parent": 1, "routes": routes}
+        assert world.state.apply(Command(Verb.REPLACE, "d2", raw))
+        world.publish()
+        await world.until(world.returned, 3.0)
+        assert world.bytes > 7_500_000 and world.behind < 0.1 and not world.lapsed
+
+    play(300, 0, changed, monkeypatch)
+
+
+def test_others_have_their_turn_while_all_are_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Of one server, in a few bytes to each of 300: 0.16 s of the leader's processor."""
+
+    async def told(world: World) -> None:
+        await world.until(world.returned, 8.0)
+        await asyncio.sleep(5.0)
+        turns, turn = list[float](), Prompter.turn
+
+        def timed(self: Prompter) -> float:
+            before = world.now()
+            wait = turn(self)
+            turns.append(world.now() - before)
+            return wait
+
+        monkeypatch.setattr(Prompter, "turn", timed)
+        world.held().board.end("i0", world.now())
+        del world.up["i0"]
+        world.publish()
+        await world.until(world.returned, 1.5)
+        assert max(turns) < 0.02 and sum(turns) > 0.1
+
+    play(300, 10, told, monkeypatch)
+
+
 def test_enrolment_takes_all_who_wait_in_one_round(monkeypatch: pytest.MonkeyPatch) -> None:
     async def all_new(world: World) -> None:
         world.state.apply(Command(Verb.ENROL, gone=tuple(world.state.edges)))
