--- a/playhouse/wings/links.py
+++ b/playhouse/wings/links.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -25,6 +26,7 @@
 PAUSE = (0.05, 0.4)  # s between dials of a door that fail: the first, the longest
 CALLERS = 16_384  # calls of others that are worked on at once: an ask of each ingress is kept, and after a
 # start of all one of each of their lives before
+BEGUN = 32  # calls of others that are begun in one turn of the loop: a leader's own beats are due in each
 DIALLED = 256  # envelopes that wait for one connection to come up
 PASSED = 2.0  # s for the answer to a call that is passed on
 REMARK = 5.0  # s between two lines of the log about the same kind of foreign word
@@ -59,6 +61,8 @@
         self._remarks: dict[Event, tuple[float, int]] = {}  # not before when, and how many were left out
         self.lost: Callable[[str], None] = lambda door: None  # told when a connection to a door has ended
         self._tasks: set[asyncio.Task[None]] = set()
+        self._come: deque[tuple[Frames, pb.Envelope]] = deque()  # calls of others that are not begun yet
+        self._turn: asyncio.Handle | None = None  # the next one in which some of them are
         self._server: Listener | None = None
         self.counts: dict[str, int] = {}  # of what was refused, by why
         self.frames = Frames  # what connections are made as
@@ -76,6 +80,8 @@
             frames.drop()
         for task in [*self._dials.values(), *self._tasks]:
             task.cancel()
+        if self._turn:
+            self._turn.cancel()
 
     # Connections.
 
@@ -216,17 +222,27 @@
             elif not waiting.future.done():
                 waiting.future.set_result(envelope)
         elif envelope.call:
-            if len(self._tasks) >= CALLERS:
+            if len(self._tasks) + len(self._come) >= CALLERS:
                 frames.write(pb.Envelope(call=envelope.call, answer=True, fault=Code.FULL))
                 return
-            task = self._loop.create_task(self._answer(frames, envelope))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._come.append((frames, envelope))
+            if self._turn is None:
+                self._turn = self._loop.call_soon(self._begin_some)
         elif frames.is_strange:
             self.counts["strange"] = self.counts.get("strange", 0) + 1
         else:
             self._hear(envelope)
 
+    def _begin_some(self) -> None:
+        """Some of the calls that have come, and the others in later turns."""
+        self._turn = None
+        for _ in range(min(BEGUN, len(self._come))):
+            task = self._loop.create_task(self._answer(*self._come.popleft()))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        if self._come:
+            self._turn = self._loop.call_soon(self._begin_some)
+
     async def _answer(self, frames: Frames, envelope: pb.Envelope) -> None:
         call, life = envelope.call, frames.peer.life if frames.peer else ""
         try:
--- a/playhouse/wings/listener.py
+++ b/playhouse/wings/listener.py
@@ -15,7 +15,7 @@
 from playhouse.settings import Door
 
 BACKLOG = 4096  # connections that wait to be taken: an opening packet that is dropped is sent again after 1 s
-EACH_TURN = 256  # connections taken, before others have theirs
+EACH_TURN = 32  # connections taken, before others have theirs
 PAUSE = 0.2  # s in which none is taken, after one could not be: no descriptor is free
 
 
--- a/tests/test_playhouse_return.py
+++ b/tests/test_playhouse_return.py
@@ -457,6 +457,29 @@
     assert answer.call == 1 << 20 and not answer.fault
 
 
+def test_others_have_their_turn_while_many_call() -> None:
+    """1,000 that come in one turn of the loop are begun in many, and each once, in the order they came."""
+
+    async def called() -> tuple[list[int], list[int]]:
+        turn, begun = 0, list[tuple[int, int]]()
+
+        async def handle(envelope: pb.Envelope) -> pb.Envelope:
+            begun.append((turn, envelope.call))
+            return pb.Envelope()
+
+        wings = Wings(("10.0.0.1", 1), lambda envelope: None, handle)
+        frames = cast(Frames, SimpleNamespace(peer=None, write=lambda envelope: True))
+        for number in range(1000):
+            wings.came(frames, pb.Envelope(call=number + 1, ask=pb.Ask(name="e")))
+        while len(begun) < 1000:
+            await asyncio.sleep(0)
+            turn += 1
+        return [n for _, n in begun], list(Counter(t for t, _ in begun).values())
+
+    order, turns = uvloop.run(called())
+    assert order == list(range(1, 1001)) and max(turns) <= 64
+
+
 def test_those_that_start_together_dial_different_machines() -> None:
     wings = cast(Wings, SimpleNamespace(own="e"))
     made = [Reach(wings, lambda: [f"c{n}" for n in range(5)], lambda: []) for _ in range(200)]
