--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -26,6 +26,7 @@
 COUNTED = 20.0  # s that an ingress counts where shares are parted, after it was last here
 LOOK = 0.05  # s for which a look over all ingresses holds good: each costs their number
 PACKED = 0.2  # s for which lists that were packed hold good: so much longer a server counts as cold
+PACKED_EACH = 10e-6  # s, for each byte of those that are not whole, if there is news since
 LISTS = 64  # of them that are kept
 EXPIRE_EACH = 50e-6  # s, for each server, between looks for those that are silent
 
@@ -243,12 +244,13 @@
 
     def _packed(self, now: float, servers: int, nodes: int) -> tuple[tuple[int, int], bytes]:
         """Lists for all who have heard of servers and nodes up to these numbers (-1: of none in this term),
-        and up to which they tell. Whole ones are told for a while though there is news since: who hears them
+        and up to which they tell. Long ones are told for a while though there is news since: who hears them
         is told that next."""
         settled, of = self.settled(now), (self.board.number, self.roll.number)
         key = (servers, nodes, settled)
         at, upto, made = self._lists.get(key, (float("-inf"), of, b""))
-        if not 0 <= now - at < PACKED or (upto != of and min(servers, nodes) >= 0):
+        kept = PACKED if min(servers, nodes) < 0 else PACKED_EACH * len(made)
+        if not 0 <= now - at < PACKED or (upto != of and now - at >= kept):
             part, upto = pb.Cue(servers_whole=servers < 0 and settled, nodes_whole=nodes < 0), of
             seen = self.board.since(max(0, servers)) if servers != of[0] else []
             seen = [s for s in seen if servers >= 0 or s.state != "gone" or s.ended]
--- a/tests/test_playhouse_return.py
+++ b/tests/test_playhouse_return.py
@@ -510,6 +510,34 @@
         assert looked.looks == 0 or name.startswith("new") or now - before >= duties.LOOK
 
 
+def test_long_lists_are_not_made_anew_for_each_that_returns(monkeypatch: pytest.MonkeyPatch) -> None:
+    """While 1,000 come back, each of which changes the roll: told by it as it was a little before, and all
+    told in the end what a plain reader of the roll finds."""
+    made, pack = list[int](), duties.packed
+    monkeypatch.setattr(duties, "packed", lambda part: (made.append(part.ByteSize()), pack(part))[1])
+    roll, board, state, now = Roll(), Board(), State(), 10.0
+    duty = Duty(1, 0.0, True, board, roll, [], Bounds(), BEAT)
+
+    def node(number: int, life: int) -> pb.Node:
+        return pb.Node(name=f"e{number}", life=f"{life}", door=f"10.0.{number}:1", kind="edge")
+
+    for number in range(1000):
+        roll.ask(0.0, node(number, 1), 0)
+    known = roll.number
+    nodes = {h.node.name: h.node.life for h in roll.leases.values()}
+    for number in range(1000):
+        now += 0.001
+        roll.ask(now, node(number, 2), 0)
+        cue = duty.cue(now, pb.Ask(epoch=duty.epoch(now), nodes=known, node=node(number, 2)), state)
+    assert len(made) < 120 and cue.nodes > known
+    unpack(cue)
+    nodes |= {n.name: n.life for n in cue.node}
+    cue = duty.cue(now, pb.Ask(epoch=duty.epoch(now), nodes=cue.nodes, node=node(0, 2)), state)
+    unpack(cue)
+    nodes |= {n.name: n.life for n in cue.node}
+    assert nodes == {h.node.name: h.node.life for h in roll.leases.values()}
+
+
 def test_lists_that_were_packed_come_out_as_they_were() -> None:
     part = pb.Cue(servers_whole=True, node_gone=["e1"], node=[pb.Node(name="e2")])
     part.server.extend(pb.Server(id=f"i{n}", seq=n) for n in range(300))
