--- a/playhouse/extras/__main__.py
+++ b/playhouse/extras/__main__.py
@@ -60,6 +60,11 @@
         f"{hollow['failed']} asks failed, {hollow['contents']} whole configurations told, "
         f"{hollow['beats']} beats, {hollow['beats_lost']} lost",
     ]
+    if found := told["look-ups"]:
+        lines.append(
+            f"{found['count']} look-ups, {found['failed']} more failed: {1e6 * found['cpu_each']:.0f} us and "
+            f"{found['bytes_in']:.0f} bytes each, {found['addresses']} addresses at the most"
+        )
     return "\n".join(lines)
 
 
@@ -85,6 +90,7 @@
         told = await run.measure()
         told["begun"] = well
         say(f"measured for {size.seconds:.0f} s")
+        told["look-ups"] = await run.look_ups()
         told["troubles"] = {}
         if not steady:
             try:
--- a/playhouse/extras/hollow.py
+++ b/playhouse/extras/hollow.py
@@ -17,7 +17,7 @@
 
 from playhouse.company.roll import HOLD_MOST, hold, patience
 from playhouse.errors import Code, SystemFailure
-from playhouse.extras.gauge import Gauge
+from playhouse.extras.gauge import Gauge, quantile
 from playhouse.rehearsal.standins import BEAT_WAIT, ask
 from playhouse.settings import Door, shown
 from playhouse.stage.house import ASK_WITHIN
@@ -29,6 +29,7 @@
 
 DRAINS = 100  # tries to have it acknowledged that a server drains
 KEPT = 64  # generations whose times are kept
+LOOKED = 1.0  # s that a client gives one ingress
 CONTENTS = 4  # configurations whose tenants are known
 
 
@@ -155,6 +156,41 @@
                 self.failed[f"units: {failure.code.name}"] += 1
 
 
+async def look_up(
+    door: str, per_s: float, span: float, regions: list[str], rng: random.Random
+) -> dict[str, Any]:
+    """Clients that look up at a directory's door, each on a connection of its own, for so many seconds: how
+    often, what failed, bytes and s of one, and how many addresses one was told of at the most."""
+    took, failed, most, out, back = list[float](), 0, 0, 0, 0
+
+    def count(sent: int, come: int) -> None:
+        nonlocal out, back
+        out, back = out + sent, back + come
+
+    async def one() -> None:
+        nonlocal failed, most
+        began, target = time.monotonic(), f"/-/lookup?name=a.example&region={rng.choice(regions)}&zone=x"
+        try:
+            async with asyncio.timeout(LOOKED):
+                _, told = await ask(door, "GET", target, count=count)
+            most = max(most, len(json.loads(told)["addrs"]))
+        except (OSError, TimeoutError, ValueError, KeyError):
+            failed += 1
+        else:
+            took.append(time.monotonic() - began)
+
+    until = time.monotonic() + span
+    async with asyncio.TaskGroup() as clients:
+        while time.monotonic() < until:
+            clients.create_task(one())
+            await asyncio.sleep(rng.expovariate(per_s))
+    times, done = sorted(took), max(1, len(took))
+    return {
+        "count": len(took), "failed": failed, "addresses": most, "bytes_out": out / done,
+        "bytes_in": back / done, "p50": quantile(times, 0.5), "p99": quantile(times, 0.99),
+    }  # fmt: skip
+
+
 class Server:
     """Beats as a real one does, drains, ends and comes back with a new id."""
 
--- a/playhouse/extras/run.py
+++ b/playhouse/extras/run.py
@@ -15,7 +15,6 @@
 from playhouse.extras.node import Node
 from playhouse.extras.sizes import Size
 from playhouse.extras.tally import changes, returned, summed, totals
-from playhouse.rehearsal.standins import ask
 from playhouse.rehearsal.world import World
 
 BEAT = 1.5  # s between a server's heartbeats
@@ -24,6 +23,9 @@
 BEGIN = 60.0  # s for all to be there
 WELL = 30.0  # s, at the most, that a return is waited for
 ZONES_EACH = 3  # zones of a region
+LOOK_UPS, LOOK_SPAN = 100.0, 5.0  # a second at one real ingress, and for how many seconds
+TOGETHER = 2  # processes of hollow ones that begin at a time
+ORDER = 8.0  # s that one core machine is given for an order
 PROGRESS = 5.0  # s between two lines about it
 
 Say = Callable[[str], None]
@@ -65,6 +67,7 @@
         self.real: dict[str, Node] = {}
         self.workers: list[Node] = []
         self.beaters: list[Node] = []
+        self.learners: set[str] = set()
         self.gen = self.turn = 0
         self.acks: list[tuple[float, float]] = []  # when an order was called, and its acknowledgement
         self.updates: list[tuple[float, int]] = []  # when one was called, and the generation it makes
@@ -80,10 +83,12 @@
         zones, shares = list(self.world.places), self._ingresses()
         life = self.size.servers / RESTARTS
         common: dict[str, Any] = {"control": self.world.control, "beat": BEAT, "life": life}
-        for number, share in enumerate(shares):
-            made = common | {"cores": self._doors(), "lease_per_s": LEASES, "ingresses": share}
-            made["seed"] = self.rng.getrandbits(32)
-            await self._hollow(f"ingresses-{number}", made, env)
+        turns = asyncio.Semaphore(TOGETHER)
+        async with asyncio.TaskGroup() as begun:
+            for number, share in enumerate(shares):
+                made = common | {"cores": self._doors(), "lease_per_s": LEASES, "ingresses": share}
+                made["seed"] = self.rng.getrandbits(32)
+                begun.create_task(self._hollow(f"ingresses-{number}", made, env, turns))
         size = self.size
         for number in range(size.beaters):
             servers = [
@@ -91,7 +96,7 @@
                 for n in range(number, size.servers, size.beaters)
             ]
             made = common | {"seed": self.rng.getrandbits(32), "cores": [], "servers": servers}
-            await self._hollow(f"servers-{number}", made, env)
+            await self._hollow(f"servers-{number}", made, env, turns)
 
     async def _begin_real(self, name: str, machine: Any) -> None:
         path = self.folder / f"{name}.json"
@@ -101,11 +106,14 @@
         self.real[name] = await Node.begin(name, self.folder, ["real"], env)
         await self.real[name].heard(BEGIN)
 
-    async def _hollow(self, name: str, made: dict[str, Any], env: dict[str, str]) -> None:
-        node = await Node.begin(name, self.folder, [], env)
-        where = self.workers if made.get("ingresses") else self.beaters
-        where.append(node)
-        await node.say(made, BEGIN)
+    async def _hollow(
+        self, name: str, made: dict[str, Any], env: dict[str, str], turns: asyncio.Semaphore
+    ) -> None:
+        async with turns:
+            node = await Node.begin(name, self.folder, [], env)
+            where = self.workers if made.get("ingresses") else self.beaters
+            where.append(node)
+            await node.say(made, BEGIN)
 
     def _doors(self) -> list[str]:
         return [f"{m.ip}:{self.world.base}" for m in self.world.machines.values() if m.core]
@@ -131,18 +139,7 @@
     # The operator.
 
     async def _order(self, method: str, call: str, raw: Any = None, within: float = 20.0) -> tuple[int, Any]:
-        body = json.dumps(raw).encode() if raw is not None else b""
-        async with asyncio.timeout(within):
-            while True:
-                for door in self.rng.sample(self.world.control, len(self.world.control)):
-                    try:
-                        async with asyncio.timeout(8.0):
-                            status, answer = await ask(door, method, f"/-/{call}", body)
-                    except (OSError, ValueError, TimeoutError):
-                        continue
-                    if status < 500:
-                        return status, json.loads(answer)
-                await asyncio.sleep(0.05)
+        return await self.world.order(method, call, raw, within, patience=ORDER)
 
     async def _first(self) -> None:
         size = self.size
@@ -206,17 +203,46 @@
 
     async def count(self) -> dict[str, list[dict[str, Any]]]:
         """Since the last count, by role."""
-        cores = [
-            await self.real[n].say({}) for n, m in self.world.machines.items() if m.core and n in self.real
-        ]
-        leader = max(range(len(cores)), key=lambda n: cores[n]["bytes_out"])
-        edges = [await self.real[n].say({}) for n, m in self.world.machines.items() if not m.core]
-        made = {"leader": [cores.pop(leader)], "follower": cores, "real ingress": edges}
+        machines = self.world.machines
+        here = [n for n, m in machines.items() if m.core and n in self.real]
+        cores = {n: await self.real[n].say({}) for n in here}
+        leader = cores.pop(max(cores, key=lambda n: float(cores[n]["bytes_out"])))
+        edges = [await self.real[n].say({}) for n, m in machines.items() if not m.core]
+        made = {"leader": [leader], "follower": [row for n, row in cores.items() if n not in self.learners]}
+        made["learner"] = [row for n, row in cores.items() if n in self.learners]
+        made["real ingress"] = edges
         made["hollow ingresses"] = [await node.say({"do": "count"}) for node in self.workers]
         made["hollow servers"] = [await node.say({"do": "count"}) for node in self.beaters]
         return made
 
+    async def find_learners(self) -> None:
+        """Core machines without a vote."""
+        _, shown = await self._order("GET", "Fleet.Show")
+        doors = {door for door, _, kind in shown["members"] if kind == "learner"}
+        self.learners = {n for n, m in self.world.machines.items() if f"{m.ip}:{self.world.base}" in doors}
+
+    async def look_ups(self) -> dict[str, Any]:
+        """Clients look up at the first real ingress; what one costs it is what it takes more than the others
+        do in the same seconds."""
+        names = [n for n, m in self.world.machines.items() if not m.core]
+        if len(names) < 2:
+            return {}
+        for name in names:
+            await self.real[name].say({})
+        order = {
+            "do": "look up", "door": self.world.door(self.world.machines[names[0]], 2), "per_s": LOOK_UPS,
+            "span": LOOK_SPAN, "regions": sorted(set(self.world.places.values())),
+        }  # fmt: skip
+        told = await self.beaters[0].say(order, LOOK_SPAN + BEGIN)
+        asked, *others = [await self.real[name].say({}) for name in names]
+        others_cpu = sum(row["cpu"] for row in others) / len(others)
+        per_s = told["count"] / asked["span"]
+        told |= {"per_s": per_s, "cpu": asked["cpu"], "cpu_others": others_cpu}
+        told["cpu_each"] = max(0.0, asked["cpu"] - others_cpu) / per_s if per_s else 0.0
+        return told
+
     async def measure(self) -> dict[str, Any]:
+        await self.find_learners()
         await self.count()
         self.acks, self.updates, self.refused = [], [], 0
         until = time.monotonic() + self.size.seconds
--- a/playhouse/extras/worker.py
+++ b/playhouse/extras/worker.py
@@ -19,7 +19,7 @@
 
 from playhouse.events import set_up
 from playhouse.extras.gauge import Gauge
-from playhouse.extras.hollow import Ingress, Server, Shared
+from playhouse.extras.hollow import Ingress, Server, Shared, look_up
 
 PACE = 0.05  # s between the first starts of hollow ingresses: all at once is one of the troubles
 
@@ -62,6 +62,10 @@
                 return told
             case "served":
                 return {"served": [i.served_at for i in self.ingresses]}
+            case "look up":
+                return await look_up(
+                    order["door"], order["per_s"], order["span"], order["regions"], self.rng
+                )
             case "restart":  # all at once, as after a loss of power
                 for ingress in self.ingresses:
                     ingress.stop()
--- a/playhouse/rehearsal/world.py
+++ b/playhouse/rehearsal/world.py
@@ -216,14 +216,16 @@
             ],
         } | fields  # fmt: skip
 
-    async def order(self, method: str, call: str, raw: Any = None, within: float = 15.0) -> tuple[int, Any]:
+    async def order(
+        self, method: str, call: str, raw: Any = None, within: float = 15.0, patience: float = 2.0
+    ) -> tuple[int, Any]:
         """As operators do: the next ingress after a failure, again and again for a while."""
         body = json.dumps(raw).encode() if raw is not None else b""
         async with asyncio.timeout(within):
             while True:
                 for door in random.sample(self.control, len(self.control)):
                     try:
-                        async with asyncio.timeout(2.0):
+                        async with asyncio.timeout(patience):
                             status, answer = await ask(door, method, f"/-/{call}", body)
                     except (OSError, ValueError, TimeoutError):
                         continue
