--- a/playhouse/extras/worker.py
+++ b/playhouse/extras/worker.py
@@ -12,13 +12,14 @@
 import random
 import sys
 import time
+from collections import Counter
 from typing import Any
 
 import uvloop
 
 from playhouse.events import set_up
 from playhouse.extras.gauge import Gauge
-from playhouse.extras.hollow import Ingress, Server, Shared
+from playhouse.extras.hollow import Ingress, Server, Shared, look_up
 
 PACE = 0.05  # s between the first starts of hollow ingresses: all at once is one of the troubles
 
@@ -54,12 +55,17 @@
                 self.gauge.restart()
                 self.shared.told = 0
                 for ingress in self.ingresses:
-                    ingress.lapsed, ingress.failed, ingress.counted_at = 0.0, 0, time.monotonic()
+                    ingress.lapsed, ingress.counted_at = 0.0, time.monotonic()
+                    ingress.failed.clear()
                 for server in self.servers:
                     server.beats = server.lost = 0
                 return told
             case "served":
                 return {"served": [i.served_at for i in self.ingresses]}
+            case "look up":
+                return await look_up(
+                    order["door"], order["per_s"], order["span"], order["regions"], self.rng
+                )
             case "restart":  # all at once, as after a loss of power
                 for ingress in self.ingresses:
                     ingress.stop()
@@ -85,7 +91,9 @@
         return {
             "ingresses": len(here), "well": [[i.term, max(i.well_at, i.term_at)] for i in well],
             "lapsed": lapsed, "tenants": sum(i.tenants for i in here), "servers": len(self.servers),
-            "failed": sum(i.failed for i in self.ingresses), "contents": self.shared.told,
+            "failed": sum(i.failed.total() for i in self.ingresses),
+            "failures": dict(sum((i.failed for i in self.ingresses), Counter())),
+            "contents": self.shared.told,
             "beats": sum(s.beats for s in self.servers), "beats_lost": sum(s.lost for s in self.servers),
         }  # fmt: skip
 
--- a/playhouse/wings/links.py
+++ b/playhouse/wings/links.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -19,15 +20,16 @@
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.frames import FORMAT, Frames
 from playhouse.wings.kinds import Fence
+from playhouse.wings.listener import Listener
 
 DIAL = 0.3  # s for a connection to come up: what goes to a machine that is dark is not sent again for seconds
 PAUSE = (0.05, 0.4)  # s between dials of a door that fail: the first, the longest
-CALLERS = 1024  # calls of others that are worked on at once
+CALLERS = 16_384  # calls of others that are worked on at once: an ask of each ingress is kept, and after a
+# start of all one of each of their lives before
+BEGUN = 32  # calls of others that are begun in one turn of the loop: a leader's own beats are due in each
 DIALLED = 256  # envelopes that wait for one connection to come up
 PASSED = 2.0  # s for the answer to a call that is passed on
 REMARK = 5.0  # s between two lines of the log about the same kind of foreign word
-BACKLOG = 1024  # connections that wait to be taken: after a start all processes dial at once, and an opening
-# packet that is dropped is sent again after a second
 
 Handler = Callable[[pb.Envelope], Awaitable[pb.Envelope]]
 Hearer = Callable[[pb.Envelope], None]
@@ -59,7 +61,9 @@
         self._remarks: dict[Event, tuple[float, int]] = {}  # not before when, and how many were left out
         self.lost: Callable[[str], None] = lambda door: None  # told when a connection to a door has ended
         self._tasks: set[asyncio.Task[None]] = set()
-        self._server: asyncio.Server | None = None
+        self._come: deque[tuple[Frames, pb.Envelope]] = deque()  # calls of others that are not begun yet
+        self._turn: asyncio.Handle | None = None  # the next one in which some of them are
+        self._server: Listener | None = None
         self.counts: dict[str, int] = {}  # of what was refused, by why
         self.frames = Frames  # what connections are made as
 
@@ -67,7 +71,7 @@
         return self._loop.time()
 
     async def listen(self) -> None:
-        self._server = await self._loop.create_server(lambda: self.frames(self), *self._at, backlog=BACKLOG)
+        self._server = Listener(self._at, lambda: self.frames(self))
 
     def stop(self) -> None:
         if self._server:
@@ -76,6 +80,8 @@
             frames.drop()
         for task in [*self._dials.values(), *self._tasks]:
             task.cancel()
+        if self._turn:
+            self._turn.cancel()
 
     # Connections.
 
@@ -216,17 +222,27 @@
             elif not waiting.future.done():
                 waiting.future.set_result(envelope)
         elif envelope.call:
-            if len(self._tasks) >= CALLERS:
+            if len(self._tasks) + len(self._come) >= CALLERS:
                 frames.write(pb.Envelope(call=envelope.call, answer=True, fault=Code.FULL))
                 return
-            task = self._loop.create_task(self._answer(frames, envelope))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._come.append((frames, envelope))
+            if self._turn is None:
+                self._turn = self._loop.call_soon(self._begin_some)
         elif frames.is_strange:
             self.counts["strange"] = self.counts.get("strange", 0) + 1
         else:
             self._hear(envelope)
 
+    def _begin_some(self) -> None:
+        """Some of the calls that have come, and the others in later turns."""
+        self._turn = None
+        for _ in range(min(BEGUN, len(self._come))):
+            task = self._loop.create_task(self._answer(*self._come.popleft()))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        if self._come:
+            self._turn = self._loop.call_soon(self._begin_some)
+
     async def _answer(self, frames: Frames, envelope: pb.Envelope) -> None:
         call, life = envelope.call, frames.peer.life if frames.peer else ""
         try:
--- a/tests/test_playhouse_arrivals.py
+++ b/tests/test_playhouse_arrivals.py
@@ -173,9 +173,10 @@
             return reached
 
         log = SimpleNamespace(
-            term=1, commit_index=4, leads=lambda at: True, contact=contact, hurry=lambda at, apart: Step()
+            term=1, leads=lambda at: True, contact=contact, hurry=lambda at, apart: Step()
         )
-        made: Any = ReadIndex(SimpleNamespace(machine=log, now=now, carry_out=lambda step: None))  # type: ignore[arg-type]
+        process = SimpleNamespace(machine=log, now=now, applied=lambda: 4, carry_out=lambda step: None)
+        made: Any = ReadIndex(process)  # type: ignore[arg-type]
         began = reached = now()
         tasks = [
             asyncio.ensure_future(made.confirm(began + n / 1000, 1, index, at_once=False))
--- a/tests/test_playhouse_return.py
+++ b/tests/test_playhouse_return.py
@@ -6,11 +6,15 @@
 import asyncio
 import random
 import selectors
+import socket
+from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
+import uvloop
 
 from playhouse.callboard.board import Board, Seen
 from playhouse.company import roll
@@ -23,7 +27,11 @@
 from playhouse.understudy.duty import Duty
 from playhouse.understudy.prompter import Prompter
 from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.frames import Frames
+from playhouse.wings.links import Wings
+from playhouse.wings.listener import Listener
 from playhouse.wings.lists import packed, unpack
+from playhouse.wings.reach import Reach
 
 SHARE = 0.279  # of a core, that the leader has
 FRAME, SERVER, LOOK, PACK = 150e-6, 4e-6, 0.3e-6, 30e-9  # s of a core: one frame, server, ingress, byte
@@ -120,6 +128,7 @@
         self.prompter = Prompter(self)
         self.up = {f"i{n}": self.rng.random() * BEAT for n in range(servers)}  # phases of their beats
         self.sent_at, self.longest, self.bytes, self.lapsed = 0.0, 0.0, 0, 0
+        self.behind = 0.0  # s, the longest that what the leader sends has waited behind what it sent before
         self.tasks = [self.loop.create_task(work()) for work in (self.prompter.run, self.ticks, self.beats)]
         self.begin()
         self.ingresses = {name: Ingress(self, name) for name in names}
@@ -159,6 +168,7 @@
         data = cue.SerializeToString()
         self.bytes, ingress.bytes = self.bytes + len(data), ingress.bytes + len(data)
         self.sent_at = max(self.sent_at, self.now()) + len(data) / LINK
+        self.behind = max(self.behind, self.sent_at - self.now())
         ingress.free_at = max(ingress.free_at, self.sent_at) + len(data) / THIN
         await asyncio.sleep(ingress.free_at - self.now() + WAY)
         return pb.Cue.FromString(data)
@@ -311,6 +321,47 @@
     play(100, 1000, storm, monkeypatch)
 
 
+def test_the_log_s_beats_do_not_wait_behind_a_configuration(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Told whole to 300: 9 MB, which is 0.6 s of the leader's link, and its lease ends after 0.45 s."""
+
+    async def changed(world: World) -> None:
+        await world.until(world.returned, 8.0)
+        await asyncio.sleep(5.0)
+        world.behind, world.bytes = 0.0, 0
+        routes = [{"name": f"{world.rng.getrandbits(256):x}", "backend": "s"} for _ in range(800)]
+        raw = world.state.content | {"gen": 2, "parent": 1, "routes": routes}
+        assert world.state.apply(Command(Verb.REPLACE, "d2", raw))
+        world.publish()
+        await world.until(world.returned, 3.0)
+        assert world.bytes > 7_500_000 and world.behind < 0.1 and not world.lapsed
+
+    play(300, 0, changed, monkeypatch)
+
+
+def test_others_have_their_turn_while_all_are_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Of one server, in a few bytes to each of 300: 0.16 s of the leader's processor."""
+
+    async def told(world: World) -> None:
+        await world.until(world.returned, 8.0)
+        await asyncio.sleep(5.0)
+        turns, turn = list[float](), Prompter.turn
+
+        def timed(self: Prompter) -> float:
+            before = world.now()
+            wait = turn(self)
+            turns.append(world.now() - before)
+            return wait
+
+        monkeypatch.setattr(Prompter, "turn", timed)
+        world.held().board.end("i0", world.now())
+        del world.up["i0"]
+        world.publish()
+        await world.until(world.returned, 1.5)
+        assert max(turns) < 0.02 and sum(turns) > 0.1
+
+    play(300, 10, told, monkeypatch)
+
+
 def test_enrolment_takes_all_who_wait_in_one_round(monkeypatch: pytest.MonkeyPatch) -> None:
     async def all_new(world: World) -> None:
         world.state.apply(Command(Verb.ENROL, gone=tuple(world.state.edges)))
@@ -349,6 +400,144 @@
     play(50, 500, slow, monkeypatch)
 
 
+def test_all_who_dial_at_once_are_taken_in_few_turns() -> None:
+    """The turns of one that many call are long. One a turn is what the loop's own server takes: of 1,000 that
+    dialled, half had given up before they were taken, and dialled again."""
+
+    async def dialled(many: int) -> int:
+        taken, turns = list[asyncio.BaseTransport](), 0
+
+        class Taken(asyncio.Protocol):
+            def connection_made(self, transport: asyncio.BaseTransport) -> None:
+                taken.append(transport)
+
+        listener = Listener(("127.0.0.1", 0), Taken)
+        at = listener._socket.getsockname()
+        callers = [socket.create_connection(at) for _ in range(many)]
+        while len(taken) < many:
+            await asyncio.sleep(0)
+            turns += 1
+        for caller in callers:
+            caller.close()
+        for transport in taken:
+            transport.close()
+        listener.close()
+        return turns
+
+    assert uvloop.run(dialled(400)) < 20
+
+
+def test_asks_that_are_kept_leave_room_for_other_calls() -> None:
+    """Of 6,300 ingresses, each with one ask of this life and one of the life before."""
+
+    async def kept() -> list[pb.Envelope]:
+        async def handle(envelope: pb.Envelope) -> pb.Envelope:
+            if envelope.HasField("ask"):
+                await asyncio.sleep(1.0)
+            return pb.Envelope()
+
+        wings, said = Wings(("10.0.0.1", 1), lambda envelope: None, handle), list[pb.Envelope]()
+        frames = cast(Frames, SimpleNamespace(peer=None, write=said.append))
+        for number in range(2 * 6300):
+            wings.came(frames, pb.Envelope(call=number + 1, ask=pb.Ask(name="e")))
+        wings.came(frames, pb.Envelope(call=1 << 20, lease=pb.Lease(tenant="t")))
+        await asyncio.sleep(0.5)
+        answered = list(said)
+        for number in range(20_000):  # and there is a bound
+            wings.came(frames, pb.Envelope(call=number + 1, ask=pb.Ask(name="e")))
+        assert any(answer.fault == Code.FULL for answer in said)
+        await asyncio.sleep(2.0)
+        return answered
+
+    loop = Virtual()
+    try:
+        (answer,) = loop.run_until_complete(kept())
+    finally:
+        loop.close()
+    assert answer.call == 1 << 20 and not answer.fault
+
+
+def test_others_have_their_turn_while_many_call() -> None:
+    """1,000 that come in one turn of the loop are begun in many, and each once, in the order they came."""
+
+    async def called() -> tuple[list[int], list[int]]:
+        turn, begun = 0, list[tuple[int, int]]()
+
+        async def handle(envelope: pb.Envelope) -> pb.Envelope:
+            begun.append((turn, envelope.call))
+            return pb.Envelope()
+
+        wings = Wings(("10.0.0.1", 1), lambda envelope: None, handle)
+        frames = cast(Frames, SimpleNamespace(peer=None, write=lambda envelope: True))
+        for number in range(1000):
+            wings.came(frames, pb.Envelope(call=number + 1, ask=pb.Ask(name="e")))
+        while len(begun) < 1000:
+            await asyncio.sleep(0)
+            turn += 1
+        return [n for _, n in begun], list(Counter(t for t, _ in begun).values())
+
+    order, turns = uvloop.run(called())
+    assert order == list(range(1, 1001)) and max(turns) <= 64
+
+
+def test_those_that_start_together_dial_different_machines() -> None:
+    wings = cast(Wings, SimpleNamespace(own="e"))
+    made = [Reach(wings, lambda: [f"c{n}" for n in range(5)], lambda: []) for _ in range(200)]
+    assert Counter(reach._next() for reach in made).most_common(1)[0][1] < 90
+
+
+def test_ingresses_are_counted_in_a_return_without_a_look_at_all_for_each() -> None:
+    """Against a plain count; a look over all is for every 50 ms, and for a name that is new."""
+
+    class Looked(dict[str, Any]):
+        looks = 0
+
+        def values(self) -> Any:
+            self.looks += 1
+            return super().values()
+
+    rng, roll, names = random.Random(4), Roll(), [f"e{n}" for n in range(300)]
+    looked = roll.leases = Looked()
+    duty = Duty(1, 0.0, True, Board(), roll, names, Bounds(), BEAT)
+    counted = {name: duties.COUNTED for name in names}
+    for turn in range(600):
+        now, looked.looks = 0.001 * turn, 0
+        name = rng.choice(names) if turn % 100 else f"new{turn}"
+        roll.ask(now, pb.Node(name=name, life=f"{turn}", kind="edge"), 0)
+        counted[name] = now + duties.COUNTED
+        before = duty._shared_at
+        assert duty.shared_by(now) == len(counted)
+        assert looked.looks == 0 or name.startswith("new") or now - before >= duties.LOOK
+
+
+def test_long_lists_are_not_made_anew_for_each_that_returns(monkeypatch: pytest.MonkeyPatch) -> None:
+    """While 1,000 come back, each of which changes the roll: told by it as it was a little before, and all
+    told in the end what a plain reader of the roll finds."""
+    made, pack = list[int](), duties.packed
+    monkeypatch.setattr(duties, "packed", lambda part: (made.append(part.ByteSize()), pack(part))[1])
+    roll, board, state, now = Roll(), Board(), State(), 10.0
+    duty = Duty(1, 0.0, True, board, roll, [], Bounds(), BEAT)
+
+    def node(number: int, life: int) -> pb.Node:
+        return pb.Node(name=f"e{number}", life=f"{life}", door=f"10.0.{number}:1", kind="edge")
+
+    for number in range(1000):
+        roll.ask(0.0, node(number, 1), 0)
+    known = roll.number
+    nodes = {h.node.name: h.node.life for h in roll.leases.values()}
+    for number in range(1000):
+        now += 0.001
+        roll.ask(now, node(number, 2), 0)
+        cue = duty.cue(now, pb.Ask(epoch=duty.epoch(now), nodes=known, node=node(number, 2)), state)
+    assert len(made) < 120 and cue.nodes > known
+    unpack(cue)
+    nodes |= {n.name: n.life for n in cue.node}
+    cue = duty.cue(now, pb.Ask(epoch=duty.epoch(now), nodes=cue.nodes, node=node(0, 2)), state)
+    unpack(cue)
+    nodes |= {n.name: n.life for n in cue.node}
+    assert nodes == {h.node.name: h.node.life for h in roll.leases.values()}
+
+
 def test_lists_that_were_packed_come_out_as_they_were() -> None:
     part = pb.Cue(servers_whole=True, node_gone=["e1"], node=[pb.Node(name="e2")])
     part.server.extend(pb.Server(id=f"i{n}", seq=n) for n in range(300))
