--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -40,7 +40,7 @@
 class Exchange:
     """An attempt: waits for its connection, then is written, then answered. Ends once."""
 
-    __slots__ = ("_ended", "_server", "data", "flow", "link", "over", "sent_at", "written")
+    __slots__ = ("_ended", "_server", "data", "flow", "link", "over", "sent_at", "whole", "written")
 
     def __init__(
         self, data: Data, ended: Ended, flow: Flow | None = None, server: Server | None = None
@@ -49,6 +49,7 @@
         self.link: Link | None = None
         self.sent_at = math.inf
         self.written = self.over = False
+        self.whole = False  # its last byte is written, or waits in the connection's buffer
 
     def end(self, answer: Answer) -> None:
         if not self.over:
@@ -68,7 +69,7 @@
             self.link.transport.write(data)
 
     def all_written(self) -> None:
-        self.written = True
+        self.written = self.whole = True
 
     def pause(self, paused: bool) -> None:
         """The client takes no more of the answer for now, or does again."""
@@ -124,7 +125,8 @@
             exchange.lost()
             return
         upload = exchange.flow.upload if exchange.flow else None
-        exchange.written = upload is None or self.pool.strict
+        exchange.whole = upload is None
+        exchange.written = exchange.whole or self.pool.strict
         if sent < len(data):  # from here on the last byte may be written at any time
             self.transport.write(data[sent:])
         if upload:
@@ -224,7 +226,7 @@
         # Answered before it had all been read, or more said than was asked for: a part of a message, what is
         # none, or whole ones read along with this, which the next request would get for its answer.
         unsound = self.transport.get_write_buffer_size() > 0 or self._begun or self._lost_framing
-        unsound = unsound or bool(self._hooks) or self.astray or not (exchange and exchange.written)
+        unsound = unsound or bool(self._hooks) or self.astray or not (exchange and exchange.whole)
         self.pool.rest(self, message.keep_alive and not unsound)
         if exchange:
             exchange.end(answer)
--- a/tests/test_playhouse_servers.py
+++ b/tests/test_playhouse_servers.py
@@ -9,7 +9,8 @@
 import pytest_asyncio
 
 from ironledge.interface import Outcome
-from ironledge.net.engine import Answer
+from ironledge.net.bodies import Memory, Upload
+from ironledge.net.engine import Answer, Flow
 from playhouse.errors import Verdict
 from playhouse.stage.dialect import judge
 from tests.net_helpers import PeerServer, answers
@@ -121,3 +122,29 @@
     partly = fleet.exchange
     await fleet.server.until(lambda: partly.written)
     assert partly.abort() is True  # not all of it: the server may have begun all the same
+
+
+@pytest.mark.parametrize("whole", [True, False])
+async def test_a_server_that_answers_before_the_body_is_in_gets_no_other_bytes_in_its_place(
+    fleet: Fleet, whole: bool
+) -> None:
+    """`whole`: the rest of the body has gone out by the time of the answer, and is no danger."""
+    upload = Upload(200_000, Memory(100), lambda paused: None)
+    upload.feed(b"x" * 100_000)
+    fleet.server.heard = lambda peer: None
+    ending = asyncio.get_running_loop().create_future()
+    head = b"POST /x HTTP/1.1\r\n" + ID + b"Content-Length: 200000\r\n\r\n"
+    fleet.backends.send(1, head, ending.set_result, Flow(upload, lambda answer: True, lambda data: None))
+    await fleet.server.until(
+        lambda: bool(fleet.server.peers) and len(fleet.server.peers[0].data) == len(head) + 100_000
+    )
+    if whole:
+        upload.feed(b"x" * 100_000)
+        upload.finish()
+        await fleet.server.until(lambda: len(fleet.server.peers[0].data) == len(head) + 200_000)
+    fleet.server.peers[0].transport.write(OWN)
+    assert (await asyncio.wait_for(ending, 5)).body == b"own"
+    upload.discard()  # as whoever has its answer does with what still comes
+    fleet.server.heard = answers(OWN)
+    assert (await ended(fleet)).body == b"own"
+    assert len(fleet.server.peers) == (1 if whole else 2)
