--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -257,7 +257,7 @@
             return wrong(found.status, found.why)
         if found.call == "ready":
             return await self._ready_door(method, target, body)
-        return lookup(target, list(self.news.nodes.values()), self.settings.bounds.ttl_max)
+        return lookup(target, list(self.news.nodes.values()), self.settings.bounds.ttl_max, self.bill)
 
     def _hear(self, envelope: pb.Envelope) -> None:
         """Nothing is told here unasked."""
--- a/tests/test_playhouse_control.py
+++ b/tests/test_playhouse_control.py
@@ -355,6 +355,24 @@
     assert told("region=r") == 503
 
 
+def test_clients_of_routes_with_homes_are_sent_nowhere_else_while_one_there_or_near_serves() -> None:
+    """A whole region may be stopped in order at once: its machines take requests to the end of the grace."""
+    homed = [route(homeRegions=["p", "q"]), route("r2", homeRegions=["q"])]
+    bill = Playbill(content(routes=[*homed, route("r3")]))
+    plain = Playbill(content(routes=[route()]))
+    here, home = node("a", leaving=True), node("b", zone="y", region="q")
+    away, half = node("c", zone="x", region="s"), node("e", zone="w", region="p")
+
+    def told(nodes: list[pb.Node], of: Playbill) -> Any:
+        status, body = lookup("/-/lookup?name=a.example&region=r&zone=z", nodes, 5.0, of)
+        return json.loads(body)["addrs"] if status == 200 else status
+
+    assert told([node("d"), home, away], bill) == ["d:80"]
+    assert told([here, home, away], bill) == ["b:80"]  # in a home of all its routes
+    assert told([here, half, away], bill) == ["a:80"] and told([away], bill) == ["c:80"]
+    assert told([here, home, away], plain) == ["b:80", "c:80"] and told([here], plain) == ["a:80"]
+
+
 # Units.
 
 
