--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -42,6 +42,8 @@
     0.9  # s before the end of the grace until which connections are taken after SIGTERM: old lists name it
 )
 ROOM = 1.5  # usual answers' times that a request wants to have before the end, to be begun after SIGTERM
+LATE = 2.8  # s after SIGTERM after which one is begun only if its time is over before the end: what was sent
+# later than 3 s after SIGTERM must not be cut, however long its server takes
 END = 0.4  # s before the end of the grace by which all is answered
 NO_CLASS = it.RequestClass("none", 1_000_000, 30_000_000, it.Repeat.UNSAFE, late_worth=0.5)
 
@@ -67,6 +69,7 @@
         self.reach = Reach(self.wings, lambda: self.news.cores, lambda: self.news.peers(self.wings.own))
         self.wings.lost = self._lost
         self._leaving, self._until = False, float("inf")  # when it must be done, once it leaves
+        self._late = float("inf")  # from when on it begins only what is over by then in any case
         self._zones = {zone: number for number, zone in enumerate(sorted(settings.zones))}
         self._regions = {r: number for number, r in enumerate(sorted(set(settings.zones.values())))}
         self._services: dict[str, int] = {}
@@ -151,7 +154,7 @@
         self._leaving = True
         self.listener.begin_stop()
         farewell = self._loop.create_task(self._say_leaving())
-        self._until = until
+        self._until, self._late = until, until + END - grace + LATE
         await asyncio.sleep(max(0.0, grace - ACCEPTS_ON))
         self.listener.stop_listening()
         done = asyncio.Event()
@@ -191,9 +194,11 @@
     def may_serve(self) -> bool:
         return self.news.may_serve(self._loop.time())
 
-    def may_begin(self, cls: int) -> bool:
-        """It can be answered before this process ends."""
-        return self._loop.time() + ROOM * self.rows.usual[cls] / 1e6 < self._until
+    def may_begin(self, cls: int, timeout: int) -> bool:
+        """It can be answered before this process ends. `timeout`: us that it may take at the most."""
+        now = self._loop.time()
+        in_time = now < self._late or now + timeout / 1e6 < self._until
+        return in_time and now + ROOM * self.rows.usual[cls] / 1e6 < self._until
 
     def service(self, name: str) -> int:
         number = self._services.setdefault(name, len(self._services) + 1)
--- a/tests/test_playhouse_house.py
+++ b/tests/test_playhouse_house.py
@@ -6,6 +6,7 @@
 import json
 import zlib
 from typing import Any
+from unittest.mock import Mock
 
 from playhouse.boxoffice.purse import FURTHER, STARTS
 from playhouse.errors import Code, SystemFailure
@@ -75,3 +76,28 @@
     await asyncio.gather(*house.units.calls)
     assert len(asked) == 3 and dealt[3] == 0
     house.backends.stop()
+
+
+async def test_what_is_sent_late_after_sigterm_is_begun_only_if_it_is_over_by_the_end() -> None:
+    """What was sent in the first 3 s may be cut at the end of the grace, what came later never."""
+    house = House(checked(SETTINGS))
+    script = zlib.compress(json.dumps(content()).encode())
+    house._apply(cue("1", {"i": "s1"}, has_content=True, content=script), house._node(), house._loop.time())
+    began, at = house._loop.time(), 0.0
+    house._loop = clock = Mock(wraps=house._loop)
+    clock.time.side_effect = lambda: began + at
+    grace, usual, long = house.settings.bounds.grace, 1_000_000, 30_000_000
+    house.rows.usual[1] = usual
+    assert house.may_begin(1, long)
+    stopping = asyncio.ensure_future(house.stop())
+    await asyncio.sleep(0)
+    begins = {}
+    for tenth in range(round(grace * 10) + 1):
+        at = tenth / 10
+        begins[tenth] = house.may_begin(1, long), house.may_begin(1, 1_600_000)
+    stopping.cancel()
+    last = max(tenth for tenth, (any_, _) in begins.items() if any_)
+    assert 25 <= last < 30 and all(begins[t] == (True, True) for t in range(last + 1))
+    last = max(tenth for tenth, (_, short) in begins.items() if short)
+    assert grace * 10 - 22 <= last <= grace * 10 - 16
+    house.backends.stop()
