--- a/ironledge/net/engine.py
+++ b/ironledge/net/engine.py
@@ -219,6 +219,7 @@
         self.lessor: Lessor | None = None  # in the counter's place
         self.dealer: Dealer | None = None
         self.observer: Observer | None = None
+        self.ends_passing = False  # an answer that still comes in parts at the deadline is broken off
         self.idle: Callable[[], None] = lambda: None  # called when the last open request is over
         self.open = 0  # requests not yet answered
         self._gateway, self._loop = gateway, loop
@@ -267,8 +268,7 @@
     def client_gone(self, id: bytes) -> None:
         request = self._requests.get(self._ids.get(id, 0))
         if request and request.passing and request.passing.exchange:
-            request.passing.exchange.abort()
-            self._ended(request, request.passing, Answer(Outcome.CANCELLED))
+            self._break_off(request)
         elif request and not request.over:
             self._observe(request, "left")
             self._close(request)
@@ -377,9 +377,13 @@
         """Fails all that is open: the process is about to end."""
         for request in list(self._requests.values()):
             self._overdue(request)
-            if request.passing and request.passing.exchange:
-                request.passing.exchange.abort()
-                self._ended(request, request.passing, Answer(Outcome.CANCELLED))
+            self._break_off(request)
+
+    def _break_off(self, request: Request) -> None:
+        """An answer that still comes in parts: its client can tell that it isn't whole."""
+        if request.passing and request.passing.exchange:
+            request.passing.exchange.abort()
+            self._ended(request, request.passing, Answer(Outcome.CANCELLED))
 
     # Events to the module, actions from it.
 
@@ -567,6 +571,9 @@
         if attempt.timer:
             attempt.timer.cancel()
         request.client.begin(answer, attempt.exchange)
+        if self.ends_passing:
+            left = max(0, request.deadline - self.now())
+            request.timer = self._loop.call_later(left / 1e6, self._break_off, request)
         latency = self.now() - attempt.sent
         self._post(it.StreamStarted(request.number, attempt.number, attempt.backend, latency))
         return True
@@ -598,6 +605,8 @@
             upload.detach()
         if request.passing is attempt:
             request.passing = None
+            if request.timer:
+                request.timer.cancel()
             whole = answer.outcome is Outcome.OK
             self._observe(request, "served" if whole else "broken")
             (request.client.finish if whole else request.client.break_off)()
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -87,7 +87,7 @@
         self.gateway.in_touch, self.gateway.alone_since = self.in_touch, self._alone_since
         self.sockets = Sockets(settings.descriptors - 200)
         self.engine = Engine(self.gateway, first, Names(first, {}), self._loop, self.clock.now)
-        self.engine.refusals = (429, 503)
+        self.engine.refusals, self.engine.ends_passing = (429, 503), True
         self.engine.describe = self._describe
         self.backends = Backends(self.sockets, IDLE, CONNECT)
         self.backends.relays, self.backends.judge, self.backends.strict = True, judge, True
--- a/tests/test_net_engine.py
+++ b/tests/test_net_engine.py
@@ -18,8 +18,9 @@
 
 
 class Exchange:
-    def __init__(self, data: bytes, ended: Callable[[Answer], None]) -> None:
+    def __init__(self, data: bytes, ended: Callable[[Answer], None], flow: Flow | None = None) -> None:
         self.data, self.ended, self.aborted, self.ran = data, ended, False, True
+        self.flow = flow
 
     def abort(self) -> bool:
         self.aborted = True
@@ -50,7 +51,7 @@
     def send(
         self, backend: int, data: bytes, ended: Callable[[Answer], None], flow: Flow | None = None
     ) -> Exchange:
-        self.sent.append(Exchange(data, ended))
+        self.sent.append(Exchange(data, ended, flow))
         return self.sent[-1]
 
     def probe(self, backend: int, ended: Callable[[Answer], None]) -> None: ...
@@ -66,9 +67,18 @@
     def fail(self, timed_out: bool) -> None:
         self.answers.append("late" if timed_out else "failed")
 
+    def begin(self, answer: Answer, source: Exchange) -> None:
+        self.answers.append("begun")
+
     def more(self, data: bytes) -> None:
         self.answers.append(data)
 
+    def finish(self) -> None:
+        self.answers.append("whole")
+
+    def break_off(self) -> None:
+        self.answers.append("broken off")
+
     def ask(self, id: bytes = b"a", timeout: int = 1_000_000, ago: int = 0) -> bool:
         wanted = Wanted(id, 0, 0, 7, 1.0, 1, 0, timeout, self.time - ago, False, b"GET / HTTP/1.1\r\n", b"")
         return self.engine.arrived(wanted, self)
@@ -213,3 +223,23 @@
 @pytest.mark.parametrize("text", [b"", b"queue=", b"other=1", b"queue=1e"])
 def test_a_load_report_that_says_nothing_is_none(text: bytes) -> None:
     assert Names(SETTINGS, RAW).load(text) == ()
+
+
+@pytest.mark.parametrize("bound", [True, False])
+def test_an_answer_in_parts_is_bound_by_its_deadline_where_that_is_wanted(bound: bool) -> None:
+    """A server that goes silent in the middle would else hold its client for good."""
+    for whole in (True, False):
+        world = World(Script(sender()))
+        world.engine.ends_passing = bound
+        world.ask(timeout=1_000_000)
+        world.pass_time(600_000)
+        (exchange,) = world.sent
+        assert exchange.flow and exchange.flow.opened(Answer(Outcome.OK))
+        world.pass_time(399_000)
+        assert world.answers == ["begun"] and not exchange.aborted
+        if whole:
+            exchange.ended(Answer(Outcome.OK))
+        world.pass_time(10_000_000)
+        told = "whole" if whole else "broken off"
+        assert world.answers == ["begun"] + [told] * (bound or whole)
+        assert exchange.aborted == (bound and not whole) and world.engine.open == (not bound and not whole)
