--- a/playhouse/stage/dialect.py
+++ b/playhouse/stage/dialect.py
@@ -4,7 +4,7 @@
 
 from ironledge.interface import Outcome
 from ironledge.net.engine import Answer
-from ironledge.net.http import BODILESS, HOP_BY_HOP, Message
+from ironledge.net.http import HOP_BY_HOP, Message
 
 ID = b"x-request-id"
 OWN = {ID, b"x-deadline-ms", b"x-tenant", b"x-target-instance", b"authorization", b"expect", b"x-not-run"}
@@ -36,14 +36,13 @@
 def judge(message: Message, sent: bytes) -> Answer:
     """What an answer says. MOOT: it belongs to another request. FULL: the server says that it has not run
     this one, by its id: without one, nothing shows that these bytes belong to it. All else was run, and goes
-    to the client as it is."""
+    to the client as it is; one without a length is whole by the orderly end of its connection only, which the
+    connection sees to."""
     headers, status = message.headers, message.status
     if headers.get(ID) != request_id(sent):
         return Answer(Outcome.MOOT) if ID in headers else Answer(Outcome.ERROR)
     if status == 421 or b"x-not-run" in headers:
         return Answer(Outcome.FULL)
-    if message.length is None and b"transfer-encoding" not in headers and status not in BODILESS:
-        return Answer(Outcome.ERROR)  # whole only by the end of the connection, which an early end looks like
     named = {n.strip().lower() for n in headers.get(b"connection", b"").split(b",")}
     fields = b"".join(
         b"%b: %b\r\n" % (n, v)
