--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import contextlib
+import errno
 import logging
 import math
+import os
 import random
 import re
+import select
 import socket
 import time
 from collections.abc import Callable, Iterable
@@ -37,6 +40,36 @@
 log = logging.getLogger(__name__)
 
 
+async def _come_up(
+    loop: asyncio.AbstractEventLoop, sock: socket.socket, address: tuple[str, int], within: float
+) -> None:  # fmt: skip
+    """The connection is begun at once, and is up when this returns; `within` s. One that is up when the time
+    is over counts: it was this process that stood still, not the backend. Raises OSError, TimeoutError."""
+    try:
+        socket.inet_pton(socket.AF_INET, address[0])
+    except OSError:  # a name: others look it up meanwhile
+        async with asyncio.timeout(within):
+            found = await loop.getaddrinfo(*address, family=socket.AF_INET, type=socket.SOCK_STREAM)
+        address = (str(found[0][4][0]), address[1])
+    error = sock.connect_ex(address)
+    if error == errno.EINPROGRESS:
+        writable = asyncio.Event()
+        loop.add_writer(sock, writable.set)
+        try:
+            async with asyncio.timeout(within):
+                await writable.wait()
+        except TimeoutError:
+            look = select.poll()
+            look.register(sock, select.POLLOUT)
+            if not look.poll(0):
+                raise
+        finally:
+            loop.remove_writer(sock)
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        raise OSError(error, os.strerror(error))
+
+
 class Exchange:
     """An attempt: waits for its connection, then is written, then answered. Ends once."""
 
@@ -374,11 +407,10 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL)
             if self._backends.unacked_ms:
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self._backends.unacked_ms)
-            async with asyncio.timeout(self._backends.connect_timeout):
-                await loop.sock_connect(sock, self.address)
-                link = made = Link(self, sock)
-                await loop.create_connection(lambda: made, sock=sock)
-                up = True
+            await _come_up(loop, sock, self.address, self._backends.connect_timeout)
+            link = made = Link(self, sock)
+            await loop.create_connection(lambda: made, sock=sock)
+            up = True
         except TimeoutError:
             pass
         except (OSError, ValueError):  # refused, out of descriptors
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -12,6 +12,7 @@
 
 from ironledge.interface import Outcome
 from ironledge.net.backends import Server
+from ironledge.net.discovery import Entry
 from ironledge.net.engine import Answer, Flow
 from tests.net_helpers import ASKED, HOST, OK, Fleet, PeerServer, answers
 
@@ -62,6 +63,32 @@
     assert await fleet.outcome() is outcome
 
 
+async def test_a_connection_that_came_up_while_this_process_stood_still_counts(fleet: Fleet) -> None:
+    """Its time is over by the time anybody looks, which says nothing of the backend."""
+    fleet.backends.tune(10_000_000, 0)
+    assert await fleet.outcome() is Outcome.OK
+    with socket.create_server((HOST, 0), backlog=0) as full:  # one that does not come up is given up as ever
+        port = full.getsockname()[1]
+        held = [socket.socket() for _ in range(4)]
+        for sock in held:
+            sock.setblocking(False)
+            sock.connect_ex((HOST, port))
+        fleet.list(port=port)
+        assert await fleet.outcome() is Outcome.CONNECT_FAILED
+        for sock in held:
+            sock.close()
+
+
+async def test_an_address_may_be_a_name(fleet: Fleet) -> None:
+    fleet.backends.know(
+        Entry({"name": "s-2", "address": f"localhost:{fleet.server.port}", "status": "up"}), 2
+    )
+    done: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+    fleet.backends.send(2, ASKED, done.set_result)
+    async with asyncio.timeout(10):
+        assert (await done).outcome is Outcome.OK
+
+
 async def test_a_refused_connection_never_ran(fleet: Fleet) -> None:
     with socket.create_server((HOST, 0)) as closing:
         port = closing.getsockname()[1]
