--- a/playhouse/rehearsal/core_plants.py
+++ b/playhouse/rehearsal/core_plants.py
@@ -149,3 +149,9 @@
         return take(self, cue, *more)
 
     news.take = obey
+
+
+def foreign_words() -> None:
+    """Whoever stands at a door is talked to, of whatever system, and what it says as a leader is obeyed."""
+    _module("playhouse.wings.links").Wings.greeted = lambda self, frames: True
+    old_words()
--- a/playhouse/rehearsal/plants.py
+++ b/playhouse/rehearsal/plants.py
@@ -9,6 +9,7 @@
 from playhouse.rehearsal.core_plants import (  # by name here as well
     answers_by_number,
     beats_alone,
+    foreign_words,
     gone_members_vote,
     new_majority_only,
     old_words,
@@ -23,6 +24,7 @@
 __all__ = [
     "answers_by_number",
     "beats_alone",
+    "foreign_words",
     "gone_members_vote",
     "new_majority_only",
     "old_words",
