--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -123,6 +123,7 @@
             connect_timeout=CONNECT,
             patient=True,
             promises=True,
+            may_cancel=True,
         )
         counter = it.CounterLimits(
             True,
--- a/tests/test_playhouse_house.py
+++ b/tests/test_playhouse_house.py
@@ -8,11 +8,13 @@
 from typing import Any
 from unittest.mock import Mock
 
+from ironledge.interface import Outcome
 from playhouse.boxoffice.purse import FURTHER, STARTS
 from playhouse.errors import Code, SystemFailure
 from playhouse.settings import checked
 from playhouse.stage.house import House
 from playhouse.wings import cues_pb2 as pb
+from tests.net_helpers import HOST, PeerServer
 from tests.test_playhouse_control import SETTINGS, content, route
 
 
@@ -101,3 +103,29 @@
     last = max(tenth for tenth, (_, short) in begins.items() if short)
     assert grace * 10 - 22 <= last <= grace * 10 - 16
     house.backends.stop()
+
+
+async def test_a_server_is_not_left_at_work_for_a_client_that_has_gone() -> None:
+    server = await PeerServer().start()
+    house = House(checked(SETTINGS))
+    script = zlib.compress(json.dumps(content(routes=[route(deadline="60s")])).encode())
+    told = cue("1", {}, has_content=True, content=script, counting=True, settled=True)
+    told.server.append(
+        pb.Server(
+            id="i", service="s1", addr=f"{HOST}:{server.port}", zone="z", capacity=2, state="ready"
+        )
+    )
+    house._apply(told, house._node(), house._loop.time())
+    lessor = house.engine.lessor = Mock()
+    lessor.lease = lambda customer, amount, told, answered: answered(Outcome.OK, 0.0, 50.0)
+    port = await house.listener.listen(HOST, 0)
+    _, client = await asyncio.open_connection(HOST, port)
+    head = b"GET /r1/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q\r\nX-Deadline-Ms: 60000\r\n"
+    client.write(head + b"Authorization: Token k1\r\n\r\n")
+    await server.until(lambda: bool(server.peers) and b"\r\n\r\n" in server.peers[0].data)
+    client.close()
+    await server.until(lambda: len(server.closed) == 1)
+    assert house.engine.open == 0
+    house.listener.stop_listening()
+    house.backends.stop()
+    server.stop()
