--- a/tests/test_playhouse_serving.py
+++ b/tests/test_playhouse_serving.py
@@ -730,3 +730,45 @@
     except AssertionError as error:
         found.append(str(error))
     assert found
+
+
+# A leave that was acknowledged outlives the leader that heard it.
+
+
+async def leave_and_crash(number: int, by: str, broken: list[str]) -> None:
+    """One server's leave is acknowledged, and the leader is gone at that moment."""
+    random.seed(number)
+    world, loop = World(Path("leave")), asyncio.get_running_loop()
+    await world.begin()
+    assert await operator(world, first(), 1, world.hosts) == 200
+    others = [loop.create_task(server(world, f"s{n}", "z1", world.hosts[n], world.hosts)) for n in range(4)]
+    seq = 0
+    for _ in range(3):
+        seq += 1
+        assert await world.beat(random.choice(world.hosts), "s9", seq) == 200
+        await asyncio.sleep(1.4 + 0.2 * random.random())
+    leader = world.leader()
+    assert leader
+    lost = leader.settings.ip
+    door = lost if by == "leader" else random.choice([h for h in world.hosts if h != lost])
+    status = 0
+    while status != 200:
+        status, _ = await world.call(door, "POST", "Instances.Deregister/s9")
+    await world.crash(lost)
+    await world.until(lambda: world.leader() is not None)
+    taken_over = now()
+    while now() < taken_over + 6.0:
+        if (held := world.leader()) and (known := held.board.servers.get("s9")) and known.state == "ready":
+            broken.append(f"ready {now() - taken_over:.1f} s after the takeover")
+            break
+        await asyncio.sleep(0.1)
+    for task in others:
+        task.cancel()
+
+
+@pytest.mark.parametrize("by", ["leader", "follower"])
+@pytest.mark.parametrize("number", range(8))
+def test_a_leave_that_was_acknowledged_outlives_its_leader(number: int, by: str) -> None:
+    broken = list[str]()
+    play(leave_and_crash(number, by, broken))
+    assert not broken
