--- a/tests/test_playhouse_serving.py
+++ b/tests/test_playhouse_serving.py
@@ -742,9 +742,7 @@
     await world.begin()
     assert await operator(world, first(), 1, world.hosts) == 200
     others = [loop.create_task(server(world, f"s{n}", "z1", world.hosts[n], world.hosts)) for n in range(4)]
-    seq = 0
-    for _ in range(3):
-        seq += 1
+    for seq in range(1, 4):
         assert await world.beat(random.choice(world.hosts), "s9", seq) == 200
         await asyncio.sleep(1.4 + 0.2 * random.random())
     leader = world.leader()
