--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 
@@ -161,7 +162,7 @@
         self._held_at = 0
         self._continues = 0  # requests that wait for a go-ahead before they send a body
         self._source: Exchange | None = None  # of an answer that comes in parts
-        self._chunked = False
+        self._chunked = self._unframed = False
         self._full = False  # the client takes nothing for now
         self._left = (0, 0)  # bytes that wait to be written to it, and since when as many
 
@@ -375,7 +376,8 @@
         self._source, memory = source, self._listener.memory
         memory.bodies += 1
         self._chunked = answer.length is None and self._minor > 0
-        self._keep = self._keep and (answer.length is not None or self._chunked)
+        self._unframed = answer.length is None and not self._chunked
+        self._keep = self._keep and not self._unframed
         head = b"HTTP/1.1 %d %b\r\n%b" % (answer.status, reason(answer.status), _fields(answer))
         head += b"" if self._keeps() else b"Connection: close\r\n"
         if answer.length is not None:
@@ -400,6 +402,9 @@
         """The answer cannot be made whole: without its end, or with a reset, the client can tell."""
         self._end_flow()
         self._current = None
+        sock = self.transport.get_extra_info("socket")
+        if self._unframed and sock:  # an orderly end would be that of its body
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.transport.abort()
 
     def _end_flow(self) -> None:
--- a/tests/test_net_bodies.py
+++ b/tests/test_net_bodies.py
@@ -128,6 +128,18 @@
     assert await body_of(reader) == LARGE
 
 
+async def test_an_old_client_is_told_by_a_reset_that_a_body_without_a_length_is_not_whole(
+    ingress: Ingress, backend: PeerServer
+) -> None:
+    reader, peer = await asked(ingress, backend, request().replace(b"HTTP/1.1", b"HTTP/1.0"))
+    peer.transport.write(CHUNKED + b"100000\r\n" + LARGE[:100_000])
+    async with asyncio.timeout(10):
+        await reader.readuntil(b"\r\n\r\n")
+        peer.transport.abort()
+        with pytest.raises(ConnectionResetError):
+            await reader.read(-1)
+
+
 @pytest.mark.parametrize("head", [HEAD % len(LARGE), CHUNKED + b"100000\r\n"])
 async def test_a_broken_answer_can_be_told_and_nothing_else_is_tried(
     ingress: Ingress, backend: PeerServer, head: bytes
