--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -13,7 +13,7 @@
 
 from ironledge.net.bodies import KERNEL, Memory, Upload
 from ironledge.net.engine import Answer, Engine, Exchange
-from ironledge.net.http import HttpConnection, Message, plain, reason
+from ironledge.net.http import MAX_BODY, MAX_HEAD, HttpConnection, Message, plain, reason
 from ironledge.net.requests import BadRequest, Reader, read_request
 from ironledge.net.sockets import Sockets, unread
 
@@ -41,6 +41,7 @@
         self.engine, self.sockets, self.memory, self.now = engine, sockets, memory, now
         self.read, self.relays = read or read_request, read is not None
         self.idle_for, self.head_for = IDLE, HALF_SENT
+        self.max_head, self.max_body = MAX_HEAD, MAX_BODY  # bytes of a request, from the next one on
         self.up = b"/up"  # says whether it accepts; nothing where that has an address of its own
         self.stopping = False
         self._aside = False  # another process accepts, or is about to
@@ -189,6 +190,7 @@
             self._engine.client_gone(current)
 
     def began(self) -> None:
+        self.max_head, self.max_body = self._listener.max_head, self._listener.max_body
         self._began = self._listener.now()
         self._listener.idle.pop(self, None)
         if self._current is None and not self._waiting:
--- a/ironledge/net/http.py
+++ b/ironledge/net/http.py
@@ -76,6 +76,7 @@
 
     transport: asyncio.Transport
     keep_fields = False
+    max_head, max_body = MAX_HEAD, MAX_BODY  # bytes that are taken
     _read = memoryview(bytearray(READ))  # one for all: what has come is copied out before the next read
 
     def __init__(self, parser: type[Any]) -> None:
@@ -137,7 +138,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             bad, self.wrong = self._too_large or 400, str(error.__context__ or error)
-        if self._in_head and self._fed > MAX_HEAD:  # a head that never ends
+        if self._in_head and self._fed > self.max_head:  # a head that never ends
             bad = bad or 431
         self._lost_framing = bad > 0
         self._run_hooks()
@@ -174,13 +175,13 @@
 
     def on_url(self, part: bytes) -> None:
         self._message.target += part
-        self._limit(len(self._message.target), MAX_HEAD, 431)
+        self._limit(len(self._message.target), self.max_head, 431)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._size += len(name) + len(value) + 4
         if not self._in_head:  # a trailer: read, and no more than a head's worth, but of no use here
             self._fed += len(name) + len(value) + 4
-            self._limit(self._fed, MAX_HEAD, 431)
+            self._limit(self._fed, self.max_head, 431)
             return
         value = value.strip(b" 	")
         if self.keep_fields:
@@ -188,7 +189,7 @@
         headers, name = self._message.headers, name.lower()
         before = headers.get(name)
         headers[name] = value if before is None else before + b", " + value
-        self._limit(self._size, MAX_HEAD, 431)
+        self._limit(self._size, self.max_head, 431)
 
     def on_headers_complete(self) -> None:
         message, self._in_head, self._fed, self._size = self._message, False, 0, 0
@@ -205,7 +206,7 @@
             message.method = self._parser.get_method()
         else:
             message.status = self._parser.get_status_code()
-        self._limit(message.length or 0, MAX_BODY, 413)
+        self._limit(message.length or 0, self.max_body, 413)
         self._hooks.append((self.headed, (message,)))
         if (message.length or 0) > HOLD:
             self.in_parts()
@@ -213,7 +214,7 @@
     def on_body(self, part: bytes) -> None:
         message = self._message
         self._size += len(part)
-        self._limit(self._size, MAX_BODY, 413)
+        self._limit(self._size, self.max_body, 413)
         if message.in_parts:
             self._hooks.append((self.part, (message, part)))
             return
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -13,6 +13,7 @@
 from ironledge.net.clients import Listener
 from ironledge.net.discovery import Entry, Listing
 from ironledge.net.engine import Clock, Engine, Names
+from ironledge.net.http import MAX_BODY, MAX_HEAD
 from ironledge.net.sockets import Sockets
 from playhouse.boxoffice.purse import FURTHER
 from playhouse.boxoffice.till import EXPIRY, saved_most
@@ -318,6 +319,8 @@
         limits = bill.limits
         self.listener.idle_for = seconds(limits.get("idleTimeout", "15s"))
         self.listener.head_for = seconds(limits.get("headerTimeout", "3s"))
+        self.listener.max_head = max(MAX_HEAD, limits.get("maxHeaderBytes", 0))
+        self.listener.max_body = max(MAX_BODY, limits.get("maxBodyBytes", 0))
         self.engine.retune(self._settings_of(bill), {})
         note(Event.NEWS_APPLIED, "gen %d", bill.gen)
 
--- a/tests/test_playhouse_house.py
+++ b/tests/test_playhouse_house.py
@@ -8,6 +8,8 @@
 from typing import Any
 from unittest.mock import Mock
 
+import pytest
+
 from ironledge.interface import Outcome
 from playhouse.boxoffice.purse import FURTHER, STARTS
 from playhouse.errors import Code, SystemFailure
@@ -105,23 +107,29 @@
     house.backends.stop()
 
 
-async def test_a_server_is_not_left_at_work_for_a_client_that_has_gone() -> None:
-    server = await PeerServer().start()
+async def serving(server: PeerServer, **fields: Any) -> tuple[House, int]:
+    """An ingress in front of that server, with units for whoever asks; and the port that clients call."""
     house = House(checked(SETTINGS))
-    script = zlib.compress(json.dumps(content(routes=[route(deadline="60s")])).encode())
-    told = cue("1", {}, has_content=True, content=script, counting=True, settled=True)
-    told.server.append(
-        pb.Server(
-            id="i", service="s1", addr=f"{HOST}:{server.port}", zone="z", capacity=2, state="ready"
-        )
-    )
+    made = content(routes=[route(deadline="60s")], **fields)
+    told = cue("1", {}, has_content=True, content=zlib.compress(json.dumps(made).encode()), counting=True)
+    address = f"{HOST}:{server.port}"
+    told.server.append(pb.Server(id="i", service="s1", addr=address, zone="z", capacity=2, state="ready"))
     house._apply(told, house._node(), house._loop.time())
     lessor = house.engine.lessor = Mock()
     lessor.lease = lambda customer, amount, told, answered: answered(Outcome.OK, 0.0, 50.0)
-    port = await house.listener.listen(HOST, 0)
-    _, client = await asyncio.open_connection(HOST, port)
+    return house, await house.listener.listen(HOST, 0)
+
+
+def asked(more: bytes = b"") -> bytes:
     head = b"GET /r1/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q\r\nX-Deadline-Ms: 60000\r\n"
-    client.write(head + b"Authorization: Token k1\r\n\r\n")
+    return head + more + b"Authorization: Token k1\r\n\r\n"
+
+
+async def test_a_server_is_not_left_at_work_for_a_client_that_has_gone() -> None:
+    server = await PeerServer().start()
+    house, port = await serving(server)
+    _, client = await asyncio.open_connection(HOST, port)
+    client.write(asked())
     await server.until(lambda: bool(server.peers) and b"\r\n\r\n" in server.peers[0].data)
     client.close()
     await server.until(lambda: len(server.closed) == 1)
@@ -129,3 +137,19 @@
     house.listener.stop_listening()
     house.backends.stop()
     server.stop()
+
+
+@pytest.mark.parametrize("most", [0, 65536])
+async def test_a_head_may_be_as_large_as_the_configuration_says(most: int) -> None:
+    server = await PeerServer().start()
+    house, port = await serving(server, limits={"maxHeaderBytes": most})
+    reader, client = await asyncio.open_connection(HOST, port)
+    client.write(asked(b"X-Long: %b\r\n" % (b"x" * 40_000)))
+    if most:
+        await server.until(lambda: bool(server.peers) and b"\r\n\r\n" in server.peers[0].data)
+    else:
+        assert (await asyncio.wait_for(reader.readline(), 10)).split()[1] == b"431"
+    client.close()
+    house.listener.stop_listening()
+    house.backends.stop()
+    server.stop()
