--- a/ironledge/net/backends.py
+++ b/ironledge/net/backends.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import contextlib
+import errno
 import logging
 import math
+import os
 import random
 import re
+import select
 import socket
 import time
 from collections.abc import Callable, Iterable
@@ -37,10 +40,40 @@
 log = logging.getLogger(__name__)
 
 
+async def _come_up(
+    loop: asyncio.AbstractEventLoop, sock: socket.socket, address: tuple[str, int], within: float
+) -> None:  # fmt: skip
+    """The connection is begun at once, and is up when this returns; `within` s. One that is up when the time
+    is over counts: it was this process that stood still, not the backend. Raises OSError, TimeoutError."""
+    try:
+        socket.inet_pton(socket.AF_INET, address[0])
+    except OSError:  # a name: others look it up meanwhile
+        async with asyncio.timeout(within):
+            found = await loop.getaddrinfo(*address, family=socket.AF_INET, type=socket.SOCK_STREAM)
+        address = (str(found[0][4][0]), address[1])
+    error = sock.connect_ex(address)
+    if error == errno.EINPROGRESS:
+        writable = asyncio.Event()
+        loop.add_writer(sock, writable.set)
+        try:
+            async with asyncio.timeout(within):
+                await writable.wait()
+        except TimeoutError:
+            look = select.poll()
+            look.register(sock, select.POLLOUT)
+            if not look.poll(0):
+                raise
+        finally:
+            loop.remove_writer(sock)
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        raise OSError(error, os.strerror(error))
+
+
 class Exchange:
     """An attempt: waits for its connection, then is written, then answered. Ends once."""
 
-    __slots__ = ("_ended", "_server", "data", "flow", "link", "over", "sent_at", "written")
+    __slots__ = ("_ended", "_server", "data", "flow", "link", "over", "sent_at", "whole", "written")
 
     def __init__(
         self, data: Data, ended: Ended, flow: Flow | None = None, server: Server | None = None
@@ -49,6 +82,7 @@
         self.link: Link | None = None
         self.sent_at = math.inf
         self.written = self.over = False
+        self.whole = False  # its last byte is written, or waits in the connection's buffer
 
     def end(self, answer: Answer) -> None:
         if not self.over:
@@ -68,7 +102,7 @@
             self.link.transport.write(data)
 
     def all_written(self) -> None:
-        self.written = True
+        self.written = self.whole = True
 
     def pause(self, paused: bool) -> None:
         """The client takes no more of the answer for now, or does again."""
@@ -124,7 +158,8 @@
             exchange.lost()
             return
         upload = exchange.flow.upload if exchange.flow else None
-        exchange.written = upload is None or self.pool.strict
+        exchange.whole = upload is None
+        exchange.written = exchange.whole or self.pool.strict
         if sent < len(data):  # from here on the last byte may be written at any time
             self.transport.write(data[sent:])
         if upload:
@@ -224,7 +259,7 @@
         # Answered before it had all been read, or more said than was asked for: a part of a message, what is
         # none, or whole ones read along with this, which the next request would get for its answer.
         unsound = self.transport.get_write_buffer_size() > 0 or self._begun or self._lost_framing
-        unsound = unsound or bool(self._hooks) or self.astray or not (exchange and exchange.written)
+        unsound = unsound or bool(self._hooks) or self.astray or not (exchange and exchange.whole)
         self.pool.rest(self, message.keep_alive and not unsound)
         if exchange:
             exchange.end(answer)
@@ -372,11 +407,10 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL)
             if self._backends.unacked_ms:
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self._backends.unacked_ms)
-            async with asyncio.timeout(self._backends.connect_timeout):
-                await loop.sock_connect(sock, self.address)
-                link = made = Link(self, sock)
-                await loop.create_connection(lambda: made, sock=sock)
-                up = True
+            await _come_up(loop, sock, self.address, self._backends.connect_timeout)
+            link = made = Link(self, sock)
+            await loop.create_connection(lambda: made, sock=sock)
+            up = True
         except TimeoutError:
             pass
         except (OSError, ValueError):  # refused, out of descriptors
--- a/ironledge/net/clients.py
+++ b/ironledge/net/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 
@@ -12,7 +13,7 @@
 
 from ironledge.net.bodies import KERNEL, Memory, Upload
 from ironledge.net.engine import Answer, Engine, Exchange
-from ironledge.net.http import HttpConnection, Message, plain, reason
+from ironledge.net.http import MAX_BODY, MAX_HEAD, HttpConnection, Message, plain, reason
 from ironledge.net.requests import BadRequest, Reader, read_request
 from ironledge.net.sockets import Sockets, unread
 
@@ -40,6 +41,7 @@
         self.engine, self.sockets, self.memory, self.now = engine, sockets, memory, now
         self.read, self.relays = read or read_request, read is not None
         self.idle_for, self.head_for = IDLE, HALF_SENT
+        self.max_head, self.max_body = MAX_HEAD, MAX_BODY  # bytes of a request, from the next one on
         self.up = b"/up"  # says whether it accepts; nothing where that has an address of its own
         self.stopping = False
         self._aside = False  # another process accepts, or is about to
@@ -161,7 +163,7 @@
         self._held_at = 0
         self._continues = 0  # requests that wait for a go-ahead before they send a body
         self._source: Exchange | None = None  # of an answer that comes in parts
-        self._chunked = False
+        self._chunked = self._unframed = False
         self._full = False  # the client takes nothing for now
         self._left = (0, 0)  # bytes that wait to be written to it, and since when as many
 
@@ -188,6 +190,7 @@
             self._engine.client_gone(current)
 
     def began(self) -> None:
+        self.max_head, self.max_body = self._listener.max_head, self._listener.max_body
         self._began = self._listener.now()
         self._listener.idle.pop(self, None)
         if self._current is None and not self._waiting:
@@ -375,7 +378,8 @@
         self._source, memory = source, self._listener.memory
         memory.bodies += 1
         self._chunked = answer.length is None and self._minor > 0
-        self._keep = self._keep and (answer.length is not None or self._chunked)
+        self._unframed = answer.length is None and not self._chunked
+        self._keep = self._keep and not self._unframed
         head = b"HTTP/1.1 %d %b\r\n%b" % (answer.status, reason(answer.status), _fields(answer))
         head += b"" if self._keeps() else b"Connection: close\r\n"
         if answer.length is not None:
@@ -400,6 +404,9 @@
         """The answer cannot be made whole: without its end, or with a reset, the client can tell."""
         self._end_flow()
         self._current = None
+        sock = self.transport.get_extra_info("socket")
+        if self._unframed and sock:  # an orderly end would be that of its body
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.transport.abort()
 
     def _end_flow(self) -> None:
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -12,6 +12,7 @@
 from ironledge.net.clients import Listener
 from ironledge.net.discovery import Entry, Listing
 from ironledge.net.engine import Clock, Names
+from ironledge.net.http import MAX_BODY, MAX_HEAD
 from ironledge.net.sockets import Sockets
 from playhouse.boxoffice.purse import FURTHER
 from playhouse.boxoffice.till import EXPIRY, saved_most
@@ -42,6 +43,8 @@
     0.9  # s before the end of the grace until which connections are taken after SIGTERM: old lists name it
 )
 ROOM = 1.5  # usual answers' times that a request wants to have before the end, to be begun after SIGTERM
+LATE = 2.8  # s after SIGTERM after which one is begun only if its time is over before the end: what was sent
+# later than 3 s after SIGTERM must not be cut, however long its server takes
 END = 0.4  # s before the end of the grace by which all is answered
 NO_CLASS = it.RequestClass("none", 1_000_000, 30_000_000, it.Repeat.UNSAFE, late_worth=0.5)
 
@@ -67,6 +70,7 @@
         self.reach = Reach(self.wings, lambda: self.news.cores, lambda: self.news.peers(self.wings.own))
         self.wings.lost = self._lost
         self._leaving, self._until = False, float("inf")  # when it must be done, once it leaves
+        self._late = float("inf")  # from when on it begins only what is over by then in any case
         self._zones = {zone: number for number, zone in enumerate(sorted(settings.zones))}
         self._regions = {r: number for number, r in enumerate(sorted(set(settings.zones.values())))}
         self._services: dict[str, int] = {}
@@ -85,7 +89,7 @@
         self.sockets = Sockets(settings.descriptors - 200)
         self.engine = TunedEngine(self.gateway, first, Names(first, {}), self._loop, self.clock.now)
         self.gateway.numbers = self.engine.number_of_plan
-        self.engine.refusals = (429, 503)
+        self.engine.refusals, self.engine.ends_passing = (429, 503), True
         self.engine.describe = self._describe
         self.backends = Backends(self.sockets, IDLE, CONNECT)
         self.backends.relays, self.backends.judge, self.backends.strict = True, judge, True
@@ -115,6 +119,7 @@
             connect_timeout=CONNECT,
             patient=True,
             promises=True,
+            may_cancel=True,
         )
         counter = it.CounterLimits(
             True,
@@ -154,7 +159,7 @@
         self._leaving = True
         self.listener.begin_stop()
         farewell = self._loop.create_task(self._say_leaving())
-        self._until = until
+        self._until, self._late = until, until + END - grace + LATE
         await asyncio.sleep(max(0.0, grace - ACCEPTS_ON))
         self.listener.stop_listening()
         done = asyncio.Event()
@@ -194,9 +199,11 @@
     def may_serve(self) -> bool:
         return self.news.may_serve(self._loop.time())
 
-    def may_begin(self, cls: int) -> bool:
-        """It can be answered before this process ends."""
-        return self._loop.time() + ROOM * self.rows.usual[cls] / 1e6 < self._until
+    def may_begin(self, cls: int, timeout: int) -> bool:
+        """It can be answered before this process ends. `timeout`: us that it may take at the most."""
+        now = self._loop.time()
+        in_time = now < self._late or now + timeout / 1e6 < self._until
+        return in_time and now + ROOM * self.rows.usual[cls] / 1e6 < self._until
 
     def service(self, name: str) -> int:
         number = self._services.setdefault(name, len(self._services) + 1)
@@ -260,7 +267,7 @@
             return wrong(found.status, found.why)
         if found.call == "ready":
             return await self._ready_door(method, target, body)
-        return lookup(target, list(self.news.nodes.values()), self.settings.bounds.ttl_max)
+        return lookup(target, list(self.news.nodes.values()), self.settings.bounds.ttl_max, self.bill)
 
     def _hear(self, envelope: pb.Envelope) -> None:
         """Nothing is told here unasked."""
@@ -318,6 +325,8 @@
         limits = bill.limits
         self.listener.idle_for = seconds(limits.get("idleTimeout", "15s"))
         self.listener.head_for = seconds(limits.get("headerTimeout", "3s"))
+        self.listener.max_head = max(MAX_HEAD, limits.get("maxHeaderBytes", 0))
+        self.listener.max_body = max(MAX_BODY, limits.get("maxBodyBytes", 0))
         classes = bill.classes.values() if items is None else [route.cls for route in items.routes]
         tenants = bill.tenants.values() if items is None else items.tenants
         self.engine.adjust(self._fleet_size(), classes, [self._plan(tenant) for tenant in tenants])
--- a/tests/test_playhouse_arrivals.py
+++ b/tests/test_playhouse_arrivals.py
@@ -172,9 +172,7 @@
             asked += 1
             return reached
 
-        log = SimpleNamespace(
-            term=1, leads=lambda at: True, contact=contact, hurry=lambda at, apart: Step()
-        )
+        log = SimpleNamespace(term=1, leads=lambda at: True, contact=contact, hurry=lambda at, apart: Step())
         process = SimpleNamespace(machine=log, now=now, applied=lambda: 4, carry_out=lambda step: None)
         made: Any = ReadIndex(process)  # type: ignore[arg-type]
         began = reached = now()
--- a/tests/test_playhouse_house.py
+++ b/tests/test_playhouse_house.py
@@ -6,6 +6,9 @@
 import json
 import zlib
 from typing import Any
+from unittest.mock import Mock
+
+import pytest
 
 from ironledge.interface import Outcome
 from playhouse.boxoffice.purse import FURTHER, STARTS
@@ -13,6 +16,7 @@
 from playhouse.settings import checked
 from playhouse.stage.house import House
 from playhouse.wings import cues_pb2 as pb
+from tests.net_helpers import HOST, PeerServer
 from tests.test_playhouse_control import SETTINGS, content, route
 
 
@@ -110,3 +114,76 @@
     await asyncio.gather(*house.units.calls)
     assert len(asked) == 3 and dealt[3] == 0
     house.backends.stop()
+
+
+async def test_what_is_sent_late_after_sigterm_is_begun_only_if_it_is_over_by_the_end() -> None:
+    """What was sent in the first 3 s may be cut at the end of the grace, what came later never."""
+    house = House(checked(SETTINGS))
+    script = zlib.compress(json.dumps(content()).encode())
+    house._apply(cue("1", {"i": "s1"}, has_content=True, content=script), house._node(), house._loop.time())
+    began, at = house._loop.time(), 0.0
+    house._loop = clock = Mock(wraps=house._loop)
+    clock.time.side_effect = lambda: began + at
+    grace, usual, long = house.settings.bounds.grace, 1_000_000, 30_000_000
+    house.rows.usual[1] = usual
+    assert house.may_begin(1, long)
+    stopping = asyncio.ensure_future(house.stop())
+    await asyncio.sleep(0)
+    begins = {}
+    for tenth in range(round(grace * 10) + 1):
+        at = tenth / 10
+        begins[tenth] = house.may_begin(1, long), house.may_begin(1, 1_600_000)
+    stopping.cancel()
+    last = max(tenth for tenth, (any_, _) in begins.items() if any_)
+    assert 25 <= last < 30 and all(begins[t] == (True, True) for t in range(last + 1))
+    last = max(tenth for tenth, (_, short) in begins.items() if short)
+    assert grace * 10 - 22 <= last <= grace * 10 - 16
+    house.backends.stop()
+
+
+async def serving(server: PeerServer, **fields: Any) -> tuple[House, int]:
+    """An ingress in front of that server, with units for whoever asks; and the port that clients call."""
+    house = House(checked(SETTINGS))
+    made = content(routes=[route(deadline="60s")], **fields)
+    told = cue("1", {}, has_content=True, content=zlib.compress(json.dumps(made).encode()), counting=True)
+    address = f"{HOST}:{server.port}"
+    told.server.append(pb.Server(id="i", service="s1", addr=address, zone="z", capacity=2, state="ready"))
+    house._apply(told, house._node(), house._loop.time())
+    lessor = house.engine.lessor = Mock()
+    lessor.lease = lambda customer, amount, told, answered: answered(Outcome.OK, 0.0, 50.0)
+    return house, await house.listener.listen(HOST, 0)
+
+
+def asked(more: bytes = b"") -> bytes:
+    head = b"GET /r1/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q\r\nX-Deadline-Ms: 60000\r\n"
+    return head + more + b"Authorization: Token k1\r\n\r\n"
+
+
+async def test_a_server_is_not_left_at_work_for_a_client_that_has_gone() -> None:
+    server = await PeerServer().start()
+    house, port = await serving(server)
+    _, client = await asyncio.open_connection(HOST, port)
+    client.write(asked())
+    await server.until(lambda: bool(server.peers) and b"\r\n\r\n" in server.peers[0].data)
+    client.close()
+    await server.until(lambda: len(server.closed) == 1)
+    assert house.engine.open == 0
+    house.listener.stop_listening()
+    house.backends.stop()
+    server.stop()
+
+
+@pytest.mark.parametrize("most", [0, 65536])
+async def test_a_head_may_be_as_large_as_the_configuration_says(most: int) -> None:
+    server = await PeerServer().start()
+    house, port = await serving(server, limits={"maxHeaderBytes": most})
+    reader, client = await asyncio.open_connection(HOST, port)
+    client.write(asked(b"X-Long: %b\r\n" % (b"x" * 40_000)))
+    if most:
+        await server.until(lambda: bool(server.peers) and b"\r\n\r\n" in server.peers[0].data)
+    else:
+        assert (await asyncio.wait_for(reader.readline(), 10)).split()[1] == b"431"
+    client.close()
+    house.listener.stop_listening()
+    house.backends.stop()
+    server.stop()
