--- a/playhouse/script/differences.py
+++ b/playhouse/script/differences.py
@@ -20,7 +20,7 @@
 from playhouse.script.check import TABLES
 
 KEPT = 256  # gens back to which differences are known
-ITEMS = 2_000  # that one change may put or remove; after more the whole is told
+ITEMS = 2_000  # that a difference may put or remove, over all its steps; for more the whole is told
 WEIGHED = 400  # items weighed at once: some 2 ms
 PART = 8  # a difference is told where its text is this many times shorter than the whole's, or more
 MOST = 64 * 1024 * 1024  # bytes of text of a difference that are unpacked
@@ -84,6 +84,7 @@
     changes: Changes
     digest: int  # added to the content's
     size: int
+    count: int  # of items
 
 
 def step(before: Mapping[str, Any], after: Mapping[str, Any], order: Mapping[str, Any] | None) -> Step | None:
@@ -120,7 +121,7 @@
             changes.setdefault(table, {})[name] = None
             less = weight(table, name, was)
             digest, size = digest - less[0], size - less[1]
-    return Step(before.get("gen", 0), after["gen"], changes, digest, size)
+    return Step(before.get("gen", 0), after["gen"], changes, digest, size, count)
 
 
 class History:
@@ -170,7 +171,7 @@
     def _since(self, gen: int) -> Difference | None:
         steps = list(self._steps)
         at = next((n for n, one in enumerate(steps) if one.before == gen), len(steps))
-        if at == len(steps):
+        if at == len(steps) or sum(one.count for one in steps[at:]) > ITEMS:
             return None
         text = _text(merge(one.changes for one in steps[at:])).encode()
         if len(text) * PART > self._size:
--- a/tests/test_playhouse_differences.py
+++ b/tests/test_playhouse_differences.py
@@ -206,9 +206,11 @@
         assert (known := state.history.since(gens[-3:][0])) and known.gen == state.gen
         gens.append(state.gen)
     assert [state.history.since(gen) is not None for gen in gens] == [False] * 3 + [True] * 5 + [False]
+    assert state.apply(many(7)) and state.apply(many(7)) and state.history.since(state.gen - 1)
+    assert state.history.since(state.gen - 2) is None
     counted.clear()
     assert state.apply(many(13)) and len(counted) <= 2 * 12
-    assert weighed(state).history.since(gens[-2]) is None
+    assert weighed(state).history.since(state.gen - 2) is None
     assert state.apply(many(2)) and (known := state.history.since(state.gen - 1))
     assert known.digest == Playbill(state.content).digest
     state = State()
