--- a/playhouse/understudy/duty.py
+++ b/playhouse/understudy/duty.py
@@ -205,7 +205,7 @@
         held = self.roll.leases[ask.node.name]
         if held.idle_from == float("inf"):
             held.idle_from = now - ask.idle_ms / 1000
-            self._was_spent |= not ask.idle_ms and ask.node.kind == "edge"
+            self._was_spent |= bool(ask.epoch) and ask.node.kind == "edge"  # told before, so it may spend
         held.current = ask.servers == self.board.number
         held.counting = is_of_term and ask.counting and self.counting
         news |= self._count(now, anew=first)
--- a/tests/test_playhouse_zones.py
+++ b/tests/test_playhouse_zones.py
@@ -10,13 +10,16 @@
 
 import pytest
 
+from playhouse.callboard.board import Board
+from playhouse.company.roll import Roll
 from playhouse.errors import SystemFailure
+from playhouse.understudy.duty import Duty
 from playhouse.wings import cues_pb2 as pb
 from playhouse.wings.reach import Reach
 from tests.serving_world import World as Machines
 from tests.serving_world import in_memory, play
 from tests.test_playhouse_serving import now
-from tests.test_playhouse_units import SMALL, Edge, Trouble, World, broken, drawn
+from tests.test_playhouse_units import BOUNDS, SMALL, Edge, Trouble, World, broken, drawn
 
 ZONE = 5  # of the ingresses: those that are lost with the leader
 
@@ -87,6 +90,24 @@
     assert left is not None and left >= 0.0
 
 
+@pytest.mark.parametrize("told", [False, True])
+def test_where_nobody_spent_anything_counting_waits_for_all_and_begins_with_full_stores(told: bool) -> None:
+    """Of two that were killed with the leader one asks before it is 1 ms old. `told`: it lives on."""
+    world = World(1, quota=SMALL)
+    duty = Duty(2, 10.0, True, Board(), Roll(), ["e0", "e1"], BOUNDS, 1.5)
+    duty.follow(world.state)
+
+    def ask(name: str, now: float, epoch: str, idle: int) -> None:
+        node = pb.Node(name=name, life="1", kind="edge", door="d")
+        duty.asked(now, pb.Ask(node=node, epoch=epoch, idle_ms=idle))
+
+    ask("e0", 10.1, "1" if told else "", 0)
+    assert duty.counting == told
+    ask("e1", 12.0, "", 1900)
+    left = duty.lease(12.1, pb.Lease(tenant="t", amount=SMALL[1]))
+    assert left is not None and (left >= 0.0) == (not told)
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_no_window_sees_more_than_the_whole_as_zones_and_leaders_are_lost(seed: int) -> None:
     """All spend all that they may."""
