--- a/tests/test_playhouse_zones.py
+++ b/tests/test_playhouse_zones.py
@@ -18,6 +18,9 @@
 from playhouse.wings.reach import Reach
 from tests.serving_world import World as Machines
 from tests.serving_world import in_memory, play
+from tests.test_playhouse_return import Ingress as FleetIngress
+from tests.test_playhouse_return import World as Fleet
+from tests.test_playhouse_return import play as play_fleet
 from tests.test_playhouse_serving import now
 from tests.test_playhouse_units import BOUNDS, SMALL, Edge, Trouble, World, broken, drawn
 
@@ -117,3 +120,29 @@
     world = World(seed, quota=SMALL)
     world.run([*lost, *lost, *drawn(seed, 2, SMALL[2])])
     assert broken(world) == []
+
+
+def test_a_zone_of_100_returns_that_was_lost_with_the_leader(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The others serve all along: by their leases, by all servers that are left, and by counted quotas."""
+
+    async def scene(world: Fleet) -> None:
+        await world.until(world.returned, 8.0)
+        await asyncio.sleep(4.0)
+        names = [n for n in world.ingresses if int(n[1:]) % 9 == 4]
+        gone = {id: world.up.pop(id) for id in list(world.up) if int(id[1:]) % 9 == 4}
+        for name in names:
+            world.ingresses.pop(name).task.cancel()
+        await asyncio.sleep(0.6)
+        world.begin()  # the next leader, which has heard of no server
+        counted = await world.until(lambda: world.held().counting, 1.0)
+        for id in gone:  # those that are left serve by what they know: nobody is told that others are gone
+            assert all(id in e.servers for e in world.ingresses.values())
+        await world.until(world.returned, 5.0)
+        assert counted < 1.0 and world.held().counting
+        world.up |= gone
+        world.ingresses |= {name: FleetIngress(world, name) for name in names}
+        await world.until(world.returned, 5.0)
+        await asyncio.sleep(1.0)
+        assert world.returned() and world.held().counting and not world.lapsed and world.longest < 0.3
+
+    play_fleet(100, 1000, scene, monkeypatch)
