--- a/playhouse/core.py
+++ b/playhouse/core.py
@@ -214,6 +214,7 @@
         if self._applies or not self._applier.is_behind:
             return
         self._applies, until = True, time.perf_counter() + APPLY
+        self._applier.tells = self.machine.role is Role.LEADER
         more = True
         while more:
             if applied := self._applier.step():
--- a/playhouse/promptbook/applying.py
+++ b/playhouse/promptbook/applying.py
@@ -54,6 +54,7 @@
 class Applier:
     def __init__(self, state: State, index: int = 0, term: int = 0) -> None:
         """The state as it is after the entry at this index, of this term."""
+        self.tells = False  # this one leads: what ingresses are told is there once an entry is in force
         self._queue: deque[Entry] = deque()
         self.restore(state, index, term)
 
@@ -97,13 +98,15 @@
     def _applying(self, entry: Entry) -> Generator[None, None, bool]:
         if entry.opens:  # who made the parts before it leads no longer
             self._begun = None
+            if self.tells:
+                yield from self.state.tell()
         if not entry.data:
             return False
         if parts.is_part(entry.data):
             command = yield from self._gathered(parts.read(entry.data))
         else:
             command = Command.read(entry.data)
-        return (yield from self.state.applying(command)) if command else False
+        return (yield from self.state.applying(command, self.tells)) if command else False
 
     def _gathered(self, part: parts.Part) -> Generator[None, None, Command | None]:
         """The command whose last part this is."""
--- a/playhouse/script/state.py
+++ b/playhouse/script/state.py
@@ -18,9 +18,12 @@
 
 KNOWN = 20_000  # accepted calls that are remembered, so that one sent again is known: a day's changes
 CALLS = 4_096  # calls for zones that are
-MANY = 4_096  # items that one step goes through
+MANY = 4_096  # items that one step goes through ...
+TOLD = 512  # ... and makes text of, for ingresses
 REFUSED = -1  # in place of a gen: the call was refused, for good
 
+_text = json.JSONEncoder(separators=(",", ":")).encode
+
 
 class Verb(Enum):
     REPLACE = "replace"
@@ -88,9 +91,28 @@
     return made
 
 
-def _some(items: Sequence[Any]) -> Iterator[Sequence[Any]]:
-    for at in range(0, len(items), MANY):
-        yield items[at : at + MANY]
+def _telling(content: dict[str, Any]) -> Generator[None, None, bytes]:
+    """JSON, zlib; in steps."""
+    packed, made, begin = zlib.compressobj(6), list[bytes](), "{"
+    for name, value in content.items():
+        text = f"{begin}{_text(name)}:"
+        if isinstance(value, list):
+            text, begin = f"{text}[", ""
+            for some in _some(value, TOLD):
+                made.append(packed.compress(f"{text}{begin}{_text(some)[1:-1]}".encode()))
+                text, begin = "", ","
+                yield
+            made.append(packed.compress(f"{text}]".encode()))
+        else:
+            made.append(packed.compress(f"{text}{_text(value)}".encode()))
+        begin = ","
+    return b"".join([*made, packed.compress(b"}" if content else b"{}"), packed.flush()])
+
+
+def _some(items: Sequence[Any], many: int = 0) -> Iterator[Sequence[Any]]:
+    many = many or MANY
+    for at in range(0, len(items), many):
+        yield items[at : at + many]
 
 
 @dataclass(slots=True)
@@ -119,26 +141,33 @@
         return {name: value for name, value in command.order.items() if name != "parent"}
 
     def told(self) -> bytes:
-        """The content as ingresses are told it, made once for all of them."""
-        if self._told[0] != self.gen:
-            text = json.dumps(self.content, separators=(",", ":")).encode()
-            self._told = (self.gen, zlib.compress(text, 6))
+        """The content as ingresses are told it, made once for all of them: at once, if it was not told
+        before (`tell`)."""
+        stored.at_once(self.tell())
         return self._told[1]
 
+    def tell(self) -> Generator[None, None, None]:
+        """Makes what ingresses are told, in steps."""
+        if self._told[0] != self.gen:
+            gen = self.gen
+            self._told = (gen, (yield from _telling(self.content)))
+
     def apply(self, command: Command) -> bool:
         return stored.at_once(self.applying(command))
 
-    def applying(self, command: Command) -> Generator[None, None, bool]:
+    def applying(self, command: Command, tells: bool = False) -> Generator[None, None, bool]:
         """In steps: until the last one all is as it was. False if it is void: another change came first, or
-        it is no news to the data plane."""
+        it is no news to the data plane. `tells`: what ingresses are told of it is made as well."""
         match command.verb:
             case Verb.REPLACE | Verb.UPDATE:
                 if command.order["parent"] != self.gen or command.order["gen"] <= self.gen:
                     return False
                 if command.digest in self.known:  # it was refused: that holds
                     return False
-                self.content = yield from self.result(command)
-                self.gen = command.order["gen"]
+                content, gen = (yield from self.result(command)), command.order["gen"]
+                if tells:
+                    self._told = (gen, (yield from _telling(content)))
+                self.content, self.gen = content, gen
                 self._remember(command.digest, self.gen)
             case Verb.REFUSE:
                 if command.digest not in self.known:
--- a/tests/measure_snapshots.py
+++ b/tests/measure_snapshots.py
@@ -121,7 +121,7 @@
         "at once: encode a whole configuration": whole.out,
         "at once: decode it": lambda: Command.read(data),
         "at once: apply it": lambda: state.apply(whole),
-        "told: encode it for ingresses": state.told,
+        "at once: encode it for ingresses": state.told,
         "at once: apply an update of one tenant": lambda: state.apply(update(first, 2)),
     }
     data = whole.out()
@@ -165,6 +165,8 @@
             while applier.is_behind:
                 with step(f"{kind}: read and apply a part"):
                     applier.step()
+    for _ in timed("told: encode it for ingresses", applier.state.tell()):
+        pass
     side.store.close()
     assert applier.state.content == state.content
 
--- a/tests/test_playhouse_parts.py
+++ b/tests/test_playhouse_parts.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import random
+import zlib
 from collections.abc import Callable, Generator, Iterable
 from dataclasses import replace
 from pathlib import Path
@@ -390,6 +391,38 @@
         play(leader_behind(quick))
 
 
+async def told_in_steps(made: list[int]) -> None:
+    """Two leaders: what ingresses are told is there before they are told it."""
+    world, history, leader = await begun()
+    assert await operator(world, history, 2, world.hosts) == 200
+    await world.crash(leader.settings.ip)
+    history.sent[3] = 2, configuration(3, 2, tenants=tenants(3, 6_000))
+    made.clear()
+    assert await operator(world, history, 3, world.hosts) == 200
+    assert all(i.gen == 3 for i in world.ingresses) and max(made, default=0) == 0, "made at once"
+
+
+def test_what_ingresses_are_told_is_made_in_steps(
+    core_machines: None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    content: dict[str, Any]
+    for content in ({}, {"gen": 1, "a": [], "b": [1]}, {"t": tenants(1, 2_000), "r": [], "x": {"a": [1]}}):
+        assert json.loads(zlib.decompress(State(gen=1, content=content).told())) == content
+    made = list[int]()
+
+    def counted(work: Generator[None, None, Any]) -> Any:
+        steps = list(work)
+        made.append(len(steps))
+
+    monkeypatch.setattr(stored, "at_once", counted)
+    play(told_in_steps(made))
+    monkeypatch.setattr(
+        Applier, "tells", property(lambda self: False, lambda self, value: None), raising=False
+    )
+    with pytest.raises(AssertionError, match="made at once"):
+        play(told_in_steps(made))
+
+
 def test_a_command_whose_leader_ends_or_gives_it_up_is_void(
     core_machines: None, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_playhouse_serving.py
+++ b/tests/test_playhouse_serving.py
@@ -690,8 +690,8 @@
     """A refusal that a later state would take back is nowhere written down."""
     applying = State.applying
 
-    def unsaid(self: State, command: Command) -> Generator[None, None, bool]:
-        return (yield from applying(self, command)) if command.verb is not Verb.REFUSE else False
+    def unsaid(self: State, command: Command, tells: bool) -> Generator[None, None, bool]:
+        return (yield from applying(self, command, tells)) if command.verb is not Verb.REFUSE else False
 
     monkeypatch.setattr(State, "applying", unsaid)
 
