--- a/playhouse/understudy/prompter.py
+++ b/playhouse/understudy/prompter.py
@@ -65,8 +65,10 @@
     def __init__(self, leader: Leader) -> None:
         self._leader = leader
         self._kept: dict[_Kept, None] = {}  # in the order in which they came
+        self._newest: dict[str, _Kept] = {}  # by name: no other ask of the same one is waited for any longer
         self._ends: list[tuple[float, int, _Kept]] = []  # a heap
         self._ready: list[_Kept] = []  # there is news for these
+        self._in_order = True  # they are
         self._since: dict[str, float] = {}  # by name: when it first asked for what it has not been told yet
         self._count = 0
         self._woken = asyncio.Event()
@@ -98,10 +100,14 @@
         since = self._since.setdefault(ask.node.name, now)
         kept = _Kept(ask, until, since, asyncio.get_running_loop().create_future())
         self._kept[kept] = None
+        if (before := self._newest.get(ask.node.name)) and not before.future.done():
+            before.future.set_exception(SystemFailure(Code.STALE, "asked anew"))
+        self._newest[ask.node.name] = kept
         self._count += 1
         heapq.heappush(self._ends, (until, self._count, kept))
         if self._is_urgent(duty, ask, now):
             self._ready.append(kept)
+            self._in_order = False
             self._woken.set()
         elif duty.has_news(now, ask, leader.state):
             self.wake()
@@ -114,6 +120,8 @@
             raise SystemFailure(Code.FULL, "too many ask") from None
         finally:
             self._kept.pop(kept, None)
+            if self._newest.get(ask.node.name) is kept:
+                del self._newest[ask.node.name]
 
     def _is_urgent(self, duty: Duty, ask: pb.Ask, now: float) -> bool:
         """It knows nothing of this term, or another configuration than the one in force."""
@@ -150,7 +158,8 @@
             waits.append(0.0)
         elif self._ready:
             waits.append(max(0.001, -self._room / BYTES_PER_S))
-        ready = set(self._ready)
+        over = bool(self._ends) and self._ends[0][0] <= now
+        ready = set(self._ready) if over else set()
         while self._ends and (self._ends[0][0] <= now or self._ends[0][2].future.done()):
             kept = heapq.heappop(self._ends)[2]
             if not kept.future.done():
@@ -173,11 +182,13 @@
         self._told, self._changed, self._round_at = told, False, now
         state = self._leader.state
         news = [k for k in self._kept if not k.future.done() and duty.has_news(now, k.ask, state)]
-        self._ready = news
+        self._ready, self._in_order = news, False
 
     def _answer(self, duty: Duty, now: float) -> bool:
         """Some of those that are ready; True if others may be answered at once."""
-        self._ready.sort(key=lambda kept: (kept.ask.epoch != "", kept.since))
+        if not self._in_order:
+            self._ready.sort(key=lambda kept: (kept.ask.epoch != "", kept.since))
+            self._in_order = True
         at = 0
         for at, kept in enumerate(self._ready):
             if self._room <= 0 or at >= AT_ONCE:
--- a/tests/test_playhouse_return.py
+++ b/tests/test_playhouse_return.py
@@ -538,6 +538,28 @@
     assert nodes == {h.node.name: h.node.life for h in roll.leases.values()}
 
 
+def test_who_asks_anew_is_told_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An ask that is given up stays at the leader: what it would be told is not made for nobody."""
+
+    async def anew(world: World) -> None:
+        await world.until(world.returned, 8.0)
+        node, told, whole = pb.Node(name="e0", life="x", door="e0", kind="edge"), list[str](), Duty.cue
+        monkeypatch.setattr(Duty, "cue", lambda *args: (told.append(args[2].node.life), whole(*args))[1])
+        monkeypatch.setattr(world.prompter, "_room", -1e9)
+        world.ingresses["e0"].task.cancel()
+        asks = []
+        for _ in range(3):
+            asks.append(asyncio.create_task(world.prompter.ask(pb.Ask(node=node, wait_ms=1000))))
+            await asyncio.sleep(0.1)
+        assert [task.done() for task in asks] == [True, True, False]
+        assert all("asked anew" in str(task.exception()) for task in asks[:2])
+        world.prompter._room = prompting.BYTES
+        world.publish()
+        assert (await asks[2]).has_script and told.count("x") == 1
+
+    play(10, 10, anew, monkeypatch)
+
+
 def test_lists_that_were_packed_come_out_as_they_were() -> None:
     part = pb.Cue(servers_whole=True, node_gone=["e1"], node=[pb.Node(name="e2")])
     part.server.extend(pb.Server(id=f"i{n}", seq=n) for n in range(300))
