--- a/playhouse/extras/pages.py
+++ b/playhouse/extras/pages.py
@@ -23,6 +23,7 @@
     "runs": tables.runs_table,
     "roles": tables.roles_table,
     "returns": tables.returns_table,
+    "lookups": tables.lookups_table,
     "slopes": tables.slopes_table,
     "size": tables.size_table,
     "plain": planned.plain_table,
@@ -56,7 +57,7 @@
     )
     figure, axes = pyplot.subplots(2, 2, figsize=(9, 6.5), layout="constrained")
     for axis, (role, what) in zip(axes.flat, drawn, strict=True):
-        for cause in (*sums.CAUSES, sums.LATER):
+        for cause in (*sums.CAUSES, *sums.LATERS):
             if found := sums.slope(kept, cause, role, what):
                 _draw(axis, found)
         axis.set(title=name_of(role, what), xscale="log", yscale="log", xlabel="of the cause")
--- a/playhouse/extras/planned.py
+++ b/playhouse/extras/planned.py
@@ -11,6 +11,7 @@
 from playhouse.extras.sums import TARGET, Contents, Told
 from playhouse.extras.sweeps import sweeps
 from playhouse.extras.tables import UNITS, ranged, shown, table
+from playhouse.foyer.lookup import TTL
 from playhouse.rehearsal.world import ROOT
 
 FOLDER = ROOT / "docs" / "capacity"
@@ -73,9 +74,24 @@
     rows.append(
         ("ingresses that a region takes along", shown(n / sums.REGIONS), f"of {sums.REGIONS} regions")
     )
+    rows += _look_ups(kept)
     return table(("what", "sum", "from"), rows)
 
 
+def _look_ups(kept: dict[str, Told]) -> list[tuple[str, str, str]]:
+    """At the size, if each client makes one request a second and looks up as often as it is told to."""
+    n, rows = TARGET["ingresses"], list[tuple[str, str, str]]()
+    found = sums.look_ups(kept)
+    for ttl, what in ((TTL, "as it is told now"), (5.0, "the most that counts")):
+        rate = sums.REQUESTS_PER_S / ttl
+        rows.append((f"look-ups a second with a ttl of {ttl:g} s", shown(rate), what))
+        rows.append(("... at each ingress, evenly spread", shown(rate / n), f"by {n:,}"))
+        if found:
+            cores = ranged(found.fit.at(n), rate / n)
+            rows.append(("... in cores of each ingress", cores, "by the slope of one's cost; extrapolated"))
+    return rows
+
+
 def mechanisms_table(kept: dict[str, Told]) -> str:
     """What would carry the size, by the same slopes and sums."""
     n, a_second, rows = TARGET["ingresses"], sums.CHANGES_A_DAY / sums.DAY, list[tuple[str, str, str]]()
@@ -87,7 +103,7 @@
     rows.append(("... KB/s an ingress at the day's mean", f"{route * a_second / 1e3:.3f}", "15 are allowed"))
     for regions, what in ((sums.REGIONS, "one relay a region"), (sums.ZONES, "one relay a zone")):
         for role, cost in (("leader", "cpu"), ("leader", "bytes_out")):
-            found = sums.slope(kept, sums.LATER, role, cost) or sums.slope(kept, "ingresses", role, cost)
+            found = sums.newest(kept, role, cost)
             if found is None:
                 continue
             unit, scale = UNITS[cost]
@@ -147,7 +163,7 @@
     rows: list[list[Any]] = []
     for what, line, scale, found in shared:
         for size in (30, 100, 300):
-            told = (kept.get(f"{cause}-{size}") for cause in ("ingresses", sums.LATER))
+            told = (kept.get(f"{cause}-{size}") for cause in ("ingresses", *sums.LATERS))
             cells = [s.at(line, size) for s in others]
             row = [
                 what,
@@ -163,6 +179,7 @@
             "own machines or hollow ingresses",
             "scale run before news in rounds",
             "scale run with them",
+            "scale run with batches",
             *heads,
         ),
         rows,
--- a/playhouse/extras/sums.py
+++ b/playhouse/extras/sums.py
@@ -15,8 +15,11 @@
 
 BASE = "ingresses-30"  # the run that each cause's runs share
 CAUSES = ("ingresses", "servers", "tenants", "routes")
-LATER = "rounds"  # runs of ingresses alone, after the leader told its news in rounds: a slope of their own
+# Runs of ingresses alone after the leader was mended, oldest first, each with a slope of its own: news in
+# rounds; connections taken, calls begun and long differences made for many at once.
+LATERS = ("rounds", "batches")
 TARGET = {"ingresses": 6300, "servers": 20_000, "tenants": 160_000, "routes": 12_000, "services": 350}
+REQUESTS_PER_S = 390_000
 CHANGES_A_DAY, FAILED_A_DAY, RESTARTS_A_DAY, ZONES, REGIONS = 21_000, 57, 10_000, 26, 8
 MACHINES = 11  # of control, that are allowed
 DAY = 86_400.0  # s
@@ -39,13 +42,13 @@
 
 def of_cause(kept: dict[str, Told], cause: str) -> list[tuple[str, Told]]:
     """The runs in which only this one grows, from the base on."""
-    base = BASE if cause != LATER else ""
+    base = "" if cause in LATERS else BASE
     return [(n, told) for n, told in kept.items() if n == base or n.startswith(f"{cause}-")]
 
 
 def grown(cause: str) -> str:
     """What of its size a cause's runs differ in."""
-    return "ingresses" if cause == LATER else cause
+    return "ingresses" if cause in LATERS else cause
 
 
 def holds(told: Told) -> bool:
@@ -92,12 +95,29 @@
     return Slope(cause, role, what, points, fitted([s for _, s, _ in points], [v for _, _, v in points]))
 
 
+def newest(kept: dict[str, Told], role: str, what: str) -> Slope | None:
+    """Of ingresses alone, by the newest runs that have a slope."""
+    found = (slope(kept, cause, role, what) for cause in (*reversed(LATERS), "ingresses"))
+    return next((made for made in found if made), None)
+
+
+def look_ups(kept: dict[str, Told]) -> Slope | None:
+    """What one costs a real ingress, in s of a core, over ingresses."""
+    points = sorted(
+        (float(told["size"]["ingresses"]), float(found["cpu_each"]), name)
+        for name, told in kept.items()
+        if name.startswith(f"{LATERS[-1]}-") and (found := told.get("look-ups")) and found["cpu_each"] > 0
+    )
+    if len(points) < 2:
+        return None
+    made = fitted([s for s, _, _ in points], [v for _, v, _ in points])
+    return Slope(LATERS[-1], "real ingress", "cpu", tuple((n, s, v) for s, v, n in points), made)
+
+
 def slopes(kept: dict[str, Told], role: str, what: str) -> list[Slope]:
-    """Of each cause; of ingresses by the later runs, where these have a slope."""
-    found = {cause: slope(kept, cause, role, what) for cause in (LATER, *CAUSES)}
-    if found[LATER]:
-        found["ingresses"] = None
-    return [made for made in found.values() if made]
+    """Of each cause; of ingresses by the newest."""
+    found = [newest(kept, role, what), *(slope(kept, cause, role, what) for cause in CAUSES[1:])]
+    return [made for made in found if made]
 
 
 def at_target(kept: dict[str, Told], role: str, what: str) -> tuple[float, float, float]:
--- a/playhouse/extras/tables.py
+++ b/playhouse/extras/tables.py
@@ -168,6 +168,25 @@
     return table(("run", "new leader, s", *(f"{head}, s" for head in heads), "cut for, s"), rows)
 
 
+def lookups_table(kept: dict[str, Told]) -> str:
+    rows = [
+        (
+            f"`{name}`",
+            told["size"]["ingresses"],
+            shown(found["per_s"]),
+            found["failed"],
+            shown(1e6 * found["cpu_each"]),
+            f"{shown(found['bytes_out'])}/{shown(found['bytes_in'])}",
+            found["addresses"],
+            f"{shown(1000 * found['p50'])}/{shown(1000 * found['p99'])}",
+        )
+        for name, told in kept.items()
+        if (found := told.get("look-ups"))
+    ]
+    heads = ("look-ups a second", "failed", "us of a core each", "bytes there/back", "addresses told, most")
+    return table(("run", "hollow ingresses", *heads, "ms at the client p50/p99"), rows)
+
+
 def ranged(found: tuple[float, float, float], scale: float) -> str:
     middle, low, high = (max(0.0, value) * scale for value in found)
     if high > FAR * max(middle, 1e-9):
@@ -177,7 +196,7 @@
 
 def slopes_table(kept: dict[str, Told]) -> str:
     rows = []
-    for cause in (*sums.CAUSES, sums.LATER):
+    for cause in (*sums.CAUSES, *sums.LATERS):
         target = TARGET[sums.grown(cause)]
         for role, what in SLOPES:
             if found := sums.slope(kept, cause, role, what):
