--- a/playhouse/extras/gauge.py
+++ b/playhouse/extras/gauge.py
@@ -24,7 +24,7 @@
         self.bytes_out = self.bytes_in = 0
         self.late: list[float] = []  # s
         self.requests = 0  # HTTP calls made, with their bytes in those above
-        self._at, self._cpu = time.monotonic(), time.process_time()
+        self._at, self._cpu, self._waited = time.monotonic(), time.process_time(), waited_s()
 
     async def watch(self) -> None:
         """How much later than asked a timer goes off, for as long as it runs."""
@@ -60,7 +60,7 @@
         self.out.clear()
         self.bytes_out = self.bytes_in = self.requests = 0
         self.late = []
-        self._at, self._cpu = time.monotonic(), time.process_time()
+        self._at, self._cpu, self._waited = time.monotonic(), time.process_time(), waited_s()
 
     def read(self) -> dict[str, Any]:
         """Since the last restart; bytes and messages a second, s, MB."""
@@ -68,7 +68,7 @@
         late = sorted(self.late) or [0.0]
         return {
             "span": span, "cpu": (time.process_time() - self._cpu) / span,
-            "mb": most_mb(),
+            "waited": (waited_s() - self._waited) / span, "mb": most_mb(),
             "bytes_out": self.bytes_out / span, "bytes_in": self.bytes_in / span,
             "messages_out": (sum(self.out.values()) + self.requests) / span,
             "kinds": {kind: n / span for kind, n in self.out.items()},
@@ -76,6 +76,12 @@
         }  # fmt: skip
 
 
+def waited_s() -> float:
+    """s that this process's main thread was ready to run and had no processor, as others had them all."""
+    with open("/proc/self/schedstat") as told:
+        return int(told.read().split()[1]) / 1e9
+
+
 def most_mb() -> float:
     """The most memory this process has held. `getrusage` would tell of its parent's where that was more."""
     with open("/proc/self/status") as status:
--- a/playhouse/extras/tally.py
+++ b/playhouse/extras/tally.py
@@ -32,7 +32,8 @@
 
 def summed(rows: list[dict[str, Any]]) -> dict[str, Any]:
     """Of processes of one role: means, but for what is the most."""
-    made = {k: sum(r[k] for r in rows) / len(rows) for k in ("cpu", "bytes_out", "bytes_in", "messages_out")}
+    means = ("cpu", "waited", "bytes_out", "bytes_in", "messages_out")
+    made: dict[str, Any] = {k: sum(r[k] for r in rows) / len(rows) for k in means}
     made |= {k: max(r[k] for r in rows) for k in ("mb", "late_p50", "late_p99", "late_most")}
     kinds: dict[str, float] = {}
     for row in rows:
--- a/tests/test_playhouse_extras.py
+++ b/tests/test_playhouse_extras.py
@@ -93,10 +93,11 @@
 
 
 def test_a_role_is_the_mean_of_its_processes_and_the_worst_of_their_delays():
-    row = {"cpu": 0.2, "bytes_out": 10, "bytes_in": 4, "messages_out": 2, "mb": 30, "late_p50": 0.1,
-           "late_p99": 0.2, "late_most": 0.3, "kinds": {"ask": 2.0}}  # fmt: skip
-    other = row | {"cpu": 0.4, "mb": 50, "late_most": 0.1, "kinds": {"cue": 4.0}}
+    row = {"cpu": 0.2, "waited": 0.1, "bytes_out": 10, "bytes_in": 4, "messages_out": 2, "mb": 30,
+           "late_p50": 0.1, "late_p99": 0.2, "late_most": 0.3, "kinds": {"ask": 2.0}}  # fmt: skip
+    other = row | {"cpu": 0.4, "waited": 0.3, "mb": 50, "late_most": 0.1, "kinds": {"cue": 4.0}}
     made = summed([row, other])
+    assert made["waited"] == pytest.approx(0.2)
     assert made["cpu"] == pytest.approx(0.3) and made["mb"] == 50 and made["late_most"] == 0.3
     assert made["kinds"] == {"ask": 1.0, "cue": 2.0} and made["processes"] == 2
 
