--- a/playhouse/foyer/lookup.py
+++ b/playhouse/foyer/lookup.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from hashlib import blake2b
 from urllib.parse import parse_qs
 
 from playhouse.stagedoor.doors import Answer, told, wrong
@@ -10,15 +12,46 @@
 
 MOST = 64
 TTL = 1.5  # s at the most: how long one that has left is still called
+KEPT = 1024  # answers
 
 
-def lookup(target: str, nodes: list[pb.Node], ttl_max: float) -> Answer:
+def _asked(target: str) -> tuple[str, str]:
+    """The client's region and zone."""
     query = parse_qs(target.partition("?")[2], max_num_fields=20)
-    region, zone = (query.get(name, [""])[0] for name in ("region", "zone"))
+    return query.get("region", [""])[0], query.get("zone", [""])[0]
+
+
+def _near(nodes: Iterable[pb.Node], region: str, zone: str) -> set[str]:
     edges = [n for n in nodes if n.kind == "edge" and n.http]
     fit = [n for n in edges if n.ready and not n.leaving] or [n for n in edges if n.leaving]
     near = [n for n in fit if n.region == region] or [n for n in fit if n.zone == zone] or fit
-    if not near:
+    return {n.http for n in near}
+
+
+def lookup(target: str, nodes: Iterable[pb.Node], ttl_max: float, own: str = "") -> Answer:
+    """Of more than MOST, who answers by the name of `own` tells others than who answers by another, and the
+    same from answer to answer: clients that ask different ones go to all of them."""
+    addrs = _near(nodes, *_asked(target))
+    if not addrs:
         return wrong(503, "no ingress is ready")
-    ttl = int(min(TTL, ttl_max) * 1000)
-    return told(200, {"addrs": sorted({n.http for n in near})[:MOST], "ttl": f"{ttl}ms"})
+    if len(addrs) > MOST:
+        drawn = {a: blake2b(f"{own} {a}".encode(), digest_size=8).digest() for a in addrs}
+        addrs = set(sorted(addrs, key=drawn.__getitem__)[:MOST])
+    return told(200, {"addrs": sorted(addrs), "ttl": f"{int(min(TTL, ttl_max) * 1000)}ms"})
+
+
+class Lookups:
+    """Answers by one name, kept while the nodes are the same: to make one takes a look at all of them."""
+
+    def __init__(self, own: str) -> None:
+        self._own, self._version = own, object()
+        self._kept: dict[tuple[str, str, float], Answer] = {}
+
+    def answer(self, target: str, nodes: Iterable[pb.Node], ttl_max: float, version: object) -> Answer:
+        """`version` is another one when the nodes are others."""
+        if version != self._version or len(self._kept) >= KEPT:
+            self._version, self._kept = version, {}
+        key = (*_asked(target), ttl_max)
+        if key not in self._kept:
+            self._kept[key] = lookup(target, nodes, ttl_max, self._own)
+        return self._kept[key]
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -19,7 +19,7 @@
 from playhouse.company.roll import HOLD_MOST, hold, patience
 from playhouse.errors import Code, SystemFailure
 from playhouse.events import Event, note
-from playhouse.foyer.lookup import lookup
+from playhouse.foyer.lookup import Lookups
 from playhouse.script.playbill import Playbill
 from playhouse.settings import Settings, seconds, shown
 from playhouse.stage.choice import Rows
@@ -66,6 +66,7 @@
         self.news = News(self._loop.time(), seeds)
         self.reach = Reach(self.wings, lambda: self.news.cores, lambda: self.news.peers(self.wings.own))
         self.wings.lost = self._lost
+        self._lookups = Lookups(settings.name)
         self._leaving, self._until = False, float("inf")  # when it must be done, once it leaves
         self._zones = {zone: number for number, zone in enumerate(sorted(settings.zones))}
         self._regions = {r: number for number, r in enumerate(sorted(set(settings.zones.values())))}
@@ -257,7 +258,8 @@
             return wrong(found.status, found.why)
         if found.call == "ready":
             return await self._ready_door(method, target, body)
-        return lookup(target, list(self.news.nodes.values()), self.settings.bounds.ttl_max)
+        nodes, seen, most = self.news.nodes.values(), self.news.seen, self.settings.bounds.ttl_max
+        return self._lookups.answer(target, nodes, most, (seen[0], seen[3]))
 
     def _hear(self, envelope: pb.Envelope) -> None:
         """Nothing is told here unasked."""
--- a/tests/test_playhouse_extras.py
+++ b/tests/test_playhouse_extras.py
@@ -22,7 +22,9 @@
 from playhouse.extras.sizes import Size, errors_of
 from playhouse.extras.sweeps import sweeps
 from playhouse.extras.tally import changes, returned, spread, summed
+from playhouse.foyer.lookup import Lookups, lookup
 from playhouse.rehearsal.world import ROOT
+from playhouse.wings import cues_pb2 as pb
 
 # The fit.
 
@@ -145,6 +147,37 @@
     assert found.at("core: processor %", 10) is None
 
 
+# Look-ups.
+
+
+def test_answers_that_are_kept_are_those_of_a_plain_look_and_name_all_ingresses_between_them():
+    rng, nodes, kept = random.Random(6), {}, [Lookups(f"own{n}") for n in range(60)]
+    plain = Lookups("own0")
+    for turn in range(60):  # they come, change and go, within one answer and beyond
+        for _ in range(5):
+            name = f"e{rng.randrange(260)}"
+            nodes[name] = pb.Node(
+                name=name, kind="edge", http=f"10.0.0.{name[1:]}:80", region=f"r{rng.randrange(2)}",
+                zone="z", ready=rng.random() < 0.9, leaving=rng.random() < 0.05,
+            )  # fmt: skip
+        nodes.pop(f"e{rng.randrange(260)}", None)
+        for region in ("r0", "r1", "none"):
+            target = f"/-/lookup?name=x&region={region}&zone=y"
+            for _ in range(2):
+                answer = kept[0].answer(target, nodes.values(), 5.0, turn)
+                assert answer == lookup(target, nodes.values(), 5.0, "own0")
+                assert plain.answer(target, nodes.values(), 5.0, object()) == answer
+    before = kept[0].answer("/-/lookup?region=none", nodes.values(), 5.0, -1)
+    assert kept[0].answer("/-/lookup?region=none", (), 5.0, -1) == before  # nothing is looked at for it
+    fit = {n.http for n in nodes.values() if n.ready and not n.leaving}
+    told = [set(json.loads(k.answer("/-/lookup?x=y", nodes.values(), 5.0, 0)[1])["addrs"]) for k in kept]
+    assert len(fit) > 100 and all(len(t) == 64 for t in told) and set.union(*told) == fit
+    gone = next(n for n in nodes.values() if n.http in told[0])
+    del nodes[gone.name]
+    _, later = lookup("/-/lookup?x=y", nodes.values(), 5.0, "own0")
+    assert len(told[0] - set(json.loads(later)["addrs"])) == 1  # the others' connections stay
+
+
 # Configurations.
 
 
