--- a/playhouse/extras/tables.py
+++ b/playhouse/extras/tables.py
@@ -78,6 +78,7 @@
                 "/".join(str(size[c]) for c in ("ingresses", "servers", "tenants", "routes")),
                 f"{100 * told['hollow']['with a lease']:.1f}%",
                 shown(leader["cpu"]),
+                shown(leader["waited"]) if "waited" in leader else "not counted",
                 shown(leader["bytes_out"] / 1000),
                 shown(leader["bytes_in"] / 1000),
                 shown(leader["messages_out"]),
@@ -95,6 +96,7 @@
             "ingresses/servers/tenants/routes",
             "time with leases",
             "leader, cores",
+            "... waited for, cores",
             "KB/s out",
             "KB/s in",
             "messages/s",
@@ -168,6 +170,25 @@
     return table(("run", "new leader, s", *(f"{head}, s" for head in heads), "cut for, s"), rows)
 
 
+def lookups_table(kept: dict[str, Told]) -> str:
+    rows = [
+        (
+            f"`{name}`",
+            told["size"]["ingresses"],
+            shown(found["per_s"]),
+            found["failed"],
+            shown(1e6 * found["cpu_each"]),
+            f"{shown(found['bytes_out'])}/{shown(found['bytes_in'])}",
+            found["addresses"],
+            f"{shown(1000 * found['p50'])}/{shown(1000 * found['p99'])}",
+        )
+        for name, told in kept.items()
+        if (found := told.get("look-ups"))
+    ]
+    heads = ("look-ups a second", "failed", "us of a core each", "bytes there/back", "addresses told, most")
+    return table(("run", "hollow ingresses", *heads, "ms at the client p50/p99"), rows)
+
+
 def ranged(found: tuple[float, float, float], scale: float) -> str:
     middle, low, high = (max(0.0, value) * scale for value in found)
     if high > FAR * max(middle, 1e-9):
@@ -177,7 +198,7 @@
 
 def slopes_table(kept: dict[str, Told]) -> str:
     rows = []
-    for cause in (*sums.CAUSES, sums.LATER):
+    for cause in (*sums.CAUSES, *sums.LATERS):
         target = TARGET[sums.grown(cause)]
         for role, what in SLOPES:
             if found := sums.slope(kept, cause, role, what):
--- a/playhouse/stage/house.py
+++ b/playhouse/stage/house.py
@@ -19,7 +19,7 @@
 from playhouse.company.roll import HOLD_MOST, hold, patience
 from playhouse.errors import Code, SystemFailure
 from playhouse.events import Event, note
-from playhouse.foyer.lookup import lookup
+from playhouse.foyer.lookup import Lookups
 from playhouse.script.playbill import Changed, Playbill, Tenant
 from playhouse.settings import Settings, seconds, shown
 from playhouse.stage.choice import Rows
@@ -69,6 +69,7 @@
         self.news = News(self._loop.time(), seeds)
         self.reach = Reach(self.wings, lambda: self.news.cores, lambda: self.news.peers(self.wings.own))
         self.wings.lost = self._lost
+        self._lookups = Lookups(settings.name)
         self._leaving, self._until = False, float("inf")  # when it must be done, once it leaves
         self._late = float("inf")  # from when on it begins only what is over by then in any case
         self._zones = {zone: number for number, zone in enumerate(sorted(settings.zones))}
@@ -267,7 +268,8 @@
             return wrong(found.status, found.why)
         if found.call == "ready":
             return await self._ready_door(method, target, body)
-        return lookup(target, list(self.news.nodes.values()), self.settings.bounds.ttl_max, self.bill)
+        nodes, seen, most = self.news.nodes.values(), self.news.seen, self.settings.bounds.ttl_max
+        return self._lookups.answer(target, nodes, most, self.bill, (seen[0], seen[3], self.bill.gen))
 
     def _hear(self, envelope: pb.Envelope) -> None:
         """Nothing is told here unasked."""
--- a/tests/test_playhouse_extras.py
+++ b/tests/test_playhouse_extras.py
@@ -22,7 +22,12 @@
 from playhouse.extras.sizes import Size, errors_of
 from playhouse.extras.sweeps import sweeps
 from playhouse.extras.tally import changes, returned, spread, summed
+from playhouse.foyer.lookup import Lookups, lookup
 from playhouse.rehearsal.world import ROOT
+from playhouse.script.playbill import Playbill
+from playhouse.wings import cues_pb2 as pb
+from tests.test_playhouse_control import content as configuration
+from tests.test_playhouse_control import route
 
 # The fit.
 
@@ -93,10 +98,11 @@
 
 
 def test_a_role_is_the_mean_of_its_processes_and_the_worst_of_their_delays():
-    row = {"cpu": 0.2, "bytes_out": 10, "bytes_in": 4, "messages_out": 2, "mb": 30, "late_p50": 0.1,
-           "late_p99": 0.2, "late_most": 0.3, "kinds": {"ask": 2.0}}  # fmt: skip
-    other = row | {"cpu": 0.4, "mb": 50, "late_most": 0.1, "kinds": {"cue": 4.0}}
+    row = {"cpu": 0.2, "waited": 0.1, "bytes_out": 10, "bytes_in": 4, "messages_out": 2, "mb": 30,
+           "late_p50": 0.1, "late_p99": 0.2, "late_most": 0.3, "kinds": {"ask": 2.0}}  # fmt: skip
+    other = row | {"cpu": 0.4, "waited": 0.3, "mb": 50, "late_most": 0.1, "kinds": {"cue": 4.0}}
     made = summed([row, other])
+    assert made["waited"] == pytest.approx(0.2)
     assert made["cpu"] == pytest.approx(0.3) and made["mb"] == 50 and made["late_most"] == 0.3
     assert made["kinds"] == {"ask": 1.0, "cue": 2.0} and made["processes"] == 2
 
@@ -144,6 +150,37 @@
     assert found.at("core: processor %", 10) is None
 
 
+# Look-ups.
+
+
+def test_answers_that_are_kept_are_those_of_a_plain_look_and_name_all_ingresses_between_them():
+    rng, nodes, kept = random.Random(6), {}, [Lookups(f"own{n}") for n in range(60)]
+    plain, bill = Lookups("own0"), Playbill(configuration(routes=[route(homeRegions=["r1"])]))
+    for turn in range(60):  # they come, change and go, within one answer and beyond
+        for _ in range(5):
+            name = f"e{rng.randrange(260)}"
+            nodes[name] = pb.Node(
+                name=name, kind="edge", http=f"10.0.0.{name[1:]}:80", region=f"r{rng.randrange(2)}",
+                zone="z", ready=rng.random() < 0.9, leaving=rng.random() < 0.05,
+            )  # fmt: skip
+        nodes.pop(f"e{rng.randrange(260)}", None)
+        for region in ("r0", "r1", "none"):
+            target = f"/-/lookup?name={rng.choice(('x', 'a.example'))}&region={region}&zone=y"
+            for _ in range(2):
+                answer = kept[0].answer(target, nodes.values(), 5.0, bill, turn)
+                assert answer == lookup(target, nodes.values(), 5.0, bill, "own0")
+                assert plain.answer(target, nodes.values(), 5.0, bill, object()) == answer
+    before = kept[0].answer("/-/lookup?region=none", nodes.values(), 5.0, bill, -1)
+    assert kept[0].answer("/-/lookup?region=none", (), 5.0, bill, -1) == before  # nothing is looked at for it
+    fit = {n.http for n in nodes.values() if n.ready and not n.leaving}
+    told = [set(json.loads(k.answer("/-/lookup?x=y", nodes.values(), 5.0, bill, 0)[1])["addrs"]) for k in kept]
+    assert len(fit) > 100 and all(len(t) == 64 for t in told) and set.union(*told) == fit
+    gone = next(n for n in nodes.values() if n.http in told[0])
+    del nodes[gone.name]
+    _, later = lookup("/-/lookup?x=y", nodes.values(), 5.0, bill, "own0")
+    assert len(told[0] - set(json.loads(later)["addrs"])) == 1  # the others' connections stay
+
+
 # Configurations.
 
 
