--- a/playhouse/script/body.py
+++ b/playhouse/script/body.py
@@ -15,88 +15,115 @@
 
 LARGE = 64 * 1024  # bytes of a body that is not read at once
 DECODED = 1024 * 1024  # bytes that one step makes text of
+NEAR = 64 * 1024  # characters that are held ahead, where there are more
 MANY = 500  # items of a list that one step reads
 DEPTH = 2  # objects within one another that are gone through
 
-_space = re.compile(r"[ \t\n\r]*")
+_spaces = re.compile(r"[ \t\n\r]*")
 _decode = json.JSONDecoder().raw_decode
 
-Steps = Generator[None, None, tuple[Any, int]]
-
 
 def loads(body: bytes) -> Generator[None, None, Any]:
     """Raises ValueError."""
     if len(body) <= LARGE:
         return json.loads(body)
-    decoder = codecs.getincrementaldecoder(json.detect_encoding(body))("surrogatepass")
-    pieces = []
-    for at in range(0, len(body), DECODED):
-        pieces.append(decoder.decode(body[at : at + DECODED]))
-        yield
-    text = "".join([*pieces, decoder.decode(b"", final=True)])
-    while pieces:  # to free all at once takes some ms as well
-        pieces.pop()
-        yield
-    value, at = yield from _value(text, _after(text, 0), DEPTH)
-    if _after(text, at) != len(text):
-        raise json.JSONDecodeError("Extra data", text, at)
+    text = _Text(body)
+    value = yield from _value(text, DEPTH)
+    if text.next():
+        raise text.wrong("Extra data")
     return value
 
 
-def _after(text: str, at: int) -> int:
-    """Where spaces end."""
-    found = _space.match(text, at)
-    return found.end() if found else at
-
-
-def _value(text: str, at: int, depth: int) -> Steps:
-    if depth and text.startswith("{", at):
-        return (yield from _object(text, at, depth))
-    if text.startswith("[", at):
-        return (yield from _list(text, at))
-    return _decode(text, at)
-
-
-def _goes_on(text: str, at: int, end: str) -> tuple[bool, int]:
-    """After a member: whether another comes, and where."""
-    at = _after(text, at)
-    if text.startswith(end, at):
-        return False, at + 1
-    if not text.startswith(",", at):
-        raise json.JSONDecodeError("Expecting ',' delimiter", text, at)
-    return True, _after(text, at + 1)
-
-
-def _object(text: str, at: int, depth: int) -> Steps:
+class _Text:
+    """A body as text, of which a little is held at a time."""
+
+    def __init__(self, body: bytes) -> None:
+        self._decoder = codecs.getincrementaldecoder(json.detect_encoding(body))("surrogatepass")
+        self._body, self._taken, self._held, self._at = body, 0, "", 0
+
+    def _more(self) -> bool:
+        """False if all is held."""
+        if self._taken > len(self._body):
+            return False
+        some = self._body[self._taken : self._taken + DECODED]
+        self._taken += DECODED
+        self._held = self._held[self._at :] + self._decoder.decode(some, final=self._taken > len(self._body))
+        self._at = 0
+        return True
+
+    def next(self) -> str:
+        """The next character that is no space; nothing at the end."""
+        while True:
+            while len(self._held) - self._at < NEAR and self._more():
+                pass
+            if found := _spaces.match(self._held, self._at):
+                self._at = found.end()
+            if self._at < len(self._held) or not self._more():
+                return self._held[self._at : self._at + 1]
+
+    def take(self, wanted: str) -> bool:
+        """Whether that is next; it is passed then."""
+        found = self.next() == wanted
+        self._at += found
+        return found
+
+    def value(self) -> Any:
+        """All of the next one."""
+        self.next()
+        while True:
+            try:
+                value, at = _decode(self._held, self._at)
+                if len(self._held) - at > 3 or not self._more():  # else a number may go on: 1|e+5
+                    self._at = at
+                    return value
+            except json.JSONDecodeError:
+                if not self._more():
+                    raise
+
+    def wrong(self, why: str) -> json.JSONDecodeError:
+        return json.JSONDecodeError(why, self._held, self._at)
+
+
+def _value(text: _Text, depth: int) -> Generator[None, None, Any]:
+    if depth and text.take("{"):
+        return (yield from _object(text, depth))
+    if text.take("["):
+        return (yield from _list(text))
+    return text.value()
+
+
+def _goes_on(text: _Text, end: str) -> bool:
+    """After a member: whether another comes."""
+    if text.take(end):
+        return False
+    if not text.take(","):
+        raise text.wrong("Expecting ',' delimiter")
+    return True
+
+
+def _object(text: _Text, depth: int) -> Generator[None, None, dict[str, Any]]:
     made: dict[str, Any] = {}
-    at = _after(text, at + 1)
-    if text.startswith("}", at):
-        return made, at + 1
-    more = True
+    more = not text.take("}")
     while more:
-        if not text.startswith('"', at):
-            raise json.JSONDecodeError("Expecting property name enclosed in double quotes", text, at)
-        name, at = _decode(text, at)
-        at = _after(text, at)
-        if not text.startswith(":", at):
-            raise json.JSONDecodeError("Expecting ':' delimiter", text, at)
-        made[name], at = yield from _value(text, _after(text, at + 1), depth - 1)
-        more, at = _goes_on(text, at, "}")
-    return made, at
-
-
-def _list(text: str, at: int) -> Steps:
+        if text.next() != '"':
+            raise text.wrong("Expecting property name enclosed in double quotes")
+        name = text.value()
+        if not text.take(":"):
+            raise text.wrong("Expecting ':' delimiter")
+        made[name] = yield from _value(text, depth - 1)
+        more = _goes_on(text, "}")
+    return made
+
+
+def _list(text: _Text) -> Generator[None, None, list[Any]]:
     made: list[Any] = []
-    at = _after(text, at + 1)
-    if text.startswith("]", at):
-        return made, at + 1
-    more = True
+    more = not text.take("]")
     while more:
-        item, at = _decode(text, at)
+        item = text.value()
         if isinstance(item, dict):  # names are held once, as they would be if all were read at once
             item = {intern(name): value for name, value in item.items()}
         made.append(item)
         if len(made) % MANY == 0:
             yield
-        more, at = _goes_on(text, at, "]")
-    return made, at
+        more = _goes_on(text, "]")
+    return made
--- a/tests/measure_snapshots.py
+++ b/tests/measure_snapshots.py
@@ -32,6 +32,7 @@
 
 ME, OTHER = Member("a:1", "x"), Member("b:1", "y")
 held: dict[str, list[tuple[float, float]]] = {}
+made_of: dict[str, Any] = {}  # what work in steps came to
 
 
 @contextmanager
@@ -147,6 +148,9 @@
         with uncollected(stay=name == "read the body"):
             for _ in timed(f"replace: {name}", work):
                 pass
+    del work
+    with step("replace: free what was read"):
+        made_of.clear()
     for command in (Command(Verb.REPLACE, "d", first), update(first, 2)):
         kind = command.verb.value
         for _ in timed(f"{kind}: judge, what it leads to", applier.state.result(command)):
@@ -176,7 +180,8 @@
         with step(name):
             try:
                 made = next(work)
-            except StopIteration:
+            except StopIteration as ended:
+                made_of[name] = ended.value
                 return
         yield made
 
--- a/tests/test_playhouse_parts.py
+++ b/tests/test_playhouse_parts.py
@@ -447,6 +447,7 @@
     monkeypatch.setattr(body, "LARGE", 0)
     monkeypatch.setattr(body, "MANY", 3)
     monkeypatch.setattr(body, "DECODED", 5)
+    monkeypatch.setattr(body, "NEAR", 7)
     item = [{"name": 'ä"', "a": [1, {}]}, 7, None, [], "x", 1e9]
     raw = {"gen": 1, "a": item * 3, "upsert": {"b": item, "c": {"d": {"b": 1}}}, "e": {}, "l": []}
     whole, wrong, steps = json.dumps(raw, indent=2, ensure_ascii=False), 0, 0
