--- a/playhouse/promptbook/replica.py
+++ b/playhouse/promptbook/replica.py
@@ -29,6 +29,7 @@
     quiet: float = 0.5  # s without the leader before which nobody gives another a vote
     beat: float = 0.15
     turn: float = 0.05  # s that each waits longer than the one before it: two at once would split the votes
+    give_way: float = 0.15  # s that one who was given a pre-vote has to become a candidate
     soon: float = 0.1  # s that they spread over where the last leader's life is known to be over
     again: float = 0.4  # s after which an append that was not answered is sent again
     join: float = 0.3
