--- a/playhouse/extras/planned.py
+++ b/playhouse/extras/planned.py
@@ -7,12 +7,16 @@
 
 from playhouse.company.roll import hold
 from playhouse.extras import sums
+from playhouse.extras.content import key
 from playhouse.extras.run import BEAT, LEASES
 from playhouse.extras.sums import TARGET, Contents, Told
 from playhouse.extras.sweeps import sweeps
 from playhouse.extras.tables import UNITS, ranged, shown, table
 from playhouse.foyer.lookup import TTL
 from playhouse.rehearsal.world import ROOT
+from playhouse.understudy.prompter import BYTES_PER_S
+from playhouse.wings import cues_pb2 as pb
+from playhouse.wings.lists import packed
 
 FOLDER = ROOT / "docs" / "capacity"
 RENEWED = 1.5  # s between renewals of a lease, as it might be with a lease of 4.5
@@ -74,10 +78,31 @@
     rows.append(
         ("ingresses that a region takes along", shown(n / sums.REGIONS), f"of {sums.REGIONS} regions")
     )
+    rows += _lists_of_all()
     rows += _look_ups(kept)
     return table(("what", "sum", "from"), rows)
 
 
+def _lists_of_all() -> list[tuple[str, str, str]]:
+    """What a return of all costs: who has nothing is told of all others."""
+    rows = []
+    for count in (1000, 3000, TARGET["ingresses"]):
+        nodes = [
+            pb.Node(
+                name=f"hollow-{n}", life=key(n)[:12], door=f"10.{n // 250}.{n % 250}.1:7601",
+                http=f"10.{n // 250}.{n % 250}.1:7602", zone=f"z{n % 26}", region=f"r{n % 8}", kind="edge",
+                ready=True,
+            )
+            for n in range(count)
+        ]  # fmt: skip
+        size = len(packed(pb.Cue(node=nodes)))
+        what = f"all ingresses told of to one, KB, at {count:,}"
+        rows.append((what, shown(size / 1e3), "made up here and packed"))
+        within = shown(size * count / BYTES_PER_S)
+        rows.append(("... told whole to all as they return, s", within, f"at {BYTES_PER_S / 1e6:g} MB/s"))
+    return rows
+
+
 def _look_ups(kept: dict[str, Told]) -> list[tuple[str, str, str]]:
     """At the size, if each client makes one request a second and looks up as often as it is told to."""
     n, rows = TARGET["ingresses"], list[tuple[str, str, str]]()
--- a/playhouse/extras/run.py
+++ b/playhouse/extras/run.py
@@ -24,7 +24,6 @@
 WELL = 30.0  # s, at the most, that a return is waited for
 ZONES_EACH = 3  # zones of a region
 LOOK_UPS, LOOK_SPAN = 100.0, 5.0  # a second at one real ingress, and for how many seconds
-TOGETHER = 2  # processes of hollow ones that begin at a time
 ORDER = 8.0  # s that one core machine is given for an order
 PROGRESS = 5.0  # s between two lines about it
 
@@ -83,12 +82,10 @@
         zones, shares = list(self.world.places), self._ingresses()
         life = self.size.servers / RESTARTS
         common: dict[str, Any] = {"control": self.world.control, "beat": BEAT, "life": life}
-        turns = asyncio.Semaphore(TOGETHER)
-        async with asyncio.TaskGroup() as begun:
-            for number, share in enumerate(shares):
-                made = common | {"cores": self._doors(), "lease_per_s": LEASES, "ingresses": share}
-                made["seed"] = self.rng.getrandbits(32)
-                begun.create_task(self._hollow(f"ingresses-{number}", made, env, turns))
+        for number, share in enumerate(shares):
+            made = common | {"cores": self._doors(), "lease_per_s": LEASES, "ingresses": share}
+            made["seed"] = self.rng.getrandbits(32)
+            await self._hollow(f"ingresses-{number}", made, env)
         size = self.size
         for number in range(size.beaters):
             servers = [
@@ -96,7 +93,7 @@
                 for n in range(number, size.servers, size.beaters)
             ]
             made = common | {"seed": self.rng.getrandbits(32), "cores": [], "servers": servers}
-            await self._hollow(f"servers-{number}", made, env, turns)
+            await self._hollow(f"servers-{number}", made, env)
 
     async def _begin_real(self, name: str, machine: Any) -> None:
         path = self.folder / f"{name}.json"
@@ -106,14 +103,11 @@
         self.real[name] = await Node.begin(name, self.folder, ["real"], env)
         await self.real[name].heard(BEGIN)
 
-    async def _hollow(
-        self, name: str, made: dict[str, Any], env: dict[str, str], turns: asyncio.Semaphore
-    ) -> None:
-        async with turns:
-            node = await Node.begin(name, self.folder, [], env)
-            where = self.workers if made.get("ingresses") else self.beaters
-            where.append(node)
-            await node.say(made, BEGIN)
+    async def _hollow(self, name: str, made: dict[str, Any], env: dict[str, str]) -> None:
+        node = await Node.begin(name, self.folder, [], env)
+        where = self.workers if made.get("ingresses") else self.beaters
+        where.append(node)
+        await node.say(made, BEGIN)
 
     def _doors(self) -> list[str]:
         return [f"{m.ip}:{self.world.base}" for m in self.world.machines.values() if m.core]
