--- a/playhouse/extras/planned.py
+++ b/playhouse/extras/planned.py
@@ -128,7 +128,7 @@
     rows.append(("... KB/s an ingress at the day's mean", f"{route * a_second / 1e3:.3f}", "15 are allowed"))
     for regions, what in ((sums.REGIONS, "one relay a region"), (sums.ZONES, "one relay a zone")):
         for role, cost in (("leader", "cpu"), ("leader", "bytes_out")):
-            found = sums.newest(kept, role, cost)
+            found = sums.furthest(kept, role, cost)
             if found is None:
                 continue
             unit, scale = UNITS[cost]
--- a/playhouse/extras/sums.py
+++ b/playhouse/extras/sums.py
@@ -19,6 +19,7 @@
 # rounds; connections taken, calls begun and long differences made for many at once.
 LATERS = ("rounds", "batches")
 TARGET = {"ingresses": 6300, "servers": 20_000, "tenants": 160_000, "routes": 12_000, "services": 350}
+LOOK_UPS = ("batches-30", "batches-100", "lookups-300")  # runs after answers to look-ups were kept
 REQUESTS_PER_S = 390_000
 CHANGES_A_DAY, FAILED_A_DAY, RESTARTS_A_DAY, ZONES, REGIONS = 21_000, 57, 10_000, 26, 8
 MACHINES = 11  # of control, that are allowed
@@ -95,10 +96,10 @@
     return Slope(cause, role, what, points, fitted([s for _, s, _ in points], [v for _, _, v in points]))
 
 
-def newest(kept: dict[str, Told], role: str, what: str) -> Slope | None:
-    """Of ingresses alone, by the newest runs that have a slope."""
-    found = (slope(kept, cause, role, what) for cause in (*reversed(LATERS), "ingresses"))
-    return next((made for made in found if made), None)
+def furthest(kept: dict[str, Told], role: str, what: str) -> Slope | None:
+    """Of ingresses alone, by the runs that reach furthest; of those, by the newest."""
+    found = [made for cause in ("ingresses", *LATERS) if (made := slope(kept, cause, role, what))]
+    return max(reversed(found), key=lambda made: made.points[-1][1], default=None)
 
 
 def look_ups(kept: dict[str, Told]) -> Slope | None:
@@ -106,7 +107,7 @@
     points = sorted(
         (float(told["size"]["ingresses"]), float(found["cpu_each"]), name)
         for name, told in kept.items()
-        if name.startswith(f"{LATERS[-1]}-") and (found := told.get("look-ups")) and found["cpu_each"] > 0
+        if name in LOOK_UPS and (found := told.get("look-ups")) and found["cpu_each"] > 0
     )
     if len(points) < 2:
         return None
@@ -115,8 +116,8 @@
 
 
 def slopes(kept: dict[str, Told], role: str, what: str) -> list[Slope]:
-    """Of each cause; of ingresses by the newest."""
-    found = [newest(kept, role, what), *(slope(kept, cause, role, what) for cause in CAUSES[1:])]
+    """Of each cause; of ingresses by those that reach furthest."""
+    found = [furthest(kept, role, what), *(slope(kept, cause, role, what) for cause in CAUSES[1:])]
     return [made for made in found if made]
 
 
--- a/tests/test_playhouse_extras.py
+++ b/tests/test_playhouse_extras.py
@@ -127,6 +127,15 @@
     assert made is not None and [p[0] for p in made.points] == [sums.BASE, "ingresses-100"]
 
 
+def test_of_later_runs_those_that_reach_furthest_are_carried_on():
+    kept = {f"rounds-{n}": run_of(ingresses=n, servers=0) for n in (30, 100, 1000)}
+    kept |= {f"batches-{n}": run_of(ingresses=n, servers=0) for n in (30, 100, 300)}
+    assert sums.furthest(kept, "leader", "bytes_out").cause == "rounds"
+    kept["batches-1000"] = run_of(ingresses=1000, servers=0)
+    assert sums.furthest(kept, "leader", "bytes_out").cause == "batches"
+    assert sums.furthest({}, "leader", "bytes_out") is None
+
+
 def test_the_page_says_what_the_runs_say():
     """Whoever changes a figure by hand, or a run without the page, is seen here."""
     page = pages.PAGE.read_text()
