--- a/playhouse/promptbook/election.py
+++ b/playhouse/promptbook/election.py
@@ -45,12 +45,14 @@
             granted = message.term > self.term and current and not follows
             # A no tells the term here: whoever lags behind it has to ask above it to be heard at all.
             term = message.term if granted else self.term
-            first = (message.last_term, message.last_index, message.sender)
-            if granted and (
-                self.role is Role.FOLLOWER
-                or (self.role is Role.PRE_CANDIDATE and first > (self.term_at(self.last), self.last, self.me))
-            ):  # it asks for votes next: two would split them
-                self.role, self._due = Role.FOLLOWER, max(self._due, now + self.times.give_way)
+            if granted and self.role in (Role.FOLLOWER, Role.PRE_CANDIDATE):
+                # It asks for votes next: two that do would split them. Of two that ask at once one gives way.
+                own = (self.term_at(self.last), self.last, self.me)
+                other = (message.last_term, message.last_index, message.sender)
+                if self.role is Role.PRE_CANDIDATE and own > other:
+                    granted, term = False, self.term
+                else:
+                    self.role, self._due = Role.FOLLOWER, max(self._due, now + self.times.give_way)
             step.sends.append((message.sender.door, VoteReply(term, self.me, True, granted)))
             return
         if follows:
