--- a/playhouse/promptbook/election.py
+++ b/playhouse/promptbook/election.py
@@ -22,7 +22,7 @@
         self._votes = {self.me.disk}
         self.leader = None
         if pre_vote:
-            self.role = Role.PRE_CANDIDATE
+            self.role, self._pre_voted_at = Role.PRE_CANDIDATE, now
         else:
             self.role, self.term, self.voted_for = Role.CANDIDATE, self.term + 1, self.me.disk
             step.writes.append(HardState(self.term, self.voted_for))
@@ -46,10 +46,12 @@
             # A no tells the term here: whoever lags behind it has to ask above it to be heard at all.
             term = message.term if granted else self.term
             if granted and self.role in (Role.FOLLOWER, Role.PRE_CANDIDATE):
-                # It asks for votes next: two that do would split them. Of two that ask at once one gives way.
+                # It asks for votes next: two that do would split them. Of two that ask at once one gives way;
+                # one that asked a while ago has not been given enough, and holds nobody up.
                 own = (self.term_at(self.last), self.last, self.me)
                 other = (message.last_term, message.last_index, message.sender)
-                if self.role is Role.PRE_CANDIDATE and own > other:
+                asks = self.role is Role.PRE_CANDIDATE and now < self._pre_voted_at + self.times.give_way
+                if asks and own > other:
                     granted, term = False, self.term
                 else:
                     self.role, self._due = Role.FOLLOWER, max(self._due, now + self.times.give_way)
--- a/tests/test_playhouse_elections.py
+++ b/tests/test_playhouse_elections.py
@@ -71,6 +71,8 @@
         assert [isinstance(r, VoteReply) and r.granted for r in replies] == [True, False]
         assert not any(isinstance(w, HardState) for s in steps for w in s.writes)
         assert (one.role, two.role) == (Role.FOLLOWER, Role.PRE_CANDIDATE)
+        (late,) = two.received(at + 0.2, asked[one]).sends  # it was not given enough: it holds nobody up
+        assert isinstance(late[1], VoteReply) and late[1].granted and two.role is Role.FOLLOWER
         assert not one.tick(at + 0.14).sends and one.tick(at + 0.8).sends  # the other may be gone by then
 
     play(scene())
