--- a/playhouse/promptbook/replica.py
+++ b/playhouse/promptbook/replica.py
@@ -102,7 +102,7 @@
             now  # a start counts: what was promised to a leader before it, is not known any longer
         )
         self._due = 0.0
-        self._pre_voted_at = float("-inf")  # when it last asked for pre-votes
+        self._pre_voted_for, self._pre_vote_ends = "", float("-inf")  # a disk, and until when to no other
         self._soon_until = float("-inf")
         self._look_up_members()
         self._reset_election_timer(now)
