--- a/playhouse/promptbook/election.py
+++ b/playhouse/promptbook/election.py
@@ -23,7 +23,6 @@
         self.leader = None
         if pre_vote:
             self.role = Role.PRE_CANDIDATE
-            self._pre_voted_for, self._pre_vote_ends = self.me.disk, now + self.times.give_way
         else:
             self.role, self.term, self.voted_for = Role.CANDIDATE, self.term + 1, self.me.disk
             step.writes.append(HardState(self.term, self.voted_for))
@@ -46,15 +45,6 @@
             granted = message.term > self.term and current and not follows
             # A no tells the term here: whoever lags behind it has to ask above it to be heard at all.
             term = message.term if granted else self.term
-            if granted and self._pre_voted_for != message.sender.disk and now < self._pre_vote_ends:
-                # To one at a time, as two that ask for votes split them; of two that ask at once one gives way.
-                own = (self.term_at(self.last), self.last, self.me)
-                other = (message.last_term, message.last_index, message.sender)
-                granted = self._pre_voted_for == self.me.disk and other > own
-                term = term if granted else self.term
-            if granted and self.role in (Role.FOLLOWER, Role.PRE_CANDIDATE):
-                self.role, self._due = Role.FOLLOWER, max(self._due, now + self.times.give_way)
-                self._pre_voted_for, self._pre_vote_ends = message.sender.disk, now + self.times.give_way
             step.sends.append((message.sender.door, VoteReply(term, self.me, True, granted)))
             return
         if follows:
--- a/playhouse/promptbook/replica.py
+++ b/playhouse/promptbook/replica.py
@@ -29,7 +29,6 @@
     quiet: float = 0.5  # s without the leader before which nobody gives another a vote
     beat: float = 0.15
     turn: float = 0.05  # s that each waits longer than the one before it: two at once would split the votes
-    give_way: float = 0.15  # s that one who was given a pre-vote has to become a candidate
     soon: float = 0.1  # s that they spread over where the last leader's life is known to be over
     again: float = 0.4  # s after which an append that was not answered is sent again
     join: float = 0.3
@@ -102,7 +101,6 @@
             now  # a start counts: what was promised to a leader before it, is not known any longer
         )
         self._due = 0.0
-        self._pre_voted_for, self._pre_vote_ends = "", float("-inf")  # a disk, and until when to no other
         self._soon_until = float("-inf")
         self._look_up_members()
         self._reset_election_timer(now)
