--- a/tests/features/steps/system.py
+++ b/tests/features/steps/system.py
@@ -129,9 +129,12 @@
 
 
 async def settled(world: World) -> bool:
-    """Every ingress has the newest news that the leader knows of."""
+    """Every ingress has the newest news that the leader knows of, and it knows of every server: the first
+    beat of one may come later than those of others."""
     status, shown = await world.order("GET", "Fleet.Show")
     nodes = [n for n in shown["nodes"] if n["kind"] == "edge"]
+    if not {s.id for s in world.up} <= {s["id"] for s in shown["servers"]}:
+        return False
     return status == 200 and all(n["version"] == shown["version"] and n["current"] for n in nodes)
 
 
