Report where look-ups send clients out of their region (event 505)

Cause: no event or figure said what a look-up answered, nor by which homes and which ingresses, so the incident's three hypotheses could not be told apart.

--- a/cairndale/events.py
+++ b/cairndale/events.py
@@ -49,6 +49,7 @@
     CONFIG_APPLIED = 502  # this ingress serves by another configuration
     NO_LEADER = 503  # this ingress holds no lease and must not serve
     DELTA_DROPPED = 504  # a configuration delta does not fit; all of it is requested
+    CLIENTS_REDIRECTED = 505  # look-ups send clients of a region to others, or to it again
 
     # 6xx: connections between the system's processes.
     MALFORMED_FRAME = 600  # bytes that are no frame of the protocol
--- a/cairndale/lookup/selection.py
+++ b/cairndale/lookup/selection.py
@@ -14,7 +14,9 @@
 from urllib.parse import parse_qs
 
 from cairndale.configuration.route_table import RouteTable
+from cairndale.configuration.routes import Route
 from cairndale.http_api.server import Response, error_response, json_response
+from cairndale.lookup.redirects import RedirectReporter
 from cairndale.rpc import protocol_pb2 as pb
 
 MAX_ADDRESSES = 64
@@ -27,13 +29,27 @@
 
     Empty if no route has homes, or if they have none in common: nothing is restricted then.
     """
-    routes = (
-        route_table.routes_by_host.get(host.lower().encode(), {}).values() if route_table else ()
-    )
-    homes = [route.home_regions for route in routes if route.home_regions]
+    homes = [route.home_regions for route in _routes(route_table, host) if route.home_regions]
     return frozenset.intersection(*homes) if homes else frozenset()
 
 
+def _routes(route_table: RouteTable | None, host: str) -> list[Route]:
+    if route_table is None:
+        return []
+    return list(route_table.routes_by_host.get(host.lower().encode(), {}).values())
+
+
+def _describe_homes(route_table: RouteTable | None, host: str) -> str:
+    """What is known of the homes of a host's routes, for the log."""
+    routes = _routes(route_table, host)
+    if not routes:
+        return "unknown (no route of the host)"
+    homes = {route.home_regions for route in routes if route.home_regions}
+    if not homes:
+        return "none"
+    return " and ".join(sorted("/".join(sorted(regions)) for regions in homes))
+
+
 @dataclass(frozen=True, slots=True)
 class _Query:
     """The client's region and zone, and the host that it asks for; each may be empty."""
@@ -49,9 +65,8 @@
     return _Query(region, zone, host)
 
 
-def _select(nodes: Iterable[pb.Node], query: _Query, homes: frozenset[str]) -> set[str]:
-    """HTTP addresses of the ingresses that the client may call; empty if there are none."""
-    ingresses = [n for n in nodes if n.kind == "edge" and n.http_address]
+def _select(ingresses: list[pb.Node], query: _Query, homes: frozenset[str]) -> list[pb.Node]:
+    """The ingresses that the client may call; empty if there are none."""
     ready = [n for n in ingresses if n.ready and not n.draining]
     draining = [n for n in ingresses if n.draining]
     selected = _close_to(ready, query)
@@ -60,7 +75,7 @@
     if not selected:
         serving = ready or draining
         selected = _close_to(serving, query) or serving
-    return {n.http_address for n in selected}
+    return selected
 
 
 def _close_to(nodes: list[pb.Node], query: _Query) -> list[pb.Node]:
@@ -75,6 +90,7 @@
     ttl_max: float,
     route_table: RouteTable | None = None,
     own: str = "",
+    redirects: RedirectReporter | None = None,
 ) -> Response:
     """The response to a client that asks which ingresses to call; 503 if there are none.
 
@@ -88,18 +104,36 @@
         ttl_max: seconds for which a client may use the response, at the most.
         route_table: the configuration, where it is known.
         own: the name of the answering process.
+        redirects: told where the client is sent to.
     """
     query = _parse(target)
-    addresses = _select(nodes, query, homes_of(route_table, query.host))
-    if not addresses:
+    ingresses = [n for n in nodes if n.kind == "edge" and n.http_address]
+    homes = homes_of(route_table, query.host)
+    selected = _select(ingresses, query, homes)
+    if not selected:
         return error_response(503, "no ingress is ready")
-    if len(addresses) > MAX_ADDRESSES:
-        drawn = {a: blake2b(f"{own} {a}".encode(), digest_size=8).digest() for a in addresses}
-        addresses = set(sorted(addresses, key=drawn.__getitem__)[:MAX_ADDRESSES])
+    if redirects:
+        redirects.record(
+            region=query.region,
+            host=query.host,
+            generation=route_table.gen if route_table else 0,
+            homes=_describe_homes(route_table, query.host),
+            selected=selected,
+            ingresses=ingresses,
+        )
+    addresses = _draw({n.http_address for n in selected}, own)
     ttl_ms = int(min(MAX_TTL_S, ttl_max) * 1000)
     return json_response(200, {"addrs": sorted(addresses), "ttl": f"{ttl_ms}ms"})
 
 
+def _draw(addresses: set[str], own: str) -> set[str]:
+    """`MAX_ADDRESSES` of them at the most, drawn by their hashes with `own`."""
+    if len(addresses) <= MAX_ADDRESSES:
+        return addresses
+    drawn = {a: blake2b(f"{own} {a}".encode(), digest_size=8).digest() for a in addresses}
+    return set(sorted(addresses, key=drawn.__getitem__)[:MAX_ADDRESSES])
+
+
 class Lookups:
     """Responses of one process, cached while nodes and configuration are the same.
 
@@ -107,10 +141,11 @@
 
     Args:
         own: the name of the answering process.
+        redirects: told where clients are sent to.
     """
 
-    def __init__(self, own: str) -> None:
-        self._own, self._version = own, object()
+    def __init__(self, own: str, redirects: RedirectReporter | None = None) -> None:
+        self._own, self._redirects, self._version = own, redirects, object()
         self._cache: dict[tuple[_Query, float], Response] = {}
 
     def answer(
@@ -126,5 +161,7 @@
             self._version, self._cache = version, {}
         key = (_parse(target), ttl_max)
         if key not in self._cache:
-            self._cache[key] = lookup(target, nodes, ttl_max, route_table, self._own)
+            self._cache[key] = lookup(
+                target, nodes, ttl_max, route_table, self._own, self._redirects
+            )
         return self._cache[key]
