Answer look-ups at a control node by the homes of the configuration

Change: look-ups are answered from RoutesByHost, which a route table is, and ContentRoutes for a control node, made once for a content and only if asked. A configuration is no longer optional to a look-up, so none can leave it out.

--- a/cairndale/configuration/route_table.py
+++ b/cairndale/configuration/route_table.py
@@ -82,7 +82,7 @@
 
     def routes_of_host(self, host: bytes) -> Mapping[bytes, Route]:
         """The routes of a host (with or without a port) by path prefix; empty if it has none."""
-        return self.routes_by_host.get(_without_port(host.lower()), NO_ROUTES)
+        return self.routes_by_host.get(normalize_host(host), NO_ROUTES)
 
     def find_route(self, host: bytes, target: bytes) -> Route | None:
         """The route with the longest prefix of the path, of this host (with or without a port)."""
@@ -191,6 +191,8 @@
             del references[name]
 
 
-def _without_port(host: bytes) -> bytes:
+def normalize_host(host: bytes) -> bytes:
+    """A host as routes are found by: in lower case, without a port."""
+    host = host.lower()
     name, colon, port = host.rpartition(b":")
     return name if colon and port.isdigit() else host
--- a/cairndale/control/api.py
+++ b/cairndale/control/api.py
@@ -6,6 +6,8 @@
 import random
 from typing import Protocol
 
+from cairndale.configuration.content import Content
+from cairndale.configuration.state import State
 from cairndale.control.follower import (
     FORWARD_TIMEOUT_S,
     ISOLATED_ATTEMPT_S,
@@ -17,7 +19,8 @@
 from cairndale.errors import CallError, NotLeaderError
 from cairndale.http_api.router import CONTROL_ROUTES, LOOKUP_ROUTES, RouteFailure, match
 from cairndale.http_api.server import Response, error_response, json_response
-from cairndale.lookup.selection import lookup
+from cairndale.lookup.homes import ContentRoutes
+from cairndale.lookup.selection import Lookups
 from cairndale.registry.heartbeats import HeartbeatCollector
 from cairndale.registry.nodes import NodeRegistry
 from cairndale.rpc import protocol_pb2 as pb
@@ -37,6 +40,10 @@
     operations: OperationHandler
     leader_client: LeaderClient
 
+    @property
+    def state(self) -> State:
+        """The replicated state as of the last applied entry."""
+
     @property
     def leadership(self) -> Leadership | None:
         """The leadership, while this process leads."""
@@ -53,6 +60,8 @@
 
     def __init__(self, process: Process, follower: Follower, collector: HeartbeatCollector) -> None:
         self._process, self._follower, self._collector = process, follower, collector
+        self._lookups = Lookups(process.settings.name)
+        self._routes, self._routes_content = ContentRoutes({}), Content()
 
     def ready(self) -> bool:
         """Whether this node leads with a majority behind it, or is in contact with that leader."""
@@ -72,8 +81,19 @@
             return self._readiness()
         if not self.ready():
             return error_response(503, "out of contact")
-        nodes = self._process.node_registry.listed_nodes()
-        return lookup(target, nodes, self._process.settings.bounds.ttl_max)
+        return self._lookup(target)
+
+    def _lookup(self, target: str) -> Response:
+        process, state = self._process, self._process.state
+        if state.content is not self._routes_content:
+            self._routes, self._routes_content = ContentRoutes(state.content), state.content
+        return self._lookups.answer(
+            target,
+            process.node_registry.listed_nodes(),
+            process.settings.bounds.ttl_max,
+            self._routes,
+            version=object(),  # versions of the registry begin anew with each leader
+        )
 
     async def control(self, method: str, target: str, body: bytes) -> Response:
         """Response a server's or an operator's call, at `ctl`."""
--- a/cairndale/lookup/homes.py
+++ b/cairndale/lookup/homes.py
@@ -6,9 +6,53 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Any, Protocol
 
-from cairndale.configuration.route_table import RouteTable
+from cairndale.configuration.content_digest import iter_items
+from cairndale.configuration.route_table import normalize_host
+
+
+class RouteHomes(Protocol):
+    """A route, as far as look-ups are concerned."""
+
+    @property
+    def home_regions(self) -> frozenset[str]:
+        """The regions that may serve it; empty: any."""
+
+
+class RoutesByHost(Protocol):
+    """A configuration, as far as look-ups are concerned; a `RouteTable` is one."""
+
+    gen: int
+
+    def routes_of_host(self, host: bytes) -> Mapping[bytes, RouteHomes]:
+        """The routes of a host (with or without a port) by path prefix; empty if it has none."""
+
+
+@dataclass(frozen=True, slots=True)
+class _ContentRoute:
+    home_regions: frozenset[str]
+
+
+class ContentRoutes:
+    """The routes of a configuration's JSON by host, for a node that needs no route table.
+
+    Making one takes a pass over all routes.
+    """
+
+    def __init__(self, content: Mapping[str, Any]) -> None:
+        self.gen: int = content.get("gen", 0)
+        self._by_host: dict[bytes, dict[bytes, _ContentRoute]] = {}
+        for _, raw in iter_items(content, "routes"):
+            routes = self._by_host.setdefault(raw["host"].lower().encode(), {})
+            homes = frozenset(raw.get("homeRegions") or ())
+            routes[raw["pathPrefix"].encode()] = _ContentRoute(homes)
+
+    def routes_of_host(self, host: bytes) -> Mapping[bytes, RouteHomes]:
+        """As `RoutesByHost` says."""
+        return self._by_host.get(normalize_host(host), {})
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,11 +68,9 @@
     has_routes: bool = False
 
     @classmethod
-    def of(cls, route_table: RouteTable | None, host: str) -> HostHomes:
-        """The homes of a host (with or without a port), by a configuration; None: not known."""
-        if route_table is None:
-            return cls()
-        routes = route_table.routes_of_host(host.encode()).values()
+    def of(cls, configuration: RoutesByHost, host: str) -> HostHomes:
+        """The homes of a host (with or without a port), by a configuration."""
+        routes = configuration.routes_of_host(host.encode()).values()
         homes = tuple(route.home_regions for route in routes if route.home_regions)
         return cls(homes, bool(routes))
 
--- a/cairndale/lookup/selection.py
+++ b/cairndale/lookup/selection.py
@@ -13,9 +13,8 @@
 from typing import NamedTuple
 from urllib.parse import parse_qs
 
-from cairndale.configuration.route_table import RouteTable
 from cairndale.http_api.server import Response, error_response, json_response
-from cairndale.lookup.homes import HostHomes
+from cairndale.lookup.homes import HostHomes, RoutesByHost
 from cairndale.lookup.ingresses import IngressGroup, Phase, group_ingresses
 from cairndale.lookup.redirects import RedirectReporter
 from cairndale.rpc import protocol_pb2 as pb
@@ -61,25 +60,6 @@
     return ranked[min(ranked)] if ranked else []
 
 
-def lookup(
-    target: str,
-    nodes: Iterable[pb.Node],
-    ttl_max: float,
-    route_table: RouteTable | None = None,
-    own: str = "",
-) -> Response:
-    """The response to a client that asks which ingresses to call; 503 if there are none.
-
-    Args:
-        target: the request's, with region, zone and name in its query.
-        nodes: all that are known.
-        ttl_max: seconds for which a client may use the response, at the most.
-        route_table: the configuration, where it is known.
-        own: the name of the answering process.
-    """
-    return Lookups(own).answer(target, nodes, ttl_max, route_table, version=None)
-
-
 class Lookups:
     """Responses of one process, cached while nodes and configuration are the same.
 
@@ -102,10 +82,18 @@
         target: str,
         nodes: Iterable[pb.Node],
         ttl_max: float,
-        route_table: RouteTable | None,
+        configuration: RoutesByHost,
         version: object,
     ) -> Response:
-        """As `lookup`. `version` is another one when nodes or configuration are others."""
+        """The response to a client that asks which ingresses to call; 503 if there are none.
+
+        Args:
+            target: the request's, with region, zone and name in its query.
+            nodes: all that are known.
+            ttl_max: seconds for which a client may use the response, at the most.
+            configuration: that the process knows.
+            version: another one when nodes or configuration are others.
+        """
         if version != self._version:
             self._groups, self._cache = group_ingresses(nodes), {}
             self._version = version
@@ -113,13 +101,11 @@
         if key not in self._cache:
             if len(self._cache) >= MAX_CACHED_ANSWERS:
                 self._cache = {}
-            self._cache[key] = self._make_answer(key[0], ttl_max, route_table)
+            self._cache[key] = self._make_answer(key[0], ttl_max, configuration)
         return self._cache[key]
 
-    def _make_answer(
-        self, query: _Query, ttl_max: float, route_table: RouteTable | None
-    ) -> Response:
-        homes = HostHomes.of(route_table, query.host)
+    def _make_answer(self, query: _Query, ttl_max: float, configuration: RoutesByHost) -> Response:
+        homes = HostHomes.of(configuration, query.host)
         selected = _select(self._groups, query, homes)
         if not selected:
             return error_response(503, "no ingress is ready")
@@ -127,7 +113,7 @@
             self._redirects.record(
                 region=query.region,
                 host=query.host,
-                generation=route_table.gen if route_table else 0,
+                generation=configuration.gen,
                 homes=str(homes),
                 selected=selected,
                 ingresses=self._groups,
--- a/tests/lookup/test_homes_while_draining.py
+++ b/tests/lookup/test_homes_while_draining.py
@@ -24,7 +24,8 @@
 from hypothesis import strategies as st
 
 from cairndale.configuration.route_table import RouteTable
-from cairndale.lookup.selection import lookup
+from cairndale.lookup.homes import ContentRoutes, HostHomes
+from cairndale.lookup.selection import Lookups
 from cairndale.rpc import protocol_pb2 as pb
 from tests.control.test_state_models import content, route
 
@@ -52,9 +53,11 @@
     routes: list[dict[str, Any]], draining: set[str], region: str = "t", host: str = "a.example"
 ) -> set[str]:
     """Zones of the ingresses that a client of a region is sent to."""
-    table = RouteTable(content(routes=routes))
+    configuration = content(routes=routes)
+    table = RouteTable(configuration)
+    assert HostHomes.of(ContentRoutes(configuration), host) == HostHomes.of(table, host)
     target = f"/-/lookup?name={host}&region={region}&zone={region}1"
-    status, body = lookup(target, ingresses(draining), 5.0, table)
+    status, body = Lookups("own").answer(target, ingresses(draining), 5.0, table, version=None)
     return {a.partition(":")[0] for a in json.loads(body)["addrs"]} if status == 200 else set()
 
 
--- a/tests/scale/test_scale_run.py
+++ b/tests/scale/test_scale_run.py
@@ -17,8 +17,9 @@
 
 from cairndale.chaos.world import ROOT
 from cairndale.configuration.route_table import RouteTable
+from cairndale.http_api.server import Response
 from cairndale.ingress.net.engine import Names, _follow
-from cairndale.lookup.selection import Lookups, lookup
+from cairndale.lookup.selection import Lookups
 from cairndale.rpc import protocol_pb2 as pb
 from cairndale.scale import __main__ as scale
 from cairndale.scale import pages, sums
@@ -196,6 +197,10 @@
         Lookups("own0"),
         RouteTable(configuration(routes=[route(homeRegions=["r1"])])),
     )
+
+    def fresh(target: str) -> Response:
+        return Lookups("own0").answer(target, nodes.values(), 5.0, route_table, None)
+
     for turn in range(60):  # they come, change and go, within one answer and beyond
         for _ in range(5):
             name = f"e{rng.randrange(260)}"
@@ -213,7 +218,7 @@
             target = f"/-/lookup?name={rng.choice(('x', 'a.example'))}&region={region}&zone=y"
             for _ in range(2):
                 answer = kept[0].answer(target, nodes.values(), 5.0, route_table, turn)
-                assert answer == lookup(target, nodes.values(), 5.0, route_table, "own0")
+                assert answer == fresh(target)
                 assert plain.answer(target, nodes.values(), 5.0, route_table, object()) == answer
     before = kept[0].answer("/-/lookup?region=none", nodes.values(), 5.0, route_table, -1)
     # nothing is looked at for it
@@ -224,7 +229,7 @@
     assert len(fit) > 100 and all(len(t) == 64 for t in told) and set.union(*told) == fit
     gone = next(n for n in nodes.values() if n.http_address in told[0])
     del nodes[gone.name]
-    _, later = lookup("/-/lookup?x=y", nodes.values(), 5.0, route_table, "own0")
+    _, later = fresh("/-/lookup?x=y")
     assert len(told[0] - set(json.loads(later)["addrs"])) == 1  # the others' connections stay
 
 
