--- a/tests/configuration/test_delta.py
+++ b/tests/configuration/test_delta.py
@@ -352,7 +352,9 @@
     )
 
 
-async def test_a_house_retuned_by_what_changed_is_as_one_that_takes_everything_anew() -> None:
+async def test_an_ingress_reconfigured_by_what_changed_is_as_one_that_takes_everything_anew() -> (
+    None
+):
     """Tenants with accounts that get other plans, servers that come, go, drain, come back and are
     unsound."""
     rng, node = random.Random(5), DataPlaneNode(parse_settings(SETTINGS))
@@ -430,7 +432,7 @@
         (["t1"], None, False),
     ],
 )
-async def test_a_request_is_checked_anew_once_the_bill_has_changed_under_it(
+async def test_a_request_is_checked_anew_once_the_route_table_has_changed_under_it(
     out: list[str], put: dict[str, Any] | None, goes: bool
 ) -> None:
     node, state = DataPlaneNode(parse_settings(SETTINGS)), State()
--- a/tests/control/test_zone_loss.py
+++ b/tests/control/test_zone_loss.py
@@ -83,7 +83,7 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-def test_a_quota_can_be_had_within_a_second_of_a_later_leaders_duty(seed: int) -> None:
+def test_a_quota_can_be_had_within_a_second_of_a_later_leaders_term(seed: int) -> None:
     """Though some that held leases of the leader before are not heard of, and may spend their
     parts."""
     world = OneAsks(seed, quota=SMALL)
--- a/tests/raft/test_fragments.py
+++ b/tests/raft/test_fragments.py
@@ -424,7 +424,7 @@
     assert await operator(world, history, 2, world.hosts) == 200
 
 
-def test_core_machines_take_a_large_command(core_machines: None) -> None:
+def test_control_nodes_take_a_large_command(core_machines: None) -> None:
     async def scene() -> None:
         world, history, leader = await begun()
         assert await operator(world, history, 2, world.hosts) == 200
--- a/tests/raft/test_membership.py
+++ b/tests/raft/test_membership.py
@@ -223,7 +223,7 @@
         return self.places[address]
 
     def come(self, place: tuple[str, str]) -> None:
-        """A new machine, with an empty disk, at a door that nobody had before."""
+        """A new machine, with an empty disk, at an address that nobody had before."""
         self.made += 1
         address = f"new{self.made}:1"
         self.places[address], self.disks[address] = (
@@ -386,7 +386,7 @@
     site.check(5)
 
 
-def test_a_disk_that_moves_to_another_door_is_the_same_member() -> None:
+def test_a_disk_that_moves_to_another_address_is_the_same_member() -> None:
     site = Site(6, FIVE, Tolerance())
     site.watch(4.0)
     for _ in range(3):
--- a/tests/raft/test_replication.py
+++ b/tests/raft/test_replication.py
@@ -289,7 +289,7 @@
     play(World(seed, SEEDS), 6)
 
 
-def test_a_new_disk_that_was_given_the_log_from_its_beginning_can_hold_the_duty() -> None:
+def test_a_new_disk_that_was_given_the_log_from_its_beginning_can_lead() -> None:
     """Storm 9104: after a start it did not know the members before itself, so that no majority of
     them ever had what it said. Nor are those needed once the change is decided: their wiped disk
     and `a` are gone."""
@@ -330,7 +330,7 @@
     assert world.whole()
 
 
-def test_a_holder_that_never_gets_anything_decided_makes_room() -> None:
+def test_a_leader_that_never_commits_anything_steps_down() -> None:
     """Of three disks one was exchanged, and does not know who came before it."""
     before = tuple(bootstrap_member(address) for address in SEEDS)
     members = (before[0], Member("b:1", "new"), before[2])
@@ -382,7 +382,7 @@
 
 
 class WipedVotes(RaftNode):
-    """Takes a vote for its door's, whatever disk it comes from, and votes with an empty disk."""
+    """Takes a vote for its address's, whatever disk it comes from, and votes with an empty disk."""
 
     def _handle_vote_reply(self, now: float, ready: Ready, message: VoteReply) -> None:
         same = next(
--- a/tests/raft/test_state_space.py
+++ b/tests/raft/test_state_space.py
@@ -296,7 +296,7 @@
 
 
 class AnyDisk(RaftNode):
-    """Whoever stands at a member's door has its vote."""
+    """Whoever answers at a member's address has its vote."""
 
     def _handle_vote_reply(self, now: float, ready: Ready, message: Any) -> None:
         same = next(
--- a/tests/rpc/test_framing.py
+++ b/tests/rpc/test_framing.py
@@ -218,7 +218,7 @@
         assert (await friend.call(ours.own_address, order(), 2.0)).operation_response.status == 200
 
 
-async def test_a_foreign_process_at_a_reused_door_is_left_and_not_dialled_at_once() -> None:
+async def test_a_foreign_process_at_a_reused_address_is_left_and_not_dialled_at_once() -> None:
     async with rpc_peer() as ours, raw_server() as (address, came):
         ours.system = HERE
         call = asyncio.create_task(ours.call(address, order(), 5.0))
@@ -680,7 +680,9 @@
     )
 
 
-def test_an_ask_says_that_it_counts_only_where_its_sender_has_just_heard_a_cue() -> None:
+def test_a_watch_request_says_that_it_counts_only_where_its_sender_has_just_had_a_response() -> (
+    None
+):
     """One that is sent again after a silence would count as in touch while its sender no longer
     is."""
     assert LEADER_CONTACT_MARGIN_S + FRESH_REQUEST_S + PROMPT_REQUEST_S < NODE_CONTACT_MARGIN_S
--- a/tests/rpc/test_peer.py
+++ b/tests/rpc/test_peer.py
@@ -54,7 +54,7 @@
 
 
 async def test_a_connection_that_ends_as_it_comes_up_does_not_stay_for_good() -> None:
-    """Storm 2005: a dead connection was kept as the one to its door, and nothing was dialled
+    """Storm 2005: a dead connection was kept as the one to its address, and nothing was dialled
     again."""
     async with rpc_peer() as ours:
         loop, port = asyncio.get_running_loop(), free()
@@ -120,7 +120,7 @@
         assert ours.rejected == {"malformed": 3}
 
 
-async def test_a_call_finds_the_holder_by_hints_and_round_a_cut_by_a_peer() -> None:
+async def test_a_call_finds_the_leader_by_hints_and_around_a_partition_by_a_peer() -> None:
     async with rpc_peer() as ours, rpc_peer() as other, rpc_peer() as leader, rpc_peer() as peer:
         leader_client = LeaderClient(ours, lambda: [other.own_address], lambda: [peer.own_address])
 
