--- a/tests/control/test_lookup_api.py
+++ b/tests/control/test_lookup_api.py
@@ -9,25 +9,13 @@
 
 from cairndale.configuration.state import State
 from cairndale.control.api import ControlApi
-from cairndale.rpc import protocol_pb2 as pb
 from tests.control.test_state_models import content, route
-
-
-def ingress(region: str, draining: bool) -> pb.Node:
-    return pb.Node(
-        name=region,
-        http_address=f"{region}:80",
-        zone=f"{region}1",
-        region=region,
-        kind="edge",
-        ready=True,
-        draining=draining,
-    )
+from tests.testing.nodes import prepared_ingress
 
 
 async def test_a_control_node_keeps_clients_in_homes_by_the_configuration_in_force() -> None:
     """It sent clients of a region that drained to every ready ingress: it asked for no homes."""
-    nodes = [ingress("t", True), ingress("f", False), ingress("s", False)]
+    nodes = [prepared_ingress(r, draining=r == "t") for r in ("t", "f", "s")]
     process = SimpleNamespace(
         state=State(content=content(routes=[route(homeRegions=["t", "f"])])),
         leadership=object(),
--- a/tests/lookup/test_homes_while_draining.py
+++ b/tests/lookup/test_homes_while_draining.py
@@ -28,6 +28,7 @@
 from cairndale.lookup.selection import Lookups
 from cairndale.rpc import protocol_pb2 as pb
 from tests.control.test_state_models import content, route
+from tests.testing.nodes import prepared_ingress
 
 ZONES = {"t1": "t", "t2": "t", "f1": "f", "s1": "s"}
 REGIONS = {"t", "f", "s"}
@@ -36,15 +37,7 @@
 def ingresses(draining: set[str]) -> list[pb.Node]:
     """One ingress a zone, all prepared; those in `draining` have got SIGTERM."""
     return [
-        pb.Node(
-            name=zone,
-            http_address=f"{zone}:80",
-            zone=zone,
-            region=region,
-            kind="edge",
-            ready=True,
-            draining=zone in draining,
-        )
+        prepared_ingress(region, zone=zone, draining=zone in draining)
         for zone, region in ZONES.items()
     ]
 
--- a/tests/lookup/test_redirects.py
+++ b/tests/lookup/test_redirects.py
@@ -8,18 +8,7 @@
 from cairndale.lookup.selection import Lookups
 from cairndale.rpc import protocol_pb2 as pb
 from tests.control.test_state_models import content, route
-
-
-def ingress(name: str, region: str, draining: bool = False) -> pb.Node:
-    return pb.Node(
-        name=name,
-        http_address=f"{name}:80",
-        zone=f"{region}-1",
-        region=region,
-        kind="edge",
-        ready=True,
-        draining=draining,
-    )
+from tests.testing.nodes import prepared_ingress
 
 
 def test_a_redirect_is_reported_when_it_begins_and_ends_with_what_it_rested_on() -> None:
@@ -32,16 +21,16 @@
     def ask(nodes: list[pb.Node], query: str = "name=a.example&region=p") -> None:
         Lookups("own", reporter).answer(f"/-/lookup?{query}", nodes, 5.0, table, version=None)
 
-    ask([ingress("a", "p"), ingress("b", "q")])
+    ask([prepared_ingress("p"), prepared_ingress("q")])
     assert reported == []
     for _ in range(2):
-        ask([ingress("a", "p", draining=True), ingress("b", "q")])
+        ask([prepared_ingress("p", draining=True), prepared_ingress("q")])
     assert [str(r) for r in reported] == [
         "clients of p for a.example are sent to q; homes p/q and q, gen 7, ready {'q': 1},"
         " draining {'p': 1}"
     ]
-    ask([ingress("a", "p", draining=True), ingress("b", "q")], "name=b.example&region=p")
-    ask([ingress("a", "p"), ingress("b", "q")])
+    ask([prepared_ingress("p", draining=True), prepared_ingress("q")], "name=b.example&region=p")
+    ask([prepared_ingress("p"), prepared_ingress("q")])
     assert [(r.host, r.homes, r.targets) for r in reported[1:]] == [
         ("b.example", "unknown (no route of the host)", {"q"}),
         ("a.example", "p/q and q", {"p"}),
