Move the Raft cluster of the tests to a module of its own

Cause: three files took it from a test module, under the name World. Change: tests/testing/raft_cluster.py, RaftCluster; no test is another.

--- a/tests/measurements/measure_control.py
+++ b/tests/measurements/measure_control.py
@@ -14,12 +14,12 @@
 
 from cairndale.raft.messages import Entry, Member, PersistedState, Ready, SaveEntries, Snapshot
 from cairndale.raft.storage import RaftStorage
-from tests.raft.test_replication import ADDRESSES, World
+from tests.testing.raft_cluster import ADDRESSES, RaftCluster
 
 DELAY = (0.018, 0.024)  # s one way
 
 
-class Far(World):
+class Far(RaftCluster):
     """Members 20 ms apart; nothing is lost but by what is done to them."""
 
     def do(self, address: str, ready: Ready) -> None:
--- a/tests/raft/test_catch_up.py
+++ b/tests/raft/test_catch_up.py
@@ -14,7 +14,7 @@
 from cairndale.raft.node import RaftNode
 from cairndale.raft.replica import Role
 from cairndale.raft.snapshot_transfer import CHUNK_BYTES, WINDOW_CHUNKS, SnapshotReceiver
-from tests.raft.test_replication import SEEDS, World
+from tests.testing.raft_cluster import SEEDS, RaftCluster
 
 RATE = 250_000  # bytes a second: 2 Mbit/s
 DELAY = 0.02  # s one way
@@ -23,7 +23,7 @@
 PADDING = random.Random(1).randbytes(STATE)
 
 
-class Way(World):
+class Way(RaftCluster):
     """Members with 2 Mbit/s from each to each other, in order; snapshots as large as `size`."""
 
     size, every = STATE, 128
@@ -333,7 +333,7 @@
 # A disk that hangs.
 
 
-class Hanging(World):
+class Hanging(RaftCluster):
     """The next write of one member takes so long, and its process is held by it: whether that is on
     disk by then or not, nothing that rests on it is said."""
 
--- a/tests/raft/test_membership.py
+++ b/tests/raft/test_membership.py
@@ -23,7 +23,7 @@
     target_voter_count,
 )
 from cairndale.rpc import protocol_pb2 as pb
-from tests.raft.test_replication import SEEDS, Disk, World
+from tests.testing.raft_cluster import SEEDS, Disk, RaftCluster
 
 
 def nodes(*counts: dict[str, int]) -> list[Member]:
@@ -177,7 +177,7 @@
 KNOWN = 8  # members at the most that are none of the running machines
 
 
-class Site(World):
+class Site(RaftCluster):
     """Machines at places; those that are lost come back elsewhere, and are told three others'
     doors."""
 
