--- a/cairndale/chaos/soak.py
+++ b/cairndale/chaos/soak.py
@@ -23,6 +23,7 @@
 from cairndale.chaos.soak_client import SoakClient
 from cairndale.chaos.soak_judge import Lifetime, OwnEnd, SoakRecord, broken_rules
 from cairndale.chaos.world import ROOT, World
+from cairndale.dataplane.shutdown import ACCEPT_MARGIN_S
 
 ZONES = {f"{region}-{part}": region for region in ("north", "south", "east") for part in "ab"}
 # Homes by route; the route without any may be served everywhere.
@@ -31,7 +32,7 @@
 DEFAULT_EDGES = 6
 DEFAULT_LENGTH_S = 20.0
 GRACE_S = 3.0  # of the settings that the processes are given
-ACCEPT_S = GRACE_S - 0.9  # for which an ingress takes connections after SIGTERM
+ACCEPT_S = GRACE_S - ACCEPT_MARGIN_S  # for which an ingress takes connections after SIGTERM
 RESTART_WITHIN_S = GRACE_S + 5.0
 READY_WITHIN_S = 30.0
 READY_POLL_S = 0.05
