Execute an order for a zone only while its caller must still be waiting

Cause: an order took effect whenever it arrived. A partition, a peer that was paused or a stopped process can hold a copy of it up for seconds; its caller gives it up after one second, sends it to another node, and after the answer orders the opposite. The late copy has a call id of its own and the other verb, so the evacuation log took it for a new order. The check for a closed connection sees the close only if it arrives with the call. This was so on two ways: between caller and control node, and between a control node and the leader.

Change: a call has an age, and an order is proposed within 0.8 s of its sending or never. On a connection the age is bounded by what the server knows: the caller sent it after the connection was accepted and after the previous response, and the kernel says when the data came. Above 0.4 s the caller is redirected (307, which callers follow) to the same URL on a new connection. Between nodes the time of sending goes along, on the leader's clock as watch responses tell it (never ahead), so that late copies through any link or peer are rejected by the leader. A node that does not know the outcome answers 503 only once no copy can take effect.

Looked for on related paths: configurations (digest and parent), heartbeats (seq), deregistrations (ids are not used again), watch requests (leader's clock), quota and budget requests (term, remembered), receipts (order id and term), Raft's Leave (holds for a window only): a late copy of these is harmless.

--- a/cairndale/control/api.py
+++ b/cairndale/control/api.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import json
 import random
 from typing import Protocol
 
 from cairndale.configuration.content import Content
 from cairndale.configuration.state import State
+from cairndale.control.call_origin import ORDER_VALIDITY_S, CallOrigin
 from cairndale.control.follower import (
     FORWARD_TIMEOUT_S,
     ISOLATED_ATTEMPT_S,
@@ -16,7 +19,7 @@
 )
 from cairndale.control.leadership import Leadership
 from cairndale.control.operations import OperationHandler
-from cairndale.errors import CallError, NotLeaderError
+from cairndale.errors import CallError, NotLeaderError, StaleCallError
 from cairndale.http_api.router import CONTROL_ROUTES, LOOKUP_ROUTES, RouteFailure, match
 from cairndale.http_api.server import Response, error_response, json_response
 from cairndale.lookup.homes import ContentRoutes
@@ -30,6 +33,8 @@
 # Timeout of a call forwarded to the leader whose body has LARGE_FORWARD_BYTES or more.
 LARGE_FORWARD_TIMEOUT_S = 2.5
 LARGE_FORWARD_BYTES = 16 * 1024
+STALE_RETRY_PAUSE_S = 0.05  # in which this node may learn the time of a new leader
+ORDER_CALLS = ("evacuate", "take back")  # calls of CONTROL_ROUTES that are orders for a zone
 
 
 class Process(Protocol):
@@ -97,12 +102,14 @@
         )
 
     async def control(self, method: str, target: str, body: bytes) -> Response:
-        """Answers a server's or an operator's call to the `ctl` address."""
+        """Answers a server's or an operator's call to the `ctl` address, made just now."""
         route = match(CONTROL_ROUTES, method, target)
         if isinstance(route, RouteFailure):
             return error_response(route.status, route.reason)
         if route.call == "ready":
             return self._readiness()
+        if route.call in ORDER_CALLS:
+            return await self.execute_order(method, target, body, 0.0)
         if route.call != "beat":
             return await self._execute(method, target, body, FORWARD_TIMEOUT_S)
         status, answer = await self._heartbeat(route.args["id"], method, target, body)
@@ -110,6 +117,11 @@
             return status, answer
         return json_response(200, self._collector.heartbeat_redirect(body) if self.ready() else {})
 
+    def is_order(self, method: str, target: str) -> bool:
+        """Whether a call is an order for a zone, which must not be executed late."""
+        route = match(CONTROL_ROUTES, method, target)
+        return not isinstance(route, RouteFailure) and route.call in ORDER_CALLS
+
     async def _heartbeat(self, id: str, method: str, target: str, body: bytes) -> Response:
         """Registers a heartbeat by the cheapest way that applies.
 
@@ -131,24 +143,56 @@
                 return json_response(200, {})
         return await self._execute(method, target, body, ISOLATED_HEARTBEAT_TIMEOUT_S)
 
+    async def execute_order(self, method: str, target: str, body: bytes, age_s: float) -> Response:
+        """Executes an order for a zone, which its caller sent at most `age_s` seconds ago.
+
+        If the outcome is not known, the caller is told so only once no copy of the order can take
+        effect any longer: it may then send the order to another node, and the opposite after that.
+        """
+        process, sent_after = self._process, self._process.now() - age_s
+        expires_at = sent_after + ORDER_VALIDITY_S
+        origin = CallOrigin(_new_call_id(), sent_after)
+        while True:
+            try:
+                return await self._attempt(method, target, body, origin, FORWARD_TIMEOUT_S)
+            except StaleCallError as failure:  # or this node's clock of the leader is
+                error = failure
+            except CallError as failure:
+                await asyncio.sleep(max(0.0, expires_at - process.now()))
+                return error_response(503, str(failure))
+            if process.now() + STALE_RETRY_PAUSE_S >= expires_at:
+                await asyncio.sleep(max(0.0, expires_at - process.now()))
+                return error_response(503, str(error))
+            await asyncio.sleep(STALE_RETRY_PAUSE_S)
+
     async def _execute(
         self, method: str, target: str, body: bytes, isolated_timeout: float
+    ) -> Response:
+        """Executes a call, and answers 503 if the outcome is not known."""
+        try:
+            origin = CallOrigin(_new_call_id())
+            return await self._attempt(method, target, body, origin, isolated_timeout)
+        except CallError as failure:
+            return error_response(503, str(failure))
+
+    async def _attempt(
+        self, method: str, target: str, body: bytes, origin: CallOrigin, isolated_timeout: float
     ) -> Response:
         """Executes a call here if this node leads, else forwards it to the leader.
 
         A call may be forwarded after its execution here has failed because leadership was lost.
         That is safe: the call has an id, and configuration changes are identified by their digest.
+        Raises CallError if the outcome is not known.
         """
         process, called_at = self._process, self._process.now()
-        call_id = f"{random.getrandbits(64):016x}"
         if process.leadership and process.leads():
-            try:
-                return await process.operations.handle(method, target, body, call_id)
-            except NotLeaderError:
-                pass
-            except CallError as failure:
-                return error_response(503, str(failure))
-        request = pb.OperationRequest(method=method, path=target, body=body, request_id=call_id)
+            with contextlib.suppress(NotLeaderError):
+                return await process.operations.handle(method, target, body, origin)
+        request = pb.OperationRequest(
+            method=method, path=target, body=body, request_id=origin.call_id
+        )
+        if origin.sent_after is not None:
+            request.sent_after.CopyFrom(self._follower.leader_clock.at(origin.sent_after))
         timeout = called_at + FORWARD_TIMEOUT_S - process.now()
         if not self._follower.in_contact(process.now()):
             timeout, attempt_timeout = min(isolated_timeout, timeout), ISOLATED_ATTEMPT_S
@@ -162,16 +206,13 @@
         self, request: pb.OperationRequest, timeout: float, attempt_timeout: float
     ) -> Response:
         call = pb.Envelope(operation_request=request)
-        try:
-            answer = await self._follower.call(call, timeout, attempt_timeout)
-        except CallError as failure:
-            return error_response(503, str(failure))
+        answer = await self._follower.call(call, timeout, attempt_timeout)
         return answer.operation_response.status, answer.operation_response.body
 
     def answer_received(self, method: str, target: str, answer: Response) -> None:
         """Notes that a caller has received its answer: a later call for the zone is a new order."""
         route = match(CONTROL_ROUTES, method, target)
-        if isinstance(route, RouteFailure) or route.call not in ("evacuate", "take back"):
+        if isinstance(route, RouteFailure) or route.call not in ORDER_CALLS:
             return
         status, body = answer
         if status != 200:
@@ -182,3 +223,7 @@
             process.leadership.evacuation_log.acknowledge(receipt.zone, receipt.order_id)
         elif process.leader_client.leader_address:
             process.leader_client.send(pb.Envelope(evacuation_receipt=receipt))
+
+
+def _new_call_id() -> str:
+    return f"{random.getrandbits(64):016x}"
--- a/cairndale/control/evacuation_log.py
+++ b/cairndale/control/evacuation_log.py
@@ -7,7 +7,8 @@
 A call counts as a retry of the previous order while that order is unanswered, and for the retry
 window after its first call, unless the caller is known to have received the answer. Copies of one
 call may arrive through two nodes, and late: each call carries an id given where it entered the
-system, and an order has the id of its first call.
+system, and an order has the id of its first call. A copy that arrives after its caller may have
+ordered the opposite is not executed (`call_origin.py`).
 """
 
 from __future__ import annotations
@@ -40,6 +41,10 @@
         self._newest: dict[str, _Order] = {}  # by zone
         self._order_ids: dict[str, str] = {}  # by call id
 
+    def is_known(self, call_id: str) -> bool:
+        """Whether a copy of this call has arrived in this term before."""
+        return call_id in self._order_ids
+
     def begin_call(
         self, now: float, zone: str, verb: str, is_in_force: bool, call_id: str = ""
     ) -> str:
--- a/cairndale/control/follower.py
+++ b/cairndale/control/follower.py
@@ -16,6 +16,7 @@
 from cairndale.configuration.state import State
 from cairndale.control.endpoint_codec import endpoint_from_message
 from cairndale.control.heartbeat_batch import HeartbeatBatch, HeartbeatBatcher
+from cairndale.control.leader_clock import LeaderClock
 from cairndale.control.leadership import Leadership
 from cairndale.errors import CallError
 from cairndale.raft.messages import Member
@@ -101,6 +102,7 @@
         self._cursor = RegistryCursor()
         self._last_contact_at = float("-inf")  # sending of the latest answered call
         self._last_failure_at = float("-inf")  # end of the latest failed call
+        self.leader_clock = LeaderClock()
         self.batcher = HeartbeatBatcher(
             process.now, lambda: len(process.raft.members), self._send_batch
         )
@@ -176,6 +178,9 @@
                 continue
             if process.leadership is None and answer.WhichOneof("body") == "watch_response":
                 self._apply(answer.watch_response)
+                self.leader_clock.record(
+                    answer.term, answer.watch_response.leader_clock_ms, process.now()
+                )
                 if answer.watch_response.config_version != process.state.version:
                     await asyncio.sleep(LAG_PAUSE_S)
 
--- a/cairndale/control/leadership.py
+++ b/cairndale/control/leadership.py
@@ -77,6 +77,15 @@
             endpoint.last_heartbeat_at = now
         self.node_registry.begin_term(now, possible_lease_holders)
 
+    def local_time(self, time: pb.TermTime) -> float:
+        """A time by this term's clock, in seconds on this process's clock.
+
+        Raises StaleCallError for a time of another term.
+        """
+        if time.term != self.term:
+            raise StaleCallError(f"time of term {time.term}, this leader's term is {self.term}")
+        return self.began + time.elapsed_ms / 1000
+
     def epoch(self, now: float) -> str:
         """The epoch within which versions of the registries are comparable."""
         return self._epoch.name(now)
--- a/cairndale/control/node.py
+++ b/cairndale/control/node.py
@@ -131,7 +131,7 @@
             clock=self.clock,
         )
         self._http_servers = {
-            "ctl": HttpServer(self.api.control, self.api.answer_received),
+            "ctl": HttpServer(self.api.control, self.api.answer_received, self.api),
             "dir": HttpServer(self.api.lookup_api),
         }
         self._logged_members: tuple[Member, ...] = ()
--- a/cairndale/control/operations.py
+++ b/cairndale/control/operations.py
@@ -9,6 +9,7 @@
 import json
 
 from cairndale.configuration.commands import Verb
+from cairndale.control.call_origin import CallOrigin
 from cairndale.control.change_queue import ChangeQueue
 from cairndale.control.configuration_changes import ConfigurationChanges
 from cairndale.control.evacuations import Evacuations
@@ -19,6 +20,8 @@
 from cairndale.http_api.server import Response, error_response, json_response
 from cairndale.registry.endpoints import HeartbeatError, read_heartbeat
 
+UNKNOWN_ORIGIN = CallOrigin()
+
 
 class OperationHandler:
     """Answers calls while this process leads."""
@@ -29,8 +32,10 @@
         self._configuration_changes = ConfigurationChanges(leader, queue)
         self._evacuations = Evacuations(leader, queue)
 
-    async def handle(self, method: str, target: str, body: bytes, call_id: str = "") -> Response:
-        """Answers a call; `call_id` was assigned where the call entered the system.
+    async def handle(
+        self, method: str, target: str, body: bytes, origin: CallOrigin = UNKNOWN_ORIGIN
+    ) -> Response:
+        """Answers a call; `origin` was assigned where the call entered the system.
 
         Raises CallError if this process does not lead or no longer leads, or if the outcome is not
         known.
@@ -45,9 +50,9 @@
             case "update":
                 return await self._configuration_changes.handle(Verb.UPDATE, body)
             case "evacuate":
-                return await self._evacuations.handle(Verb.EVACUATE, route.args["zone"], call_id)
+                return await self._evacuations.handle(Verb.EVACUATE, route.args["zone"], origin)
             case "take back":
-                return await self._evacuations.handle(Verb.RESTORE, route.args["zone"], call_id)
+                return await self._evacuations.handle(Verb.RESTORE, route.args["zone"], origin)
             case "beat":
                 answer = self._record_heartbeat(leadership, route.args["id"], body, now)
             case "end":
--- a/cairndale/control/request_dispatch.py
+++ b/cairndale/control/request_dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cairndale.control.call_origin import CallOrigin
 from cairndale.control.change_notifier import ChangeNotifier
 from cairndale.control.clock import Clock
 from cairndale.control.heartbeat_batch import register_endpoints
@@ -79,14 +80,23 @@
                 term = await self.register_endpoints(envelope.endpoint_report, envelope.term)
                 return pb.Envelope(term=term)
             case "operation_request":
-                term, operation = tracker.require(envelope.term).term, envelope.operation_request
-                status, body = await self._operations.handle(
-                    operation.method, operation.path, operation.body, operation.request_id
-                )
-                response = pb.OperationResponse(status=status, body=body)
-                return pb.Envelope(operation_response=response, term=term)
+                return await self._answer_operation(envelope)
         raise RejectedError(f"unknown call {envelope.WhichOneof('body')!r}")
 
+    async def _answer_operation(self, envelope: pb.Envelope) -> pb.Envelope:
+        leadership, operation = self._leadership.require(envelope.term), envelope.operation_request
+        sent_after = None
+        if operation.HasField("sent_after"):
+            sent_after = leadership.local_time(operation.sent_after)
+        status, body = await self._operations.handle(
+            operation.method,
+            operation.path,
+            operation.body,
+            CallOrigin(operation.request_id, sent_after),
+        )
+        response = pb.OperationResponse(status=status, body=body)
+        return pb.Envelope(operation_response=response, term=leadership.term)
+
     async def register_endpoints(self, report: pb.EndpointReport, term: int = 0) -> int:
         """Registers endpoints that were reported to another control node.
 
--- a/cairndale/http_api/server.py
+++ b/cairndale/http_api/server.py
@@ -2,6 +2,12 @@
 
 Each connection carries one request at a time, without pipelining; each request is answered by a
 coroutine. Responses are JSON.
+
+A request may arrive long after it was sent: a network partition or a pause of this process holds it
+up, and its caller may have given it up since. A call that must not be executed late (an order) is
+executed only if the connection shows that it is recent: it was sent after the connection was
+accepted, and after the previous response on it. On a connection that was idle for longer the caller
+is redirected to the same URL, and repeats the call on a new connection if it still waits.
 """
 
 from __future__ import annotations
@@ -10,22 +16,36 @@
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 import httptools
 
 from cairndale.ingress.net.http import HttpConnection, Message, encode_response
-from cairndale.rpc.framing import detect_dead_peer
+from cairndale.rpc.framing import detect_dead_peer, received_ago
 from cairndale.settings import Address
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_CONNECTIONS = 1024
 IDLE_TIMEOUT_S = 10.0  # that a connection may be idle, or take to send a request
 HANDLER_TIMEOUT_S = 12.0
+MAX_ORDER_AGE_S = 0.4  # of an order at its arrival: half of the time in which it may take effect
 LINGER_S = 1.5  # that a client may take to close a connection after its last response
 UNACKED_TIMEOUT_MS = 5000  # without a TCP acknowledgement
 
 Response = tuple[int, bytes]  # status and body
 RequestHandler = Callable[[str, str, bytes], Awaitable[Response]]  # method, target, body
+
+
+class OrderHandler(Protocol):
+    """Executes calls that must not be executed late."""
+
+    def is_order(self, method: str, target: str) -> bool:
+        """Whether a call must not be executed late."""
+
+    async def execute_order(self, method: str, target: str, body: bytes, age_s: float) -> Response:
+        """Answers an order that was sent at most `age_s` seconds ago."""
+
+
 DeliveryListener = Callable[[str, str, Response], None]  # method, target, response
 
 
@@ -55,6 +75,7 @@
         handle: answers one request; it is cancelled after `HANDLER_TIMEOUT_S`, and the client
             receives a 503.
         on_delivered: called with each response that its client has certainly received.
+        orders: answers orders in place of `handle`; None: there are no orders.
 
     Attributes:
         connections: the open connections.
@@ -62,9 +83,12 @@
     """
 
     def __init__(
-        self, handle: RequestHandler, on_delivered: DeliveryListener | None = None
+        self,
+        handle: RequestHandler,
+        on_delivered: DeliveryListener | None = None,
+        orders: OrderHandler | None = None,
     ) -> None:
-        self.handle, self.on_delivered = handle, on_delivered
+        self.handle, self.on_delivered, self.orders = handle, on_delivered, orders
         self.connections: set[ApiConnection] = set()
         self.closing = False
         self._server: asyncio.Server | None = None
@@ -120,6 +144,9 @@
         self._server, self._busy = server, False
         self._delivery: _Delivery | None = None  # the last one, until its receipt is confirmed
         self._timer: asyncio.TimerHandle | None = None
+        # When the connection was accepted, or the last response on it written: the client sent its
+        # next request after that.
+        self._idle_since = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Track the connection, or abort it if more than `MAX_CONNECTIONS` are open."""
@@ -142,6 +169,7 @@
         if self._timer:
             self._timer.cancel()
         loop = asyncio.get_running_loop()
+        self._idle_since = loop.time()
         self._timer = loop.call_later(IDLE_TIMEOUT_S, self.transport.abort)
 
     def message_invalid(self, status: int) -> None:
@@ -163,21 +191,44 @@
 
     async def _answer(self, message: Message) -> None:
         method, target = message.method.decode("latin-1"), message.target.decode("latin-1")
+        orders = self._server.orders
+        is_order = orders is not None and orders.is_order(method, target)
+        age_s = self._request_age() if is_order else 0.0
         # In two turns of the loop everything received with the call is read, also the end of the
         # connection: after a pause of this process the client may be gone.
         for _ in range(2):
             await asyncio.sleep(0)
         if self.transport.is_closing():
             return
+        if age_s > MAX_ORDER_AGE_S:
+            self._redirect(message)
+            return
         try:
             async with asyncio.timeout(HANDLER_TIMEOUT_S):
-                status, body = await self._server.handle(method, target, message.body)
+                if orders and is_order:
+                    response = await orders.execute_order(method, target, message.body, age_s)
+                else:
+                    response = await self._server.handle(method, target, message.body)
         except TimeoutError:
-            status, body = error_response(503, "no answer in time")
+            response = error_response(503, "no answer in time")
         self._busy = False
         if not self.transport.is_closing():
-            self._delivery = _Delivery(method, target, (status, body))
-            self._write(status, body, message.keep_alive and not self._server.closing)
+            self._delivery = _Delivery(method, target, response)
+            self._write(*response, message.keep_alive and not self._server.closing)
+
+    def _request_age(self) -> float:
+        """The largest time for which a request that was just read may be under way, in seconds."""
+        idle_s = asyncio.get_running_loop().time() - self._idle_since
+        return max(idle_s, received_ago(self.transport.get_extra_info("socket")))
+
+    def _redirect(self, message: Message) -> None:
+        """Asks the client to repeat the request on a new connection, if it still waits."""
+        self._busy = False
+        host, port = self.transport.get_extra_info("sockname")[:2]
+        authority = message.headers.get(b"host") or f"{host}:{port}".encode()
+        location = b"Location: http://%b%b\r\n" % (authority, message.target)
+        _, body = error_response(307, "the connection was idle: repeat the call on a new one")
+        self._write(307, body, False, location)
 
     def eof_received(self) -> None:
         """The client closes the connection in order: it has received the last response."""
@@ -188,10 +239,9 @@
         if delivery and self._server.on_delivered:
             self._server.on_delivered(delivery.method, delivery.target, delivery.response)
 
-    def _write(self, status: int, body: bytes, keep: bool) -> None:
-        self.transport.write(
-            encode_response(status, body, b"Content-Type: application/json\r\n", close=not keep)
-        )
+    def _write(self, status: int, body: bytes, keep: bool, headers: bytes = b"") -> None:
+        headers += b"Content-Type: application/json\r\n"
+        self.transport.write(encode_response(status, body, headers, close=not keep))
         if keep:
             self._restart_idle_timer()
         elif self._server.on_delivered and self._timer:
--- a/cairndale/rpc/call_kinds.py
+++ b/cairndale/rpc/call_kinds.py
@@ -49,7 +49,8 @@
     # By the leader's clock: a request older than the newest one is rejected.
     "watch_request": CallKind(DuplicateSafety.STATE, wants_answer=True),
     "watch_response": _LEADER_ANSWER,
-    # By the digest of a configuration, the id of an evacuation order, the `seq` of a heartbeat.
+    # By the digest of a configuration, the id and the age of an order for a zone, the `seq` of a
+    # heartbeat, the id of a server, which no later server has.
     "operation_request": CallKind(DuplicateSafety.KEYED, wants_answer=True),
     "operation_response": _LEADER_ANSWER,
     "quota_request": CallKind(DuplicateSafety.REMEMBERED, wants_answer=True),
--- a/cairndale/rpc/framing.py
+++ b/cairndale/rpc/framing.py
@@ -27,6 +27,8 @@
 UNACKED_TIMEOUT_MS = 1500  # without a TCP acknowledgement, after which a connection is closed
 
 _LENGTH = struct.Struct(">I")
+# `struct tcp_info` of Linux up to `tcpi_last_data_recv`, in ms.
+_LAST_DATA_RECEIVED = struct.Struct("=52xI")
 
 
 class FrameError(Exception):
@@ -47,6 +49,21 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
 
 
+def received_ago(sock: socket.socket | None) -> float:
+    """Seconds since the kernel last received data on a TCP connection; 0 if it doesn't say.
+
+    After a pause of this process, data that it reads only now may be old.
+    """
+    if sock is None:
+        return 0.0
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_DATA_RECEIVED.size)
+        (milliseconds,) = _LAST_DATA_RECEIVED.unpack(info)
+    except (OSError, struct.error):
+        return 0.0
+    return float(milliseconds) / 1000
+
+
 class ConnectionOwner(Protocol):
     """The interface of the process that a connection belongs to."""
 
--- a/tests/http_api/test_server.py
+++ b/tests/http_api/test_server.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import socket
+import time
 
 import uvloop
 
 from cairndale.chaos.standins import http_call
-from cairndale.http_api.server import HttpServer, Response, json_response
+from cairndale.http_api.server import MAX_ORDER_AGE_S, HttpServer, Response, json_response
 
 CALL = (
     b"POST /-/Drain.Begin/north-a HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nConnection: "
@@ -51,3 +52,71 @@
 
 def test_request_of_a_disconnected_client_is_not_processed_on_the_asyncio_loop() -> None:
     assert asyncio.run(handled_targets(disconnect=True)) == ["/-/later"]
+
+
+class Orders:
+    """Records the orders that are executed."""
+
+    def __init__(self) -> None:
+        self.ages: list[float] = []
+
+    def is_order(self, method: str, target: str) -> bool:
+        return target.startswith("/-/Drain.")
+
+    async def execute_order(self, method: str, target: str, body: bytes, age_s: float) -> Response:
+        self.ages.append(age_s)
+        return json_response(200, {})
+
+
+async def order_after(pause_s: float, blocks_process: bool) -> tuple[bytes, Orders]:
+    """The response to an order, and the orders executed.
+
+    The order is sent `pause_s` after the previous response on its connection. `blocks_process`: it
+    is sent at once on a new connection, and the process reads it only after the pause.
+    """
+
+    async def handle(method: str, target: str, body: bytes) -> Response:
+        return json_response(200, {})
+
+    orders = Orders()
+    server = HttpServer(handle, orders=orders)
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        address = probe.getsockname()
+    await server.listen(address)
+    if blocks_process:
+        client = socket.create_connection(address)
+        client.sendall(CALL)
+        time.sleep(pause_s)
+        reader, writer = await asyncio.open_connection(sock=client)
+    else:
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(CALL.replace(b"Drain.Begin/north-a", b"Config.Read").replace(b"close", b"x"))
+        await reader.readuntil(b"\r\n\r\n{}")
+        await asyncio.sleep(pause_s)
+        writer.write(CALL)
+    response = await reader.read()
+    writer.close()
+    server.stop()
+    return response, orders
+
+
+# Guards against orders that a partition has held up: on a connection that was idle, an order may be
+# older than its caller waits, whenever the close of the connection arrives.
+def test_order_on_an_idle_connection_is_not_executed_but_redirected() -> None:
+    response, orders = uvloop.run(order_after(MAX_ORDER_AGE_S + 0.1, blocks_process=False))
+    assert response.startswith(b"HTTP/1.1 307 ") and orders.ages == []
+    assert b"\r\nLocation: http://x/-/Drain.Begin/north-a\r\n" in response
+    assert b"\r\nConnection: close\r\n" in response
+
+
+def test_order_on_a_connection_in_use_is_executed() -> None:
+    response, orders = uvloop.run(order_after(0.0, blocks_process=False))
+    assert response.startswith(b"HTTP/1.1 200 ") and len(orders.ages) == 1
+    assert 0.0 <= orders.ages[0] <= MAX_ORDER_AGE_S
+
+
+# Guards against orders that lie in the socket's buffer while their process is stopped.
+def test_order_that_waited_in_the_socket_is_not_executed_but_redirected() -> None:
+    response, orders = uvloop.run(order_after(MAX_ORDER_AGE_S + 0.1, blocks_process=True))
+    assert response.startswith(b"HTTP/1.1 307 ") and orders.ages == []
