Record the departure of a server in the log before it is acknowledged

Cause: an acknowledged end was kept in memory only, as a gone entry of the leader's registry and of the followers' copies. With all control processes killed nothing of it is left, and a heartbeat that was made before the end and comes after the restart is that of an unknown server: it is registered as ready, and every data-plane node takes it up.

Change: the end is committed to the log before the answer. The registry looks departures up there (control/departure_log.py), for any heartbeat and however late it comes. A new leader adopts them as its term begins: what the copy of its predecessor still lists as ready, and without a copy the newest 256 ends, so that data-plane nodes that were not told before the kill remove those servers at once. A registry that holds gone servers only counts as empty, so the term still waits for heartbeats before it calls a list full. A record is the one of a rejected change with the server's id in place of the digest: applies, stores and sends it as it is.

The same cause elsewhere: that a server drains was acknowledged and kept in memory only too, with the same effect; recorded alike. Configurations, evacuations and names of lease holders are in the log. Heartbeats of servers in service and quota levels are reported anew.

--- a/cairndale/configuration/state.py
+++ b/cairndale/configuration/state.py
@@ -60,7 +60,7 @@
         version: increases with each change that has to be sent to the data plane.
         edges: names of data-plane nodes that may hold leases, whichever member leads; sorted.
         idempotency_records: the gen that a change resulted in, or REJECTED, by the digest of the
-            change; oldest first.
+            change; oldest first. Also has the departures of servers.
         evicted_gen: the highest gen among evicted idempotency records.
         evacuation_calls: the order that a call for a zone belongs to, by the id of the call;
             oldest first.
--- a/cairndale/control/leadership.py
+++ b/cairndale/control/leadership.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from cairndale.configuration.state import State
+from cairndale.control.departure_log import newest_ended
 from cairndale.control.epoch import Epoch
 from cairndale.control.evacuation_log import EvacuationLog
 from cairndale.control.fleet_view import fleet_view
@@ -60,7 +61,7 @@
             node_registry,
             self.ingress_counter,
         )
-        self._epoch = Epoch(term, now, not endpoint_registry.endpoints, heartbeat_interval)
+        self._epoch = Epoch(term, now, endpoint_registry.is_empty(), heartbeat_interval)
         self.watch_responses = WatchResponseBuilder(
             self._epoch, endpoint_registry, node_registry, self.grants, self.ingress_counter
         )
@@ -100,6 +101,10 @@
             self.grants.set_services(services)
         self._tenants, self._services = tenants, services
 
+    def adopt_departures(self, state: State, now: float) -> None:
+        """Adopts the departures of servers that the log has recorded, as the term begins."""
+        self.endpoint_registry.adopt_departures(newest_ended(state), now)
+
     def tick(self, now: float) -> bool:
         """Handles what is due by time. True if nodes must be notified of a change."""
         if self._state:
--- a/cairndale/control/leadership_tracker.py
+++ b/cairndale/control/leadership_tracker.py
@@ -96,6 +96,7 @@
             bounds=self._settings.bounds,
             heartbeat_interval=self._settings.heartbeat_interval_s,
         )
+        self._current.adopt_departures(state, self._clock.now())
         self._current.apply_state(state)
         log_event(Event.LEADERSHIP_BEGINS, "term %d", raft.term)
         self._notifier.notify()
--- a/cairndale/control/node.py
+++ b/cairndale/control/node.py
@@ -17,6 +17,7 @@
 from cairndale.control.apply_loop import ApplyLoop
 from cairndale.control.change_notifier import ChangeNotifier
 from cairndale.control.clock import Clock
+from cairndale.control.departure_log import DepartureLog, recorded_departure
 from cairndale.control.follower import Follower
 from cairndale.control.leadership import Leadership
 from cairndale.control.leadership_tracker import LeadershipTracker
@@ -73,7 +74,8 @@
             addresses=self._seeds,
             tolerance=settings.tolerance,
         )
-        self.endpoint_registry, self.node_registry = EndpointRegistry(), NodeRegistry()
+        self.endpoint_registry = EndpointRegistry(lambda id: recorded_departure(self.state, id))
+        self.node_registry = NodeRegistry()
         self.notifier = ChangeNotifier()
         self.driver = RaftDriver(self.raft, self._storage, self.rpc_peer, self.clock)
         self.snapshot_worker = SnapshotWorker(
@@ -127,6 +129,7 @@
             read_index=self.read_index,
             watch_server=self.watch_server,
             operations=self.operations,
+            departures=DepartureLog(self),
             notifier=self.notifier,
             clock=self.clock,
         )
--- a/cairndale/control/operations.py
+++ b/cairndale/control/operations.py
@@ -12,12 +12,14 @@
 from cairndale.control.call_origin import CallOrigin
 from cairndale.control.change_queue import ChangeQueue
 from cairndale.control.configuration_changes import ConfigurationChanges
+from cairndale.control.departure_log import DepartureLog
 from cairndale.control.evacuations import Evacuations
 from cairndale.control.leader import Leader
 from cairndale.control.leadership import Leadership
 from cairndale.events import Event, log_event
 from cairndale.http_api.router import CONTROL_ROUTES, RouteFailure, match
 from cairndale.http_api.server import Response, error_response, json_response
+from cairndale.registry.departures import Departure
 from cairndale.registry.endpoints import HeartbeatError, read_heartbeat
 
 UNKNOWN_ORIGIN = CallOrigin()
@@ -28,6 +30,7 @@
 
     def __init__(self, leader: Leader) -> None:
         self._leader = leader
+        self._departures = DepartureLog(leader)
         queue = ChangeQueue(leader)
         self._configuration_changes = ConfigurationChanges(leader, queue)
         self._evacuations = Evacuations(leader, queue)
@@ -54,9 +57,9 @@
             case "take back":
                 return await self._evacuations.handle(Verb.RESTORE, route.args["zone"], origin)
             case "beat":
-                answer = self._record_heartbeat(leadership, route.args["id"], body, now)
+                answer = await self._record_heartbeat(leadership, route.args["id"], body, now)
             case "end":
-                answer = self._record_end(leadership, route.args["id"], now)
+                answer = await self._record_end(leadership, route.args["id"], now)
             case call:
                 await self._leader.confirm(now, leadership.term)
                 return self._read(leadership, call)
@@ -75,7 +78,7 @@
                 return json_response(200, view | self._leader.describe_cluster())
         return error_response(404, "no such call")
 
-    def _record_heartbeat(
+    async def _record_heartbeat(
         self, leadership: Leadership, id: str, body: bytes, now: float
     ) -> Response:
         try:
@@ -88,10 +91,13 @@
             fields = heartbeat.id, heartbeat.service, heartbeat.state
             log_event(Event.ENDPOINTS_CHANGED, "%s %s %s", *fields)
             self._leader.notify_change()
+        if heartbeat.state == "draining":
+            await self._departures.record(Departure.DRAINING, [id])
         return json_response(200, {})
 
-    def _record_end(self, leadership: Leadership, id: str, now: float) -> Response:
+    async def _record_end(self, leadership: Leadership, id: str, now: float) -> Response:
         if leadership.endpoint_registry.mark_ended(id, now):
             log_event(Event.ENDPOINTS_CHANGED, "%s gone", id)
             self._leader.notify_change()
+        await self._departures.record(Departure.ENDED, [id])
         return json_response(200, {})
--- a/cairndale/control/request_dispatch.py
+++ b/cairndale/control/request_dispatch.py
@@ -5,6 +5,7 @@
 from cairndale.control.call_origin import CallOrigin
 from cairndale.control.change_notifier import ChangeNotifier
 from cairndale.control.clock import Clock
+from cairndale.control.departure_log import DepartureLog
 from cairndale.control.heartbeat_batch import register_endpoints
 from cairndale.control.leadership_tracker import LeadershipTracker
 from cairndale.control.operations import OperationHandler
@@ -14,6 +15,7 @@
 from cairndale.errors import FaultCode, NotLeaderError, RejectedError
 from cairndale.raft import codec
 from cairndale.raft.node import RaftNode
+from cairndale.registry.departures import Departure
 from cairndale.rpc import protocol_pb2 as pb
 
 
@@ -28,12 +30,14 @@
         read_index: ReadIndex,
         watch_server: WatchServer,
         operations: OperationHandler,
+        departures: DepartureLog,
         notifier: ChangeNotifier,
         clock: Clock,
     ) -> None:
         self._raft, self._driver, self._leadership = raft, driver, leadership
         self._read_index, self._watch_server = read_index, watch_server
-        self._operations, self._notifier, self._clock = operations, notifier, clock
+        self._operations, self._departures = operations, departures
+        self._notifier, self._clock = notifier, clock
 
     def receive(self, envelope: pb.Envelope) -> None:
         """Handles a one-way message; a Raft message that cannot be decoded is dropped."""
@@ -100,13 +104,16 @@
     async def register_endpoints(self, report: pb.EndpointReport, term: int = 0) -> int:
         """Registers endpoints that were reported to another control node.
 
-        Returns the term in which they are registered, once a majority has confirmed it. Raises
-        NotLeaderError if this node does not lead in a term of at least `term`, or loses leadership
-        meanwhile.
+        Returns the term in which they are registered, once a majority has confirmed it and has the
+        departures of those that drain on disk. Raises NotLeaderError if this node does not lead in
+        a term of at least `term`, or loses leadership meanwhile, and CallError if a departure may
+        not be recorded.
         """
         leadership, now = self._leadership.require(term), self._clock.now()
         if register_endpoints(leadership.endpoint_registry, report, now):
             self._notifier.notify()
+        draining = [message.id for message in report.endpoints if message.state == "draining"]
+        await self._departures.record(Departure.DRAINING, draining)
         await self._confirm(now, leadership.term)
         return leadership.term
 
--- a/cairndale/registry/endpoints.py
+++ b/cairndale/registry/endpoints.py
@@ -1,6 +1,7 @@
 """Registry of server endpoints: soft state, rebuilt from the servers' heartbeats after a loss.
 
-Nothing here is durable or replicated through the log. The leader sends a copy to each follower,
+Nothing here is durable or replicated through the log, but for the departures that servers have
+announced (`departures.py`), which are looked up there. The leader sends a copy to each follower,
 which starts with it if it becomes the leader. Times are seconds on the clock of the process that
 has the registry.
 """
@@ -11,6 +12,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from cairndale.registry.departures import Departure, DepartureLookup
 from cairndale.settings import parse_duration
 
 REPORTED_STATES = ("ready", "draining")  # by a server itself; the third state, "gone", is set here
@@ -22,6 +24,7 @@
 WARMUP_TOLERANCE_S = 0.3
 # How long the record of a gone endpoint is kept, so that a delayed heartbeat does not add it again.
 TOMBSTONE_S = 30.0
+MAX_ADOPTED_ENDS = 256  # of servers that a leader without a copy adds from the log
 
 _UPDATED_FIELDS = ("service", "addr", "zone", "gen", "capacity", "state")
 _COMPARED_FIELDS = ("service", "addr", "zone", "capacity", "state")
@@ -135,7 +138,9 @@
     Versions are comparable within one leader's epoch only.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, recorded_departure: DepartureLookup = lambda id: None) -> None:
+        """`recorded_departure`: returns how far a server has left by the replicated log."""
+        self._recorded_departure = recorded_departure
         self.endpoints: dict[str, Endpoint] = {}  # by id
         self.version = 0
         self._by_last_change: dict[str, None] = {}  # ids, the last changed one at the end
@@ -156,6 +161,12 @@
         ignored. A draining server does not become ready again until it restarts.
         """
         known = self.endpoints.get(heartbeat.id)
+        departure = self._recorded_departure(heartbeat.id)
+        if departure is Departure.ENDED:
+            heartbeat.state = "gone"
+            return self.mark_ended(heartbeat.id, heartbeat.last_heartbeat_at)
+        if departure is Departure.DRAINING:
+            heartbeat.state = "draining"
         if known is None:
             self.endpoints[heartbeat.id] = heartbeat
             self._mark_changed(heartbeat)
@@ -190,6 +201,27 @@
         self._mark_changed(known)
         return True
 
+    def is_empty(self) -> bool:
+        """Whether no server is known, apart from those that are gone."""
+        return all(endpoint.state == "gone" for endpoint in self.endpoints.values())
+
+    def adopt_departures(self, newest_ended: Iterable[str], now: float) -> None:
+        """Adopt the departures that the log has recorded, when this process begins to lead.
+
+        The copy of the previous leader's registry may lack the last ones. `newest_ended`: ids of
+        servers that have ended, the last one first; if the copy is empty, so many of them are added
+        that data-plane nodes which were not told of them yet remove them.
+        """
+        added = MAX_ADOPTED_ENDS if self.is_empty() else 0
+        for number, id in enumerate(newest_ended):
+            if number < added or id in self.endpoints:
+                self.mark_ended(id, now)
+        for endpoint in self.endpoints.values():
+            departure = self._recorded_departure(endpoint.id)
+            if departure is Departure.DRAINING and endpoint.state == "ready":
+                endpoint.state = "draining"
+                self._mark_changed(endpoint)
+
     def expire(self, now: float, heartbeat_interval: float) -> bool:
         """Mark endpoints without recent heartbeats as gone, and remove the expired tombstones.
 
--- a/tests/control/test_operations.py
+++ b/tests/control/test_operations.py
@@ -990,3 +990,76 @@
     violations = list[str]()
     run_in_virtual_time(deregister_and_crash(number, by, violations))
     assert not violations
+
+
+# Departures that were acknowledged survive the loss of all control processes at once.
+
+
+async def restart_all(cluster: ControlCluster) -> None:
+    for host in list(cluster.nodes):
+        await cluster.crash(host)
+    await asyncio.sleep(0.8)
+    for host in cluster.hosts:
+        await cluster.start(host)
+    await cluster.wait_until(cluster.leader)
+
+
+async def departure_and_kill_of_all(seed: int, ends: bool, violations: list[str]) -> None:
+    """A server's departure is acknowledged, all control nodes are killed, once or more often, and a
+    heartbeat that was made before the departure arrives late."""
+    random.seed(seed)
+    cluster = ControlCluster(Path("depart"))
+    await cluster.start_all()
+    assert await submit_change(cluster, first_change(), 1, cluster.hosts) == 200
+    for seq in range(1, 4):
+        assert await cluster.send_heartbeat(random.choice(cluster.hosts), "s9", seq) == 200
+        await asyncio.sleep(1.5)
+    host, status = random.choice(cluster.hosts), 0
+    while status != 200:
+        if ends:
+            status, _ = await cluster.call(host, "POST", "Instances.Deregister/s9")
+        else:
+            status = await cluster.send_heartbeat(host, "s9", 5, state="draining")
+    await asyncio.sleep(random.choice([0.0, 0.2, 40.0]))
+    for _ in range(random.randint(1, 3)):
+        await restart_all(cluster)
+        await asyncio.sleep(random.uniform(0.0, 6.0))
+        await cluster.send_heartbeat(random.choice(cluster.hosts), "s9", 4)
+        await asyncio.sleep(random.uniform(0.0, 1.0))
+        leader = cluster.leader()
+        assert leader
+        known = leader.endpoint_registry.endpoints.get("s9")
+        if known and known.state == "ready":
+            violations.append("ready again")
+
+
+# Guards against departures that are kept in memory only: a server that has left gets requests
+# again after a kill of the core (review/2).
+@pytest.mark.parametrize("ends", [True, False], ids=["ended", "draining"])
+@pytest.mark.parametrize("seed", range(4))
+def test_an_acknowledged_departure_survives_a_kill_of_all(seed: int, ends: bool) -> None:
+    violations = list[str]()
+    run_in_virtual_time(departure_and_kill_of_all(seed, ends, violations))
+    assert not violations
+
+
+async def end_told_at_the_kill(violations: list[str]) -> None:
+    """All control nodes are killed before data-plane nodes are told of an acknowledged end."""
+    cluster = ControlCluster(Path("tell"))
+    await cluster.start_all()
+    assert await submit_change(cluster, first_change(), 1, cluster.hosts) == 200
+    assert await cluster.send_heartbeat(cluster.hosts[0], "s9", 1) == 200
+    assert (await cluster.call(cluster.hosts[1], "POST", "Instances.Deregister/s9"))[0] == 200
+    await restart_all(cluster)
+    leader = cluster.leader()
+    assert leader and leader.leadership
+    epoch = leader.leadership.epoch(now())
+    told = [e.state for e in leader.endpoint_registry.changed_since(0) if e.id == "s9"]
+    if told != ["gone"] or not epoch.endswith("~"):
+        violations.append(f"data-plane nodes are told {told} in epoch {epoch}")
+
+
+def test_a_leader_after_a_kill_of_all_tells_of_the_ends_at_once() -> None:
+    violations = list[str]()
+    run_in_virtual_time(end_told_at_the_kill(violations))
+    assert not violations
