Tell processes of a generation by a 64-bit id, whatever its size

Making the response raised ValueError, at every leader, for every node, which ended the task that makes the responses.

Change: a message carries the id of a generation: the generation where it fits, else a 64-bit hash of it. Processes compare generations for equality only; what is older follows from the state's version. A delta to a wide generation names it in decimal beside its id. Nothing changes on the wire for numbers below 2^64.

--- a/cairndale/configuration/delta.py
+++ b/cairndale/configuration/delta.py
@@ -42,7 +42,7 @@
     """A delta as ingresses receive it.
 
     Attributes:
-        base_gen: the generation that the delta applies to.
+        base_gen: the id of the generation that the delta applies to (`generation_id`).
         gen: the generation that it results in.
         base_digest: the digest of the content before.
         digest: the digest of the content after.
--- a/cairndale/configuration/delta_history.py
+++ b/cairndale/configuration/delta_history.py
@@ -11,6 +11,7 @@
 from cairndale.configuration import delta
 from cairndale.configuration.content_digest import DIGEST_MODULUS, ItemDigest, iter_item_digests
 from cairndale.configuration.delta import ConfigDelta, GenerationChange
+from cairndale.configuration.generation_id import generation_id
 
 MAX_RECORDED_CHANGES = 256  # deltas start at most this many generations back
 DIGESTED_PER_STEP = 400  # items; takes about 2 ms
@@ -30,7 +31,7 @@
         self._size = 0  # bytes of the content's canonical JSON
         self._undigested: Iterator[ItemDigest] | None = None  # None: not started
         self._is_digested = False
-        self._deltas: dict[int, ConfigDelta | None] = {}  # cache, by base generation
+        self._deltas: dict[int, ConfigDelta | None] = {}  # cache, by id of the base generation
 
     def record(self, change: GenerationChange | None) -> None:
         """Record that this change came into force; None: a change whose items are not known."""
@@ -56,32 +57,35 @@
         self._deltas = {}
         return self._is_digested
 
-    def delta_since(self, gen: int) -> ConfigDelta | None:
-        """The delta from a generation to the newest; None if unknown or not worth its bytes."""
-        if gen not in self._deltas:
-            self._deltas[gen] = self._build_delta(gen) if self._is_digested else None
-        return self._deltas[gen]
+    def delta_since(self, gen_id: int) -> ConfigDelta | None:
+        """The delta from the generation with this id to the newest.
 
-    def _build_delta(self, gen: int) -> ConfigDelta | None:
-        changes = self._changes_since(gen)
+        None if that generation is unknown or the delta is not worth its bytes.
+        """
+        if gen_id not in self._deltas:
+            self._deltas[gen_id] = self._build_delta(gen_id) if self._is_digested else None
+        return self._deltas[gen_id]
+
+    def _build_delta(self, gen_id: int) -> ConfigDelta | None:
+        changes = self._changes_since(gen_id)
         if not changes or sum(change.count for change in changes) > delta.MAX_CHANGED_ITEMS:
             return None
         text = delta.encode_changes(delta.merge_changes(change.changes for change in changes))
         if len(text) * MIN_SAVING_FACTOR > self._size:
             return None
         return ConfigDelta(
-            base_gen=gen,
+            base_gen=gen_id,
             gen=changes[-1].gen,
             base_digest=(self._digest - sum(change.digest for change in changes)) % DIGEST_MODULUS,
             digest=self._digest,
             encoded_changes=zlib.compress(text, 6),
         )
 
-    def _changes_since(self, gen: int) -> list[GenerationChange]:
+    def _changes_since(self, gen_id: int) -> list[GenerationChange]:
         """The changes after a generation; empty if no recorded change starts at it."""
         changes = list(self._changes)
         for number, change in enumerate(changes):
-            if change.base_gen == gen:
+            if generation_id(change.base_gen) == gen_id:
                 return changes[number:]
         return []
 
--- a/cairndale/configuration/route_table.py
+++ b/cairndale/configuration/route_table.py
@@ -11,6 +11,7 @@
 
 from cairndale.configuration.content_digest import DIGEST_MODULUS, TOP_LEVEL_FIELDS, iter_items
 from cairndale.configuration.delta import ConfigDelta, DeltaError
+from cairndale.configuration.generation_id import generation_id
 from cairndale.configuration.routes import Item, Route, Service, Tenant, TopLevelField, read_item
 from cairndale.ingress.policy.interface import RequestClass
 
@@ -104,7 +105,7 @@
 
     def apply_delta(self, delta: ConfigDelta) -> TableChange:
         """Applies a delta atomically. Raises DeltaError if it does not apply to this content."""
-        if (delta.base_gen, delta.base_digest) != (self.gen, self.digest):
+        if (delta.base_gen, delta.base_digest) != (generation_id(self.gen), self.digest):
             raise DeltaError(
                 f"the delta applies to gen {delta.base_gen}, digest {delta.base_digest:016x};"
                 f" here is gen {self.gen}, digest {self.digest:016x}"
--- a/cairndale/control/follower.py
+++ b/cairndale/control/follower.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from cairndale.configuration.generation_id import generation_id
 from cairndale.configuration.state import State
 from cairndale.control.endpoint_codec import endpoint_from_message
 from cairndale.control.heartbeat_batch import HeartbeatBatch, HeartbeatBatcher
@@ -190,7 +191,7 @@
             node=self._own_node(),
             epoch=cursor.epoch,
             config_version=state.version,
-            generation=state.gen,
+            generation=generation_id(state.gen),
             endpoints_version=cursor.endpoints_version,
             nodes_version=cursor.nodes_version,
             wait_ms=round(LONG_POLL_S * 1000),
--- a/cairndale/control/watch_responses.py
+++ b/cairndale/control/watch_responses.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 
+from cairndale.configuration.generation_id import generation_id
 from cairndale.configuration.state import State
 from cairndale.control.endpoint_codec import encode_endpoint
 from cairndale.control.epoch import Epoch
@@ -153,7 +154,7 @@
             request,
             epoch=self._epoch.name(now),
             config_version=state.version,
-            generation=state.gen,
+            generation=generation_id(state.gen),
         )
         response.endpoints_settled = self._epoch.has_settled(now)
         if request.config_version != state.version:
@@ -211,13 +212,15 @@
         """
         response.evacuated_zones.extend(state.evacuated)
         response.has_evacuated_zones = True
-        if request.generation == state.gen or request.node.kind != "edge":
+        if request.generation == response.generation or request.node.kind != "edge":
             return
         if request.accepts_delta and (delta := state.history.delta_since(request.generation)):
+            if response.generation != state.gen:
+                response.wide_generation = str(state.gen)
             response.delta.CopyFrom(
                 pb.ConfigDelta(
                     base_generation=delta.base_gen,
-                    generation=delta.gen,
+                    generation=generation_id(delta.gen),
                     base_digest=delta.base_digest,
                     digest=delta.digest,
                     change=delta.encoded_changes,
--- a/cairndale/dataplane/config_client.py
+++ b/cairndale/dataplane/config_client.py
@@ -217,7 +217,7 @@
         return self.route_table.apply_delta(
             ConfigDelta(
                 base_gen=delta.base_generation,
-                gen=delta.generation,
+                gen=int(response.wide_generation or delta.generation),
                 base_digest=delta.base_digest,
                 digest=delta.digest,
                 encoded_changes=delta.change,
--- a/tests/configuration/test_delta.py
+++ b/tests/configuration/test_delta.py
@@ -237,6 +237,43 @@
         assert client.watch_request(NODE, now, 0).accepts_delta and client.lease_end > now
 
 
+WIDE_GENERATIONS = [
+    (1 << 63) - 1,
+    1 << 63,
+    (1 << 64) - 1,
+    1 << 64,
+    20261204110000123456,
+    20261204110000123457,
+    20261204110000123456 + (1 << 64),
+    10**4299,
+]
+
+
+# Guards against generations that do not fit into the 64 bits of a message: no ingress could be sent
+# such a configuration, and service ended for good (review/3).
+@pytest.mark.parametrize("accepts_deltas", [True, False])
+def test_generations_of_any_size_reach_an_ingress(accepts_deltas: bool) -> None:
+    rng, client, state = random.Random(4), ConfigClient(0.0, []), State()
+    assert state.apply(initial_command(rng))
+    client.apply(respond(state, client, 100.0, 1), NODE, 100.0, 100.0, 0)
+    for number, gen in enumerate(WIDE_GENERATIONS):
+        update = {"gen": gen, "parent": state.gen, "upsert": {"tenants": [random_tenant(1, rng)]}}
+        command = Command(Verb.UPDATE, f"{number}", update)
+        assert state.apply(Command.decode(command.encode()))
+        if accepts_deltas:
+            fully_digested(state)
+        watch_response = respond(state, client, 101.0 + number, number)
+        assert watch_response.HasField("delta") == accepts_deltas
+        received = pb.WatchResponse.FromString(watch_response.SerializeToString())
+        changed = client.apply(received, NODE, 101.0 + number, 101.0 + number, 0)
+        assert changed and changed.route_table_changed
+        assert client.route_table.gen == gen
+        assert table_view(client.route_table) == table_view(RouteTable(state.content))
+        renewed = client.watch_request(NODE, 101.0 + number, 0)
+        assert renewed.generation == watch_response.generation
+    assert State.decode(state.encode()) == state
+
+
 def test_each_leader_sends_a_change_as_delta_whatever_the_order_of_items() -> None:
     rng, client = random.Random(2), ConfigClient(0.0, [])
     leadership = Leadership(
--- a/tests/control/test_operations.py
+++ b/tests/control/test_operations.py
@@ -1063,3 +1063,33 @@
     violations = list[str]()
     run_in_virtual_time(end_told_at_the_kill(violations))
     assert not violations
+
+
+# Generations of any size.
+
+
+async def change_to_a_wide_generation(violations: list[str]) -> None:
+    """A configuration is numbered by date and time with microseconds, and changed after that."""
+    cluster = ControlCluster(Path("wide"))
+    await cluster.start_all()
+    parent = 0
+    for gen in (1, 20261204110000123456, 20261204110000123457, 10**30):
+        begun = now()
+        status, _ = await cluster.call(
+            cluster.hosts[0], "POST", "Config.Replace", configuration(gen, parent)
+        )
+        parent = gen
+        if status != 200 or now() - begun > 1.0:
+            violations.append(f"gen {gen}: {status} after {now() - begun:.1f} s")
+        if gen > 1:
+            await restart_all(cluster)
+    content = (await cluster.call(cluster.hosts[0], "GET", "Config.Read"))[1]
+    if content["gen"] != parent:
+        violations.append(f"gen {content['gen']} is read back")
+
+
+# Guards against a large version number that ends all service for good (review/3).
+def test_a_change_to_a_wide_generation_is_acknowledged_at_once() -> None:
+    violations = list[str]()
+    run_in_virtual_time(change_to_a_wide_generation(violations))
+    assert not violations
