Go on after a message that cannot be made and a task that fails

Cause: WatchServer.run answers all watch requests, and ended with the first unexpected exception, while its process went on leading. Nothing watched or restarted it.

Change: an update that cannot be made is logged (event 900) and its request stays pending; at its deadline the lease is renewed, so the node serves on by what it has, and the leader does not acknowledge what the node lacks. A call whose handler fails is answered (HTTP 500, fault REJECTED) and does not hang.

tests/test_pages.py: the table of allowed imports names the new module, and http_api may log events.

--- a/cairndale/control/node.py
+++ b/cairndale/control/node.py
@@ -43,6 +43,7 @@
 from cairndale.rpc.leader_client import LeaderClient
 from cairndale.rpc.peer import RpcPeer
 from cairndale.settings import Settings, SettingsError, format_address
+from cairndale.supervision import run_restarting
 
 TICK_INTERVAL_S = 0.05  # of the Raft state machine
 LEAVE_TIMEOUT_S = 1.0  # for other members to take over leadership and vote before the process ends
@@ -158,14 +159,14 @@
                 await server.listen(self.settings.listen[name])
         loop = asyncio.get_running_loop()
         self._tasks = [
-            loop.create_task(work())
-            for work in (
-                self._tick_forever,
-                self._make_snapshots_forever,
-                self.follower.watch_forever,
-                self.follower.report_forever,
-                self.watch_server.run,
-                self.watch_server.enrolment.remove_forever,
+            loop.create_task(run_restarting(name, work))
+            for name, work in (
+                ("tick", self._tick_forever),
+                ("snapshots", self._make_snapshots_forever),
+                ("follower watch", self.follower.watch_forever),
+                ("heartbeat reports", self.follower.report_forever),
+                ("watch server", self.watch_server.run),
+                ("removal of lease holders", self.watch_server.enrolment.remove_forever),
             )
         ]
 
@@ -206,13 +207,9 @@
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
-            try:
-                self.driver.tick()
-                self.leadership_tracker.tick()
-                self.system_name.propose()
-            except Exception as error:
-                log_event(Event.FAILED, "tick failed: %r", error)
-                raise
+            self.driver.tick()
+            self.leadership_tracker.tick()
+            self.system_name.propose()
 
     async def _make_snapshots_forever(self) -> None:
         while True:
--- a/cairndale/control/raft_driver.py
+++ b/cairndale/control/raft_driver.py
@@ -64,11 +64,13 @@
     def persist(self, writes: Iterable[Write]) -> None:
         """Returns once all writes are synced to disk.
 
-        If a write fails the process exits at once, as if it had been killed: a member that cannot
-        persist its votes and entries must not acknowledge any more.
+        If a write fails, for whatever reason, the process exits at once, as if it had been killed:
+        a member that cannot persist its votes and entries must not acknowledge any more.
         """
         try:
             self._storage.write(writes)
-        except StorageError as error:
-            log_event(Event.DISK_FAILED, "%s", error)
+        except Exception as error:
+            log_event(
+                Event.DISK_FAILED, "%s", error if isinstance(error, StorageError) else repr(error)
+            )
             os._exit(1)
--- a/cairndale/control/snapshot_worker.py
+++ b/cairndale/control/snapshot_worker.py
@@ -77,8 +77,9 @@
             next(job)
         except StopIteration:
             return False
-        except StorageError as error:  # jobs write nothing that must be durable by then
-            log_event(Event.SNAPSHOT_FAILED, "%s", error)
+        except Exception as error:  # jobs write nothing that must be durable by then
+            text = str(error) if isinstance(error, StorageError) else repr(error)
+            log_event(Event.SNAPSHOT_FAILED, "%s", text)
             self._retry_at = self._now() + RETRY_DELAY_S
             self._jobs.append(self._sweep_steps(failed=True))
             return False
--- a/cairndale/control/watch_server.py
+++ b/cairndale/control/watch_server.py
@@ -5,7 +5,8 @@
 limited so that Raft heartbeats are not delayed on the leader's link, and the number of responses
 built in a row so that other tasks get processor time. Nodes that know nothing of this term are
 answered first, the others in the order of their waiting time. A request that cannot be answered in
-time only gets its node's lease renewed, and the node asks again: no response is built in vain.
+time only gets its node's lease renewed, and the node asks again: no response is built in vain. So
+is a request whose update cannot be made.
 """
 
 from __future__ import annotations
@@ -20,7 +21,8 @@
 from cairndale.configuration.state import State
 from cairndale.control.leadership import Leadership
 from cairndale.control.lease_enrolment import LeaseEnrolment
-from cairndale.errors import CallError, QueueFullError, StaleCallError
+from cairndale.errors import CallError, QueueFullError, RejectedError, StaleCallError
+from cairndale.events import Event, log_event
 from cairndale.rpc import protocol_pb2 as pb
 
 MAX_PENDING_S = 5.0
@@ -32,6 +34,7 @@
 SEND_BURST_BYTES = 400_000
 MAX_RESPONSES_IN_A_ROW = 16  # before yielding to other tasks
 MIN_WAIT_S = 0.001
+FAILURE_LOG_INTERVAL_S = 1.0
 MAX_REFILL_S = 1.0  # the longest elapsed time that one refill accounts for
 
 
@@ -118,6 +121,7 @@
         self._last_round_at = float("-inf")
         self._sent_state: _UrgentState | None = None  # as of the last round
         self._budget = _SendBudget()
+        self._failure_logged_at = float("-inf")
 
     def wake(self) -> None:
         """Notes a change, which is sent to the nodes in the next round."""
@@ -270,7 +274,16 @@
         return bool(self._ready) and self._budget.bytes > 0
 
     def _send_update(self, pending: _PendingWatch, leadership: Leadership, now: float) -> None:
-        response = leadership.watch_responses.update(now, pending.request, self._leader.state)
+        """Answers a request with an update.
+
+        If the update cannot be made, the request stays pending: at its deadline the node's lease is
+        renewed, so that it serves on with what it has.
+        """
+        try:
+            response = leadership.watch_responses.update(now, pending.request, self._leader.state)
+        except Exception as error:
+            self._log_failure("update", pending, error, now)
+            return
         self._budget.bytes -= response.ByteSize()
         self._waiting_since.pop(pending.request.node.name, None)
         pending.response.set_result(response)
@@ -286,4 +299,19 @@
                 continue
             if pending not in ready:  # else the node keeps its place in the order of waiting time
                 self._waiting_since.pop(pending.request.node.name, None)
-            pending.response.set_result(leadership.watch_responses.renewal(now, pending.request))
+            try:
+                renewal = leadership.watch_responses.renewal(now, pending.request)
+            except Exception as error:
+                self._log_failure("renewal", pending, error, now)
+                pending.response.set_exception(RejectedError("the renewal could not be made"))
+                continue
+            pending.response.set_result(renewal)
+
+    def _log_failure(
+        self, response: str, pending: _PendingWatch, error: Exception, now: float
+    ) -> None:
+        """Logs a response that could not be made, at most one in FAILURE_LOG_INTERVAL_S."""
+        if now - self._failure_logged_at >= FAILURE_LOG_INTERVAL_S:
+            self._failure_logged_at = now
+            node = pending.request.node.name
+            log_event(Event.FAILED, "%s for %s could not be made: %r", response, node, error)
--- a/cairndale/dataplane/config_client.py
+++ b/cairndale/dataplane/config_client.py
@@ -75,6 +75,7 @@
         # Number of ingresses that share quotas; 0: not known yet, so no share may be spent.
         self.ingress_count = 0
         self.cursor = WatchCursor()
+        self._min_config_version = 0  # the newest version of an applied response
         self._counter_active = False  # the leader's quota counter counts this node's units
         self._started_at = now
         self._isolated_at = now  # when contact last ended other than by a timeout
@@ -163,6 +164,18 @@
         """Note a request without response: the next one carries this node's full description."""
         self._identified_as = None
 
+    def response_failed(self, response: pb.WatchResponse, requested_at: float) -> None:
+        """Note a response that could not be applied, or only in part.
+
+        The lease is renewed: this node serves on with what it has, and does not acknowledge the
+        response's version. The next request asks for the full state.
+        """
+        self._identified_as = None
+        self._needs_full_state = True
+        version = min(self.cursor.config_version, response.config_version - 1)
+        self.cursor = WatchCursor(config_version=max(0, version))
+        self._renew_lease(response, requested_at)
+
     def apply(
         self,
         response: pb.WatchResponse,
@@ -180,7 +193,7 @@
         force. A delta that does not fit is rejected together with the rest of its response
         (`rejection_reason`), and the next request asks for the full state.
         """
-        if response.config_version < self.cursor.config_version:
+        if response.config_version < self._min_config_version:
             return None
         table_change = None
         if response.HasField("delta"):
@@ -289,6 +302,10 @@
         self.endpoints_complete = self.endpoints_complete or response.endpoints_settled
         self._identified_as = (response.epoch, requested_by)
         self.last_response_at, self._leader_clock = now, (response.leader_clock_ms, now)
+        self._min_config_version = response.config_version
+        self._renew_lease(response, requested_at)
+
+    def _renew_lease(self, response: pb.WatchResponse, requested_at: float) -> None:
         self.lease_end = requested_at + response.lease_ms / 1000 * (1 - MAX_CLOCK_DRIFT)
 
 
--- a/cairndale/dataplane/config_watch.py
+++ b/cairndale/dataplane/config_watch.py
@@ -44,7 +44,7 @@
         self._describe_node, self._now = describe_node, now
 
     async def run(self) -> None:
-        """Watch until cancelled. Raises only errors that applying a response has raised."""
+        """Watch until cancelled. Raises what making a request or applying a response raises."""
         while True:
             if not await self._poll():
                 await asyncio.sleep(random.uniform(*RETRY_PAUSE_S))
@@ -71,8 +71,8 @@
         if answer.WhichOneof("body") == "watch_response":
             try:
                 self._applier.apply(answer.watch_response, node, requested_at)
-            except Exception as error:
-                log_event(Event.FAILED, "watch: %r", error)
+            except Exception:
+                self._config.response_failed(answer.watch_response, requested_at)
                 raise
         return True
 
--- a/cairndale/dataplane/node.py
+++ b/cairndale/dataplane/node.py
@@ -25,6 +25,7 @@
 from cairndale.rpc.leader_client import LeaderClient
 from cairndale.rpc.peer import RpcPeer
 from cairndale.settings import Settings, format_address
+from cairndale.supervision import run_restarting
 
 
 class DataPlaneNode:
@@ -101,7 +102,9 @@
         if "dir" in listen:
             await self._lookup_server.listen(listen["dir"])
         await self.listener.listen(*listen["http"])
-        self._watching = asyncio.get_running_loop().create_task(self._watch.run())
+        self._watching = asyncio.get_running_loop().create_task(
+            run_restarting("configuration watch", self._watch.run)
+        )
 
     async def stop(self) -> None:
         """Drain within the configured grace period, then stop."""
--- a/cairndale/http_api/server.py
+++ b/cairndale/http_api/server.py
@@ -20,6 +20,7 @@
 
 import httptools
 
+from cairndale.events import Event, log_event
 from cairndale.ingress.net.http import HttpConnection, Message, encode_response
 from cairndale.rpc.framing import detect_dead_peer, received_ago
 from cairndale.settings import Address
@@ -211,6 +212,9 @@
                     response = await self._server.handle(method, target, message.body)
         except TimeoutError:
             response = error_response(503, "no answer in time")
+        except Exception as error:
+            log_event(Event.FAILED, "%s %s could not be answered: %r", method, target[:200], error)
+            response = error_response(500, "the call could not be answered")
         self._busy = False
         if not self.transport.is_closing():
             self._delivery = _Delivery(method, target, response)
--- a/cairndale/rpc/peer.py
+++ b/cairndale/rpc/peer.py
@@ -22,7 +22,7 @@
     UnreachableError,
     error_for_code,
 )
-from cairndale.events import Event
+from cairndale.events import Event, log_event
 from cairndale.rpc import protocol_pb2 as pb
 from cairndale.rpc.call_kinds import TermFence
 from cairndale.rpc.connection_pool import ConnectionPool
@@ -203,6 +203,10 @@
                 answer = await self._handle_call(envelope)
         except CallError as error:
             answer = pb.Envelope(fault_code=error.code)
+        except Exception as error:
+            kind = envelope.WhichOneof("body")
+            log_event(Event.FAILED, "%s could not be answered: %r", kind, error)
+            answer = pb.Envelope(fault_code=FaultCode.REJECTED)
         answer.call_id, answer.is_answer = call_id, True
         connection.write(answer)
 
--- a/tests/dataplane/test_node.py
+++ b/tests/dataplane/test_node.py
@@ -16,6 +16,7 @@
 from cairndale.quota.budget_counter import RETRY, WARMUP
 from cairndale.rpc import protocol_pb2 as pb
 from cairndale.settings import parse_settings
+from cairndale.supervision import run_restarting
 from tests.control.test_state_models import SETTINGS, content, route
 from tests.testing.ingress import HOST, PeerServer
 
@@ -233,3 +234,49 @@
     node.listener.stop_listening()
     node.ingress.backends.stop()
     server.stop()
+
+
+# Guards against a watch task that ends by an exception: its node stops serving for good (review/3).
+async def test_the_watch_goes_on_after_a_request_and_a_response_that_fail(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    node = DataPlaneNode(parse_settings(SETTINGS))
+    encoded = zlib.compress(json.dumps(content()).encode())
+    response = watch_response("1", {"i": "s1"}, has_content=True, content=encoded)
+    response.config_version = 7
+    requests: list[pb.WatchRequest] = []
+    applied = asyncio.Event()
+
+    async def call(request: pb.Envelope, *_: float) -> pb.Envelope:
+        requests.append(request.watch_request)
+        await asyncio.sleep(0.01)
+        if len(requests) > 2:
+            applied.set()
+        return pb.Envelope(watch_response=response)
+
+    monkeypatch.setattr(node.leader_client, "call", call)
+    fail_once(monkeypatch, node.config_client, "watch_request")
+    fail_once(monkeypatch, node.ingress.engine, "update_endpoints")
+    task = asyncio.create_task(run_restarting("configuration watch", node._watch.run))
+    async with asyncio.timeout(10.0):
+        await applied.wait()
+    task.cancel()
+    # The node serves on, but does not acknowledge what it applied in part, and asks for all of it.
+    assert node.config_client.may_serve(node.serving.now())
+    assert [request.config_version for request in requests[:3]] == [0, 6, 7]
+    assert not requests[1].accepts_delta and requests[1].generation == 0
+    assert node.config_client.route_table.gen and "i" in node.config_client.endpoints
+    node.ingress.backends.stop()
+
+
+def fail_once(monkeypatch: pytest.MonkeyPatch, owner: object, name: str) -> None:
+    """Lets the next call of this method raise."""
+    original, calls = getattr(owner, name), [0]
+
+    def method(*args: Any) -> Any:
+        calls[0] += 1
+        if calls[0] == 1:
+            raise ZeroDivisionError("on purpose")
+        return original(*args)
+
+    monkeypatch.setattr(owner, name, method)
--- a/tests/http_api/test_server.py
+++ b/tests/http_api/test_server.py
@@ -120,3 +120,21 @@
 def test_order_that_waited_in_the_socket_is_not_executed_but_redirected() -> None:
     response, orders = uvloop.run(order_after(MAX_ORDER_AGE_S + 0.1, blocks_process=True))
     assert response.startswith(b"HTTP/1.1 307 ") and orders.ages == []
+
+
+# Guards against a call that hangs until its connection is idle, as its handler has failed.
+def test_call_whose_handler_fails_is_answered() -> None:
+    async def main() -> int:
+        async def handle(method: str, target: str, body: bytes) -> Response:
+            raise ZeroDivisionError("on purpose")
+
+        server = HttpServer(handle)
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            address = probe.getsockname()
+        await server.listen(address)
+        status, _ = await http_call(f"{address[0]}:{address[1]}", "GET", "/-/Config.Read")
+        server.stop()
+        return status
+
+    assert uvloop.run(main()) == 500
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -94,7 +94,7 @@
     "registry": {"rpc", "settings"},
     "quota": {"ingress", "settings"},
     "lookup": {"configuration", "http_api", "rpc"},
-    "http_api": {"ingress", "rpc", "settings"},
+    "http_api": {"events", "ingress", "rpc", "settings"},
     "control": {
         "configuration",
         "errors",
@@ -106,6 +106,7 @@
         "registry",
         "rpc",
         "settings",
+        "supervision",
     },
     "dataplane": {
         "configuration",
@@ -117,6 +118,7 @@
         "quota",
         "rpc",
         "settings",
+        "supervision",
     },
     "cli": {"configuration", "control", "raft", "settings"},
 }
