Give the time of a term 64 bits where 32 are used up

Cause: leader_clock_ms is a uint32 and counts from the beginning of the term; above 2^32 ms making the request or the response raises ValueError.

Also bounded to their 32 bits: the idle time of a node that never had a response, and the age of a collected heartbeat.

--- a/cairndale/control/follower.py
+++ b/cairndale/control/follower.py
@@ -26,6 +26,7 @@
 from cairndale.registry.nodes import NodeRegistry
 from cairndale.rpc import protocol_pb2 as pb
 from cairndale.rpc.leader_client import LeaderClient
+from cairndale.rpc.leader_time import leader_time
 from cairndale.rpc.peer import RpcPeer
 from cairndale.settings import Settings, format_address
 
@@ -180,7 +181,7 @@
             if process.leadership is None and answer.WhichOneof("body") == "watch_response":
                 self._apply(answer.watch_response)
                 self.leader_clock.record(
-                    answer.term, answer.watch_response.leader_clock_ms, process.now()
+                    answer.term, leader_time(answer.watch_response), process.now()
                 )
                 if answer.watch_response.config_version != process.state.version:
                     await asyncio.sleep(LAG_PAUSE_S)
--- a/cairndale/control/leadership.py
+++ b/cairndale/control/leadership.py
@@ -21,6 +21,7 @@
 from cairndale.registry.endpoints import EndpointRegistry
 from cairndale.registry.nodes import NEVER, NodeRegistry
 from cairndale.rpc import protocol_pb2 as pb
+from cairndale.rpc.leader_time import MAX_NARROW_MS, leader_time
 from cairndale.settings import Bounds, parse_duration
 
 # The usual delay until collected heartbeats are reported: it does not count towards expiry.
@@ -156,8 +157,10 @@
         is_first_of_term = known is None or known.requested_at == NEVER
         is_of_term = self._epoch.is_of_term(request.epoch)
         requested_at = None
-        if is_of_term and request.leader_clock_ms:
-            requested_at = min(now, self.began + request.leader_clock_ms / 1000)
+        if is_of_term and (elapsed_ms := leader_time(request)):
+            requested_at = min(now, self.began + elapsed_ms / 1000)
+        elif is_of_term and (now - self.began) * 1000 > MAX_NARROW_MS:
+            requested_at = now  # a node of an earlier version, which can no longer tell the time
         if self.node_registry.is_outdated(now, node, requested_at):
             raise StaleCallError(f"watch request of {node.name!r} is outdated")
         has_changed = self.node_registry.record_request(
--- a/cairndale/control/watch_responses.py
+++ b/cairndale/control/watch_responses.py
@@ -18,6 +18,7 @@
 from cairndale.registry.nodes import NodeRegistry
 from cairndale.rpc import protocol_pb2 as pb
 from cairndale.rpc.compression import compress_lists
+from cairndale.rpc.leader_time import set_leader_time
 from cairndale.rpc.lease_timing import NODE_LEASE_S
 
 # How long compressed lists are reused: for that much longer an endpoint may seem to be warming up.
@@ -192,15 +193,16 @@
         self._node_registry.renew_lease(now, request.node.name)
         if lease := self._node_registry.leases.get(request.node.name):
             lease.idle_until = min(lease.idle_until, now)  # from now on it may spend its share
-        return pb.WatchResponse(
+        response = pb.WatchResponse(
             epoch=epoch,
             lease_ms=round(NODE_LEASE_S * 1000),
             config_version=config_version,
             generation=generation,
             ingress_count=self._ingress_counter.count(now),
             counter_active=self._grants.is_counting,
-            leader_clock_ms=self._epoch.elapsed_ms(now),
         )
+        set_leader_time(response, self._epoch.elapsed_ms(now))
+        return response
 
     def _add_configuration(
         self, response: pb.WatchResponse, request: pb.WatchRequest, state: State
--- a/cairndale/dataplane/config_client.py
+++ b/cairndale/dataplane/config_client.py
@@ -14,6 +14,7 @@
 from cairndale.configuration.delta import ConfigDelta, DeltaError
 from cairndale.configuration.route_table import RouteTable, TableChange
 from cairndale.rpc import protocol_pb2 as pb
+from cairndale.rpc.leader_time import leader_time, set_leader_time
 from cairndale.rpc.lease_timing import (
     MAX_CLOCK_DRIFT,
     NODE_CONTACT_MARGIN_S,
@@ -21,6 +22,8 @@
     long_poll_timeout,
 )
 
+MAX_UINT32 = (1 << 32) - 1
+
 
 @dataclass(frozen=True, slots=True)
 class WatchCursor:
@@ -150,10 +153,10 @@
             nodes_version=cursor.nodes_version,
             wait_ms=round(wait * 1000),
             counter_active=self._counter_active and now - self.last_response_at <= PROMPT_REQUEST_S,
-            leader_clock_ms=self._leader_clock_ms(now),
-            idle_ms=0 if self.ingress_count else round((now - self._started_at) * 1000),
+            idle_ms=0 if self.ingress_count else self._idle_ms(now),
             accepts_delta=not self._needs_full_state,
         )
+        set_leader_time(request, self._leader_clock_ms(now))
         if (cursor.epoch, node) == self._identified_as:
             request.name, request.incarnation = node.name, node.incarnation
         else:
@@ -211,14 +214,16 @@
         self._advance(response, requested_by, requested_at, now)
         return _update(response, table_change, zones_changed)
 
+    def _idle_ms(self, now: float) -> int:
+        """Return a lower bound of the time since the start, in which no quota was spent."""
+        return min(MAX_UINT32, round((now - self._started_at) * 1000))
+
     def _leader_clock_ms(self, now: float) -> int:
-        """Return an estimate of the leader's clock that is never ahead of it."""
+        """Return an estimate of the leader's clock that is never ahead of it; 0: there is none."""
         last_clock_ms, received_at = self._leader_clock
-        return (
-            int(last_clock_ms + (now - received_at) * 1000 * (1 - MAX_CLOCK_DRIFT))
-            if last_clock_ms
-            else 0
-        )
+        if not last_clock_ms:
+            return 0
+        return int(last_clock_ms + (now - received_at) * 1000 * (1 - MAX_CLOCK_DRIFT))
 
     def _apply_delta(self, response: pb.WatchResponse) -> TableChange:
         """Apply the delta. Raises DeltaError, with nothing changed, if it does not fit."""
@@ -301,7 +306,7 @@
         )
         self.endpoints_complete = self.endpoints_complete or response.endpoints_settled
         self._identified_as = (response.epoch, requested_by)
-        self.last_response_at, self._leader_clock = now, (response.leader_clock_ms, now)
+        self.last_response_at, self._leader_clock = now, (leader_time(response), now)
         self._min_config_version = response.config_version
         self._renew_lease(response, requested_at)
 
--- a/cairndale/registry/heartbeats.py
+++ b/cairndale/registry/heartbeats.py
@@ -14,6 +14,8 @@
 from cairndale.rpc import protocol_pb2 as pb
 from cairndale.settings import Settings
 
+MAX_AGE_MS = (1 << 32) - 1  # that a report has room for
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class _CollectedHeartbeat:
@@ -84,7 +86,7 @@
         return pb.HeartbeatReport(
             ids=list(self._unacknowledged),
             seqs=[h.seq for h in collected],
-            ages_ms=[round((now - h.received_at) * 1000) for h in collected],
+            ages_ms=[min(MAX_AGE_MS, round((now - h.received_at) * 1000)) for h in collected],
         )
 
     def acknowledge(self, report: pb.HeartbeatReport) -> None:
--- a/tests/configuration/test_delta.py
+++ b/tests/configuration/test_delta.py
@@ -25,6 +25,7 @@
 from cairndale.control.leadership import Leadership
 from cairndale.dataplane.config_client import ConfigClient
 from cairndale.dataplane.node import DataPlaneNode
+from cairndale.errors import StaleCallError
 from cairndale.ingress.net.http import Message
 from cairndale.ingress.policy.account import TenantAccount
 from cairndale.registry.endpoints import EndpointRegistry
@@ -237,6 +238,62 @@
         assert client.watch_request(NODE, now, 0).accepts_delta and client.lease_end > now
 
 
+DAY_S = 24 * 3600.0
+
+
+def as_of_69dc9dd(message: Any) -> Any:
+    """The message without fields that 69dc9dd does not know."""
+    for name in ("leader_time_ms", "wide_generation"):
+        if name in message.DESCRIPTOR.fields_by_name:
+            message.ClearField(name)
+    return message
+
+
+def renew_for_a_while(
+    leadership: Leadership, state: State, now: float, silence_s: float, is_old: bool
+) -> tuple[ConfigClient, float]:
+    """A new node that renews its lease, also after a silence; returns it, and the time after."""
+    convert: Any = as_of_69dc9dd if is_old else lambda message: message
+    client = ConfigClient(now, [])
+    node = pb.Node()
+    node.CopyFrom(NODE)
+    node.incarnation = f"{now}"
+    for step in range(4):
+        now += silence_s if step == 2 else 0.25
+        leadership.tick(now)
+        request = convert(client.watch_request(node, now, 0.25))
+        request.node.CopyFrom(node)
+        leadership.record_watch_request(now + 0.02, request)
+        response = leadership.watch_responses.update(now + 0.02, request, state)
+        received = pb.WatchResponse.FromString(convert(response).SerializeToString())
+        assert client.apply(received, node, now, now + 0.04, 0)
+        assert client.may_serve(now + 4.0)
+    late = client.watch_request(node, now - 5.0, 0.25)
+    late.node.CopyFrom(node)
+    if not is_old:
+        with pytest.raises(StaleCallError):
+            leadership.record_watch_request(now + 0.1, late)
+    return client, now
+
+
+def new_leadership(state: State) -> Leadership:
+    assert state.apply(initial_command(random.Random(5)))
+    bounds = parse_settings(SETTINGS).bounds
+    leadership = Leadership(7, 0.0, False, EndpointRegistry(), NodeRegistry(), [], bounds, 1.5)
+    leadership.apply_state(state)
+    return leadership
+
+
+# Guards against a clock that overflows its field: after 49.7 days of one term the leader and its
+# nodes made no further message of the watch.
+@pytest.mark.parametrize("is_old", [False, True])
+def test_a_leader_of_many_days_still_renews_leases(is_old: bool) -> None:
+    state = State()
+    leadership = new_leadership(state)
+    for days in (1.0, 46.0, 46.7, 46.72, 49.0, 49.7, 49.72, 99.0, 4000.0):
+        renew_for_a_while(leadership, state, days * DAY_S, 0.25, is_old)
+
+
 WIDE_GENERATIONS = [
     (1 << 63) - 1,
     1 << 63,
