Let a node return after minutes of silence in one term

What callers would have seen: a data-plane node that has no response for more than 225 s while the leader stays the same gets no lease any more, and serves nothing until another node leads or it is started again.

Cause: the node's estimate of the leader's clock is shortened by the drift of 2% from the last response on. After 225 s it is 4.5 s behind, so the leader takes each request for one that was delayed for longer than a lease, rejects it, and the estimate is never renewed.

Change: a reading of the clock is used for 60 s. After that the request gives no time, as that of a node which does not know the term; the leader has forgotten the node's lease by then and accepts it. Requests sent before are still rejected by their time.

--- a/cairndale/dataplane/config_client.py
+++ b/cairndale/dataplane/config_client.py
@@ -23,6 +23,9 @@
 )
 
 MAX_UINT32 = (1 << 32) - 1
+# From the last response on. The leader has forgotten the node's lease by then, and the drift is far
+# below what makes a request outdated (`NodeRegistry.is_outdated`).
+MAX_CLOCK_READING_AGE_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,9 +222,13 @@
         return min(MAX_UINT32, round((now - self._started_at) * 1000))
 
     def _leader_clock_ms(self, now: float) -> int:
-        """Return an estimate of the leader's clock that is never ahead of it; 0: there is none."""
+        """Return an estimate of the leader's clock that is never ahead of it; 0: there is none.
+
+        After a long time without a response the estimate is so far behind, by the drift that it
+        allows for, that the leader would take each request for outdated.
+        """
         last_clock_ms, received_at = self._leader_clock
-        if not last_clock_ms:
+        if not last_clock_ms or now - received_at > MAX_CLOCK_READING_AGE_S:
             return 0
         return int(last_clock_ms + (now - received_at) * 1000 * (1 - MAX_CLOCK_DRIFT))
 
--- a/tests/configuration/test_delta.py
+++ b/tests/configuration/test_delta.py
@@ -294,6 +294,14 @@
         renew_for_a_while(leadership, state, days * DAY_S, 0.25, is_old)
 
 
+# Guards against a node that never returns after minutes without a response in one term, as its
+# estimate of the leader's clock is behind by the drift that it allows for.
+@pytest.mark.parametrize("silence_s", [10.0, 59.0, 61.0, 300.0, 7200.0])
+def test_a_node_returns_after_a_long_silence(silence_s: float) -> None:
+    state = State()
+    renew_for_a_while(new_leadership(state), state, 1000.0, silence_s, False)
+
+
 WIDE_GENERATIONS = [
     (1 << 63) - 1,
     1 << 63,
