Take numbers of any size that operators, servers and clients may send

Change: quantities and counts are read with a bound that no machine reaches (configuration/numbers.py), weights keep their ratios, durations end at ten years, warm-ups at the 32 bits of their field. A sequence number above 64 bits has a field of its own; reads 2^64-1 there. Reports of followers carry 64 bits, so such heartbeats go to the leader one by one.

--- a/cairndale/configuration/routes.py
+++ b/cairndale/configuration/routes.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from cairndale.configuration.content_digest import item_digest
+from cairndale.configuration.numbers import bounded_count, bounded_quantity, finite_weights
 from cairndale.ingress.policy.interface import Repeat, RequestClass
 from cairndale.settings import parse_duration
 
@@ -122,8 +123,8 @@
     return Service(
         name=name,
         warmup_s=parse_duration(raw.get("warmup", "0s")),
-        warmup_requests_per_s=float(raw.get("warmupPerS", 0)),
-        max_connections=int(raw.get("maxConns", 0)),
+        warmup_requests_per_s=bounded_quantity(raw.get("warmupPerS", 0)),
+        max_connections=bounded_count(raw.get("maxConns", 0)),
         digest=digest,
     )
 
@@ -132,8 +133,8 @@
     return Tenant(
         name=name,
         priority=int(raw.get("prio", 0)),
-        rate_per_s=float(raw.get("ratePerS") or 0),
-        burst=float(raw.get("burst") or 0),
+        rate_per_s=bounded_quantity(raw.get("ratePerS") or 0),
+        burst=bounded_quantity(raw.get("burst") or 0),
         home_regions=frozenset(raw.get("homeRegions") or ()),
         api_keys=tuple(key.encode() for key in raw["apiKeys"]),
         digest=digest,
@@ -148,7 +149,7 @@
         name=name,
         request_class=_read_request_class(raw, request_classes),
         services=tuple(part["backend"] for part in split),
-        weights=tuple(float(part["weight"]) for part in split),
+        weights=finite_weights([part["weight"] for part in split]),
         public=bool(raw.get("public")),
         home_regions=frozenset(raw.get("homeRegions") or ()),
         priority=int(raw.get("prio", 0)),
@@ -164,7 +165,7 @@
     """The request class of a route; routes of the same kind, times and attempts share one."""
     deadline = raw.get("deadline", DEFAULT_DEADLINE)
     target_time = raw.get("target_time", DEFAULT_TARGET_TIME)
-    attempts = int(raw.get("tries", 1))
+    attempts = bounded_count(raw.get("tries", 1))
     name = f"{raw['kind']} {deadline} {target_time} {attempts}"
     if existing := request_classes.get(name):
         return existing
--- a/cairndale/configuration/validation.py
+++ b/cairndale/configuration/validation.py
@@ -185,7 +185,7 @@
     for part in [route] if "backend" in route else split or []:
         if part["backend"] not in services:
             errors.append(f"{path}: the service {part['backend']!r} is unknown")
-    if split and not sum(part["weight"] for part in split) > 0:
+    if split and not any(part["weight"] > 0 for part in split):
         errors.append(f"{path}.split: no weight is greater than 0")
     return errors
 
--- a/cairndale/control/endpoint_codec.py
+++ b/cairndale/control/endpoint_codec.py
@@ -8,6 +8,9 @@
 from cairndale.registry.endpoints import EncodedEndpoint, Endpoint
 from cairndale.rpc import protocol_pb2 as pb
 
+MAX_UINT32 = (1 << 32) - 1
+MAX_UINT64 = (1 << 64) - 1
+
 
 def endpoint_to_message(endpoint: Endpoint, now: float) -> pb.Endpoint:
     """The message for an endpoint, as of `now`."""
@@ -19,11 +22,17 @@
         generation=endpoint.gen,
         capacity=endpoint.capacity,
         state=endpoint.state,
-        warmup_left_ms=max(0, round((endpoint.warmup_until - now) * 1000)),
-        seq=endpoint.seq,
+        warmup_left_ms=min(MAX_UINT32, max(0, round((endpoint.warmup_until - now) * 1000))),
+        seq=min(MAX_UINT64, endpoint.seq),
+        wide_seq=_wide_seq(endpoint.seq),
     )
 
 
+def _wide_seq(seq: int) -> bytes:
+    """A sequence number above 64 bits, in as many bytes as it needs; empty for any other."""
+    return seq.to_bytes((seq.bit_length() + 7) // 8) if seq > MAX_UINT64 else b""
+
+
 def encode_endpoint(endpoint: Endpoint, now: float) -> bytes:
     """The endpoint as a serialised field of a `WatchResponse`.
 
@@ -50,7 +59,7 @@
         capacity=message.capacity,
         state=message.state,
         warmup_until=now + message.warmup_left_ms / 1000,
-        seq=message.seq,
+        seq=int.from_bytes(message.wide_seq) if message.wide_seq else message.seq,
         last_heartbeat_at=now,
         has_ended=message.state == "gone",
     )
--- a/cairndale/control/grants.py
+++ b/cairndale/control/grants.py
@@ -8,6 +8,7 @@
 
 from typing import Any
 
+from cairndale.configuration.numbers import bounded_quantity
 from cairndale.control.idempotency import IdempotencyCache
 from cairndale.control.ingress_counter import RECOUNT_INTERVAL_S, IngressCounter
 from cairndale.errors import RejectedError, StaleCallError
@@ -57,7 +58,10 @@
         """Adopts the quotas of the configuration's tenants."""
         self._quota_counter.set_quotas(
             {
-                tenant["name"]: (float(tenant["ratePerS"]), float(tenant.get("burst") or 0))
+                tenant["name"]: (
+                    bounded_quantity(tenant["ratePerS"]),
+                    bounded_quantity(tenant.get("burst") or 0),
+                )
                 for tenant in tenants
                 if tenant.get("ratePerS")
             }
@@ -65,7 +69,10 @@
 
     def set_services(self, backends: Any) -> None:
         """Adopts the warm-up rates of the configuration's services."""
-        rates = {backend["name"]: float(backend.get("warmupPerS") or 0) for backend in backends}
+        rates = {
+            backend["name"]: bounded_quantity(backend.get("warmupPerS") or 0)
+            for backend in backends
+        }
         self._requests_per_s_in_warmup = rates
 
     def record_share_granted(self) -> None:
--- a/cairndale/dataplane/request_router.py
+++ b/cairndale/dataplane/request_router.py
@@ -21,7 +21,7 @@
 from cairndale.ingress.policy import interface as it
 
 REQUEST_ID = re.compile(rb"[!-~]{1,200}")
-DEADLINE_MS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,6})?")
+DEADLINE_MS = re.compile(rb"[0-9]+(?:\.[0-9]+)?")
 # Retry-After in us: while this ingress may not serve, and while it drains, so that the client tries
 # another ingress at once.
 NOT_SERVING_RETRY_US = 300_000
@@ -56,7 +56,7 @@
     client_ms = DEADLINE_MS.fullmatch(headers[b"x-deadline-ms"])
     if client_ms is None:
         raise BadRequest(400, "X-Deadline-Ms is no number")
-    return min(longest_us, round(float(client_ms[0]) * 1000))
+    return round(min(longest_us, float(client_ms[0]) * 1000))
 
 
 class RequestRouter:
--- a/cairndale/registry/endpoints.py
+++ b/cairndale/registry/endpoints.py
@@ -17,8 +17,7 @@
 
 REPORTED_STATES = ("ready", "draining")  # by a server itself; the third state, "gone", is set here
 MISSED_HEARTBEATS = 3  # consecutive ones, after which an endpoint is marked as gone
-MAX_CAPACITY = 1_000_000  # request slots that a server may report
-MAX_SEQUENCE = 1 << 62
+MAX_CAPACITY = 1_000_000  # request slots; a server that reports more counts as having so many
 MAX_WARMUP_S = 3600.0
 # Two reports of the same warm-up differ by the transmission times of the heartbeats.
 WARMUP_TOLERANCE_S = 0.3
@@ -94,10 +93,10 @@
         addr=addr,
         zone=_text(details, "details.", "zone", errors),
         gen=str(details.get("gen", "")) if isinstance(details, dict) else "",
-        capacity=_number(details, "details.", "capacity", 1, MAX_CAPACITY, errors),
+        capacity=min(MAX_CAPACITY, _number(details, "details.", "capacity", 1, errors)),
         state=state,
         warmup_until=warmup_until,
-        seq=_number(status, "status.", "seq", 0, MAX_SEQUENCE, errors),
+        seq=_number(status, "status.", "seq", 0, errors),
         last_heartbeat_at=now,
     )
     if errors:
@@ -113,13 +112,11 @@
     return ""
 
 
-def _number(
-    parent: Any, path: str, name: str, minimum: int, maximum: int, errors: list[str]
-) -> int:
+def _number(parent: Any, path: str, name: str, minimum: int, errors: list[str]) -> int:
     value = parent.get(name) if isinstance(parent, dict) else None
-    if isinstance(value, int) and not isinstance(value, bool) and minimum <= value <= maximum:
+    if isinstance(value, int) and not isinstance(value, bool) and minimum <= value:
         return value
-    errors.append(f"{path}{name}: {value!r} is not an integer from {minimum} to {maximum}")
+    errors.append(f"{path}{name}: {value!r} is not an integer of at least {minimum}")
     return 0
 
 
--- a/cairndale/registry/heartbeats.py
+++ b/cairndale/registry/heartbeats.py
@@ -14,7 +14,9 @@
 from cairndale.rpc import protocol_pb2 as pb
 from cairndale.settings import Settings
 
-MAX_AGE_MS = (1 << 32) - 1  # that a report has room for
+# What a report has room for.
+MAX_AGE_MS = (1 << 32) - 1
+MAX_REPORTED_SEQ = (1 << 64) - 1
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -73,6 +75,8 @@
         heartbeat = self.parse(id, body, now)
         if heartbeat is None or not known.is_refreshed_by(heartbeat):
             return False
+        if heartbeat.seq > MAX_REPORTED_SEQ:
+            return False
         collected = _CollectedHeartbeat(heartbeat.seq, now)
         before = self._unacknowledged.get(id, _CollectedHeartbeat(0, now))
         self._unacknowledged[id] = max(collected, before)
--- a/cairndale/settings.py
+++ b/cairndale/settings.py
@@ -16,7 +16,8 @@
 
 from cairndale.raft.voters import Tolerance
 
-DURATION = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,9})?)(ms|s)")
+MAX_DURATION_S = 10 * 365 * 24 * 3600.0
+DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 ADDRESS = re.compile(r"([0-9]{1,3}(?:\.[0-9]{1,3}){3}):([0-9]{1,5})")
 
 Address = tuple[str, int]  # IPv4 address and port
@@ -35,11 +36,14 @@
 
 
 def parse_duration(text: object) -> float:
-    """Return the seconds of a duration such as `1500ms` or `2.5s`. Raises ValueError."""
+    """Return the seconds of a duration such as `1500ms` or `2.5s`. Raises ValueError.
+
+    A duration above `MAX_DURATION_S` means the same as this: timers and clocks have room for it.
+    """
     match = DURATION.fullmatch(text) if isinstance(text, str) else None
     if match is None:
         raise ValueError(f"{text!r} is no time such as 1500ms or 2.5s")
-    return float(match[1]) / (1000 if match[2] == "ms" else 1)
+    return min(MAX_DURATION_S, float(match[1]) / (1000 if match[2] == "ms" else 1))
 
 
 def parse_address(text: object) -> Address:
