Answer a request for units that fails for any cause

What callers would have seen: after an unexpected exception in a call for quota or budget units the request that waits for them waits until its deadline, and the tenant's account for an answer that never comes.

An unknown fault code is a CallTimeoutError, as the call may have run.

--- a/cairndale/dataplane/quota_client.py
+++ b/cairndale/dataplane/quota_client.py
@@ -16,6 +16,7 @@
 from cairndale.dataplane.leader_contact import LeaderContact
 from cairndale.dataplane.numbering import Numbering
 from cairndale.errors import CallError, CallTimeoutError, UnreachableError
+from cairndale.events import Event, log_event
 from cairndale.ingress.net.engine import CounterCallback, Engine
 from cairndale.ingress.policy import interface as it
 from cairndale.ingress.policy.interface import Outcome
@@ -94,6 +95,8 @@
                 denial_us = response.retry_after_ms * 1000
         except CallError:
             pass  # treated as denied, as without contact
+        except Exception as error:  # likewise: the request that waits must not wait for good
+            log_event(Event.FAILED, "budget request: %r", error)
         if not until:
             now = self._now_us()
             self._selector.deny(units, now, now + denial_us)
@@ -125,6 +128,11 @@
             # The policy retries until the deadline, or spends units without the counter.
             answered(Outcome.RESET, 0.0)
             return
+        except Exception as error:  # the policy must not wait for good
+            log_event(Event.FAILED, "quota request: %r", error)
+            await asyncio.sleep(LEASE_PAUSE_S)
+            answered(Outcome.RESET, 0.0)
+            return
         answered(Outcome.OK, 0.0, left)
 
     def _refill_per_s(self, tenant: str) -> float:
--- a/cairndale/rpc/peer.py
+++ b/cairndale/rpc/peer.py
@@ -244,7 +244,7 @@
         finally:
             self._pending.end(call)
         if answer.fault_code and answer.fault_code != FaultCode.NOT_LEADER:
-            raise error_for_code(answer.fault_code, address)
+            raise _fault_of(answer, address)
         return answer
 
     def _timed_out(self, call: PendingCall, address: str) -> CallError:
@@ -256,5 +256,13 @@
         return CallTimeoutError(address)
 
 
+def _fault_of(answer: pb.Envelope, address: str) -> CallError:
+    """The error of a fault; one that only later versions know may mean that the call has run."""
+    try:
+        return error_for_code(answer.fault_code, address)
+    except ValueError as error:
+        return CallTimeoutError(f"{address}: {error}")
+
+
 def _answer_to(call_id: int, code: FaultCode) -> pb.Envelope:
     return pb.Envelope(call_id=call_id, is_answer=True, fault_code=code)
--- a/tests/dataplane/test_node.py
+++ b/tests/dataplane/test_node.py
@@ -269,6 +269,25 @@
     node.ingress.backends.stop()
 
 
+# Guards against a request for units that fails unexpectedly and leaves its requester waiting.
+async def test_failed_requests_for_units_are_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    node, answers = node_in_contact(), list[Any]()
+
+    async def call(request: pb.Envelope, *_: float) -> pb.Envelope:
+        raise ZeroDivisionError("on purpose")
+
+    monkeypatch.setattr(node.leader_client, "call", call)
+    number = node.numbering.tenant_number("t1")
+    node.quota_client.lease(number, 1.0, 0.0, lambda *answer: answers.append(answer))
+    node.quota_client.acquire(
+        ((RETRY, node.numbering.service_number("s1")),), lambda until: answers.append(until)
+    )
+    async with asyncio.timeout(10.0):
+        await asyncio.gather(*node.quota_client.calls)
+    assert answers == [0, (Outcome.RESET, 0.0)]
+    node.ingress.backends.stop()
+
+
 def fail_once(monkeypatch: pytest.MonkeyPatch, owner: object, name: str) -> None:
     """Lets the next call of this method raise."""
     original, calls = getattr(owner, name), [0]
--- a/tests/golden/mixed_versions.py
+++ b/tests/golden/mixed_versions.py
@@ -1,10 +1,11 @@
-"""Runs the program of commit eb69f91 and the present one together, as a rolling upgrade does.
+"""Runs an earlier program and the present one together, as a rolling upgrade does.
 
 Run by hand, from the repository's root, with the pinned requirements installed; CI has no checkout
 of the old program:
 
     git worktree add ../eb69f91 eb69f91
     python -m tests.golden.mixed_versions ../eb69f91
+    python -m tests.golden.mixed_versions ../69dc9dd --old-module cairndale
 
 Real processes on loopback: five of the control plane, two of the data plane, and stand-in servers
 in this one. Two scenarios: the processes are replaced one by one and one is put back; then all are
@@ -428,7 +429,9 @@
     )
     parser.add_argument("old_checkout", type=Path)
     parser.add_argument("new_checkout", type=Path, nargs="?", default=ROOT)
+    parser.add_argument("--old-module", default="playhouse", help="the old program's module")
     arguments = parser.parse_args()
-    old_program = Program("eb69f91", arguments.old_checkout.resolve(), "playhouse")
+    old_checkout = arguments.old_checkout.resolve()
+    old_program = Program(old_checkout.name, old_checkout, arguments.old_module)
     new_program = Program("new", arguments.new_checkout.resolve(), "cairndale")
     sys.exit(asyncio.run(main(old_program, new_program)))
--- a/tests/rpc/test_peer.py
+++ b/tests/rpc/test_peer.py
@@ -10,12 +10,18 @@
 
 import pytest
 
-from cairndale.errors import CallError, FaultCode, RejectedError
+from cairndale.errors import (
+    CallError,
+    CallTimeoutError,
+    FaultCode,
+    RejectedError,
+    StaleCallError,
+)
 from cairndale.rpc import protocol_pb2 as pb
 from cairndale.rpc.compression import compress_lists
 from cairndale.rpc.framing import FramedConnection
 from cairndale.rpc.leader_client import LeaderClient
-from cairndale.rpc.peer import RpcPeer
+from cairndale.rpc.peer import RpcPeer, _fault_of
 
 HOST = "127.0.0.1"
 
@@ -164,3 +170,9 @@
             pb.Envelope(watch_request=pb.WatchRequest()), 2.0, 1.0
         )
         assert answer.watch_response == pb.WatchResponse(config_version=2, removed_nodes=["a"])
+
+
+# Guards against a fault that only later versions know, which ended the task of its caller.
+def test_an_unknown_fault_code_is_an_error_of_the_call() -> None:
+    assert isinstance(_fault_of(pb.Envelope(fault_code=99), "a:1"), CallTimeoutError)
+    assert isinstance(_fault_of(pb.Envelope(fault_code=FaultCode.STALE), "a:1"), StaleCallError)
