Name the calls of the HTTP API by an enum, and split the largest test file

Cause: calls were the strings "beat", "end" and "take back" in four files; tests/control/test_operations.py had grown to 1,214 lines with three subjects more.

Change: ApiCall in http_api/router.py. What tests of control nodes share stands in tests/testing/control_calls.py; departures, late orders and faults of tasks have files of their own.

Measured: control, fragments, http_api, dataplane, pages, project: 306 passed.

--- a/cairndale/control/api.py
+++ b/cairndale/control/api.py
@@ -20,7 +20,13 @@
 from cairndale.control.leadership import Leadership
 from cairndale.control.operations import OperationHandler
 from cairndale.errors import CallError, NotLeaderError, StaleCallError
-from cairndale.http_api.router import CONTROL_ROUTES, LOOKUP_ROUTES, RouteFailure, match
+from cairndale.http_api.router import (
+    CONTROL_ROUTES,
+    LOOKUP_ROUTES,
+    ApiCall,
+    RouteFailure,
+    match,
+)
 from cairndale.http_api.server import Response, error_response, json_response
 from cairndale.lookup.homes import ContentRoutes
 from cairndale.lookup.selection import LookupResponder
@@ -34,7 +40,7 @@
 LARGE_FORWARD_TIMEOUT_S = 2.5
 LARGE_FORWARD_BYTES = 16 * 1024
 STALE_RETRY_PAUSE_S = 0.05  # in which this node may learn the time of a new leader
-ORDER_CALLS = ("evacuate", "take back")  # calls of CONTROL_ROUTES that are orders for a zone
+ORDER_CALLS = (ApiCall.EVACUATE, ApiCall.RESTORE)  # orders for a zone
 
 
 class Process(Protocol):
@@ -82,7 +88,7 @@
         route = match(LOOKUP_ROUTES, method, target)
         if isinstance(route, RouteFailure):
             return error_response(route.status, route.reason)
-        if route.call == "ready":
+        if route.call is ApiCall.READY:
             return self._readiness()
         if not self.ready():
             return error_response(503, "this control node is not in contact with the leader")
@@ -106,11 +112,11 @@
         route = match(CONTROL_ROUTES, method, target)
         if isinstance(route, RouteFailure):
             return error_response(route.status, route.reason)
-        if route.call == "ready":
+        if route.call is ApiCall.READY:
             return self._readiness()
         if route.call in ORDER_CALLS:
             return await self.execute_order(method, target, body, 0.0)
-        if route.call != "beat":
+        if route.call is not ApiCall.HEARTBEAT:
             return await self._execute(method, target, body, FORWARD_TIMEOUT_S)
         status, answer = await self._heartbeat(route.args["id"], method, target, body)
         if status != 200:
--- a/cairndale/control/operations.py
+++ b/cairndale/control/operations.py
@@ -17,7 +17,7 @@
 from cairndale.control.leader import Leader
 from cairndale.control.leadership import Leadership
 from cairndale.events import Event, log_event
-from cairndale.http_api.router import CONTROL_ROUTES, RouteFailure, match
+from cairndale.http_api.router import CONTROL_ROUTES, ApiCall, RouteFailure, match
 from cairndale.http_api.server import Response, error_response, json_response
 from cairndale.registry.departures import Departure
 from cairndale.registry.endpoints import HeartbeatError, read_heartbeat
@@ -48,17 +48,17 @@
             return error_response(route.status, route.reason)
         leadership, now = self._leader.require_leadership(), self._leader.now()
         match route.call:
-            case "replace":
+            case ApiCall.REPLACE:
                 return await self._configuration_changes.handle(Verb.REPLACE, body)
-            case "update":
+            case ApiCall.UPDATE:
                 return await self._configuration_changes.handle(Verb.UPDATE, body)
-            case "evacuate":
+            case ApiCall.EVACUATE:
                 return await self._evacuations.handle(Verb.EVACUATE, route.args["zone"], origin)
-            case "take back":
+            case ApiCall.RESTORE:
                 return await self._evacuations.handle(Verb.RESTORE, route.args["zone"], origin)
-            case "beat":
+            case ApiCall.HEARTBEAT:
                 answer = await self._record_heartbeat(leadership, route.args["id"], body, now)
-            case "end":
+            case ApiCall.DEREGISTER:
                 answer = await self._record_end(leadership, route.args["id"], now)
             case call:
                 await self._leader.confirm(now, leadership.term)
@@ -66,14 +66,14 @@
         await self._leader.confirm(now, leadership.term, at_once=False)
         return answer
 
-    def _read(self, leadership: Leadership, call: str) -> Response:
+    def _read(self, leadership: Leadership, call: ApiCall) -> Response:
         state = self._leader.state
         match call:
-            case "read" if state.gen:
+            case ApiCall.READ if state.gen:
                 return json_response(200, state.content)
-            case "read":
+            case ApiCall.READ:
                 return error_response(404, "no configuration yet")
-            case "show":
+            case ApiCall.SHOW:
                 view = leadership.fleet_view(self._leader.now(), state)
                 return json_response(200, view | self._leader.describe_cluster())
         return error_response(404, "no such call")
--- a/cairndale/dataplane/lookup_api.py
+++ b/cairndale/dataplane/lookup_api.py
@@ -5,7 +5,13 @@
 from cairndale.dataplane.config_client import ConfigClient
 from cairndale.dataplane.readiness import Readiness
 from cairndale.events import Event, log_event
-from cairndale.http_api.router import LOOKUP_ROUTES, READINESS_ROUTES, RouteFailure, match
+from cairndale.http_api.router import (
+    LOOKUP_ROUTES,
+    READINESS_ROUTES,
+    ApiCall,
+    RouteFailure,
+    match,
+)
 from cairndale.http_api.server import Response, error_response, json_response
 from cairndale.lookup.redirects import RedirectReporter
 from cairndale.lookup.selection import LookupResponder
@@ -43,7 +49,7 @@
         found = match(LOOKUP_ROUTES, method, target)
         if isinstance(found, RouteFailure):
             return error_response(found.status, found.reason)
-        if found.call == "ready":
+        if found.call is ApiCall.READY:
             return await self.readiness(method, target, body)
         config = self._config
         version = (config.cursor.epoch, config.cursor.nodes_version, config.route_table.gen)
--- a/cairndale/http_api/router.py
+++ b/cairndale/http_api/router.py
@@ -8,11 +8,27 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 from urllib.parse import unquote
 
 MAX_NAME_CHARS = 256
 
 
+class ApiCall(Enum):
+    """The calls of the HTTP API."""
+
+    HEARTBEAT = "heartbeat"  # of a server
+    DEREGISTER = "deregister"  # a server ends
+    REPLACE = "replace"  # the configuration
+    UPDATE = "update"  # items of the configuration
+    READ = "read"  # the configuration
+    EVACUATE = "evacuate"  # a zone
+    RESTORE = "restore"  # an evacuated zone
+    SHOW = "show"  # nodes and servers, for operators
+    READY = "ready"  # whether this process serves calls of this kind
+    LOOKUP = "lookup"  # the ingresses that a client should use
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """A request while it is matched against the tree.
@@ -37,7 +53,7 @@
 class RouteMatch:
     """The call of a request, and the names in its path by key."""
 
-    call: str
+    call: ApiCall
     args: dict[str, str]
 
 
@@ -64,13 +80,13 @@
 class Call(RouteMatcher):
     """A leaf: the path ends here and selects this call."""
 
-    name: str
+    call: ApiCall
 
     def match(self, request: Request) -> RouteResult:
         """Return the call, or 404 if the path continues."""
         if request.path:
             return RouteFailure(404, "no such call")
-        return RouteMatch(self.name, request.path_args)
+        return RouteMatch(self.call, request.path_args)
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,15 +143,17 @@
     {
         "-": PathSegments(
             {
-                "Instances.Heartbeat": Method("POST", PathParameter("id", Call("beat"))),
-                "Instances.Deregister": Method("POST", PathParameter("id", Call("end"))),
-                "Config.Replace": Method("POST", Call("replace")),
-                "Config.Update": Method("POST", Call("update")),
-                "Config.Read": Method("GET", Call("read")),
-                "Drain.Begin": Method("POST", PathParameter("zone", Call("evacuate"))),
-                "Drain.Finish": Method("POST", PathParameter("zone", Call("take back"))),
-                "Fleet.Show": Method("GET", Call("show")),
-                "readyz": Method("GET", Call("ready")),
+                "Instances.Heartbeat": Method("POST", PathParameter("id", Call(ApiCall.HEARTBEAT))),
+                "Instances.Deregister": Method(
+                    "POST", PathParameter("id", Call(ApiCall.DEREGISTER))
+                ),
+                "Config.Replace": Method("POST", Call(ApiCall.REPLACE)),
+                "Config.Update": Method("POST", Call(ApiCall.UPDATE)),
+                "Config.Read": Method("GET", Call(ApiCall.READ)),
+                "Drain.Begin": Method("POST", PathParameter("zone", Call(ApiCall.EVACUATE))),
+                "Drain.Finish": Method("POST", PathParameter("zone", Call(ApiCall.RESTORE))),
+                "Fleet.Show": Method("GET", Call(ApiCall.SHOW)),
+                "readyz": Method("GET", Call(ApiCall.READY)),
             }
         )
     }
@@ -143,8 +161,11 @@
 LOOKUP_ROUTES = PathSegments(
     {
         "-": PathSegments(
-            {"lookup": Method("GET", Call("lookup")), "readyz": Method("GET", Call("ready"))}
+            {
+                "lookup": Method("GET", Call(ApiCall.LOOKUP)),
+                "readyz": Method("GET", Call(ApiCall.READY)),
+            }
         )
     }
 )
-READINESS_ROUTES = PathSegments({"-": PathSegments({"readyz": Method("GET", Call("ready"))})})
+READINESS_ROUTES = PathSegments({"-": PathSegments({"readyz": Method("GET", Call(ApiCall.READY))})})
--- a/tests/control/test_heartbeat_batch.py
+++ b/tests/control/test_heartbeat_batch.py
@@ -26,9 +26,9 @@
 from cairndale.raft.messages import Ready
 from cairndale.registry.endpoints import EndpointRegistry, read_heartbeat
 from cairndale.rpc import protocol_pb2 as pb
-from tests.control.test_operations import first_change, now, submit_change
 from tests.control.test_recovery import RecoverySimulation, run_simulation
 from tests.control.test_state_models import heartbeat
+from tests.testing.control_calls import first_change, now, submit_change
 from tests.testing.control_cluster import ControlCluster, run_in_virtual_time, use_memory_cluster
 
 LEADER_DELAY_S = 0.3  # until the leader answers a batch
--- a/tests/control/test_operations.py
+++ b/tests/control/test_operations.py
@@ -7,10 +7,7 @@
 import json
 import random
 from collections.abc import Callable, Generator
-from contextlib import suppress
-from dataclasses import dataclass, field
 from functools import partial
-from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
@@ -18,18 +15,13 @@
 
 import cairndale.configuration.state
 from cairndale.configuration.commands import Command, Verb
-from cairndale.configuration.state import REJECTED, State
+from cairndale.configuration.state import State
 from cairndale.control.change_queue import ChangeOutcome
 from cairndale.control.configuration_changes import ConfigurationChanges
 from cairndale.control.follower import Follower
 from cairndale.control.leadership import Leadership
-from cairndale.control.lease_enrolment import LeaseEnrolment
 from cairndale.control.operations import OperationHandler
-from cairndale.control.raft_driver import RaftDriver
 from cairndale.control.read_index import ReadIndex
-from cairndale.control.snapshot_worker import SnapshotWorker
-from cairndale.control.watch_responses import WatchResponseBuilder
-from cairndale.control.watch_server import WatchServer
 from cairndale.http_api.server import error_response
 from cairndale.registry.endpoints import EndpointRegistry, read_heartbeat
 from cairndale.registry.heartbeats import HeartbeatCollector
@@ -37,6 +29,20 @@
 from cairndale.rpc import protocol_pb2 as pb
 from cairndale.settings import parse_settings
 from tests.control.test_state_models import SETTINGS, heartbeat
+from tests.testing.control_calls import (
+    CallAttempt,
+    CallHistory,
+    committed_generations,
+    first_change,
+    is_final,
+    leader_state,
+    now,
+    run_server,
+    send_change,
+    send_read,
+    send_zone_order,
+    submit_change,
+)
 from tests.testing.control_cluster import (
     ControlCluster,
     configuration,
@@ -50,147 +56,6 @@
     use_memory_cluster(monkeypatch)
 
 
-# The reference model: a register that is changed by configuration changes, each based on its parent
-# and each applied once.
-
-
-@dataclass
-class CallAttempt:
-    """One attempt of a call, its answer and its start and end times."""
-
-    kind: str  # "read" or "order"
-    gen: int  # that was read, or that the change creates
-    started_at: float
-    ended_at: float
-    status: int
-
-
-@dataclass
-class CallHistory:
-    attempts: list[CallAttempt] = field(default_factory=list)
-    sent: dict[int, tuple[int, bytes]] = field(default_factory=dict)  # by gen: parent and body
-
-    def violations(self, chain: list[int]) -> list[str]:
-        """Violations of linearizability.
-
-        `chain`: generations that were in force, in order; the first is 0.
-        """
-        wrong, position = [], {gen: n for n, gen in enumerate(chain)}
-        for older, newer in pairwise(chain):
-            if self.sent[newer][0] != older:
-                wrong.append(f"{newer} is in force on top of {older}, not of {self.sent[newer][0]}")
-        orders = [t for t in self.attempts if t.kind == "order"]
-        reads = [t for t in self.attempts if t.kind == "read" and t.status in (200, 404)]
-        for change in orders:
-            if change.status == 200 and change.gen not in position:
-                wrong.append(f"{change.gen} was acknowledged, and was never in force")
-            if 400 <= change.status < 500 and change.gen in position:
-                wrong.append(f"{change.gen} was rejected with {change.status}, and was in force")
-        known = [(t.started_at, t.ended_at, position[t.gen]) for t in reads]
-        known += [
-            (t.started_at, t.ended_at, position[t.gen])
-            for t in orders
-            if t.status == 200 and t.gen in position
-        ]
-        for begun, _, at in known:
-            for _, ended, before in known:
-                if (
-                    ended < begun
-                    and before > at
-                    and (begun, at) in {(r.started_at, position[r.gen]) for r in reads}
-                ):
-                    wrong.append(
-                        f"{chain[at]} was read at {begun:.2f}, {chain[before]} known at {ended:.2f}"
-                    )
-        first_sent = {
-            g: min(t.started_at for t in orders if t.gen == g) for g in {t.gen for t in orders}
-        }
-        for one_read in reads:
-            if one_read.gen in first_sent and one_read.ended_at < first_sent[one_read.gen]:
-                wrong.append(f"{one_read.gen} was read before it was sent")
-        return wrong
-
-
-def now() -> float:
-    return asyncio.get_running_loop().time()
-
-
-def leader_state(cluster: ControlCluster) -> State:
-    leader = cluster.leader()
-    assert leader
-    return leader.state
-
-
-def committed_generations(cluster: ControlCluster, history: CallHistory) -> list[int]:
-    """The generations that were in force, by the idempotency records of the state."""
-    gens = [gen for gen in leader_state(cluster).idempotency_records.values() if gen != REJECTED]
-    return [0, *gens]
-
-
-async def send_change(
-    cluster: ControlCluster, history: CallHistory, host: str, gen: int, call: str = "Config.Replace"
-) -> int:
-    """One attempt of an operator, who waits one second for the answer; 0 without one."""
-    begun, status = now(), 0
-    try:
-        async with asyncio.timeout(1.0):
-            status, _ = await cluster.call(host, "POST", call, history.sent[gen][1])
-    except (TimeoutError, KeyError):
-        pass
-    history.attempts.append(CallAttempt("order", gen, begun, now(), status))
-    return status
-
-
-async def send_read(cluster: ControlCluster, history: CallHistory, host: str) -> int:
-    begun = now()
-    try:
-        async with asyncio.timeout(1.0):
-            status, body = await cluster.call(host, "GET", "Config.Read")
-    except (TimeoutError, KeyError):
-        return 0
-    history.attempts.append(CallAttempt("read", body.get("gen", 0), begun, now(), status))
-    return status
-
-
-def first_change() -> CallHistory:
-    return CallHistory(sent={1: (0, configuration(1, 0))})
-
-
-def is_final(status: int) -> bool:
-    return 200 <= status < 500
-
-
-async def submit_change(
-    cluster: ControlCluster,
-    history: CallHistory,
-    gen: int,
-    hosts: list[str],
-    pause: float = 0.1,
-    within: float = 30.0,
-) -> int:
-    """Sends a change to random nodes until there is a final answer; 0 if there is none in time."""
-    until = now() + within
-    while now() < until:
-        if is_final(status := await send_change(cluster, history, random.choice(hosts), gen)):
-            return status
-        await asyncio.sleep(pause)
-    return 0
-
-
-async def run_server(
-    cluster: ControlCluster, id: str, zone: str, home: str, hosts: list[str]
-) -> None:
-    """Sends heartbeats as servers do: without an answer, to another node at once."""
-    at, seq = home, 0
-    while True:
-        seq += 1
-        began = now()
-        while await cluster.send_heartbeat(at, id, seq, zone) != 200:
-            at = random.choice(hosts)
-            await asyncio.sleep(0.01)
-        await asyncio.sleep(max(0.0, 1.5 - (now() - began)))
-
-
 async def record_removed_servers(cluster: ControlCluster, removed: list[str]) -> None:
     """Records running servers that a leader reports as gone."""
     began = now()
@@ -319,25 +184,6 @@
     assert not violations
 
 
-async def send_zone_order(cluster: ControlCluster, call: str, zone: str, hosts: list[str]) -> None:
-    """Retries a call for a zone until it is answered, and acknowledges the answer."""
-    for _ in range(60):
-        host = random.choice(hosts) if hosts else cluster.hosts[0]
-        target = f"/-/{call}/{zone}"
-        try:
-            async with asyncio.timeout(1.0):
-                answer = await cluster.nodes[host].api.control("POST", target, b"")
-        except TimeoutError:
-            continue
-        if answer[0] == 200:
-            leader = cluster.leader()
-            if leader and leader.leadership:  # in place of the caller's receipt
-                leader.leadership.evacuation_log.acknowledge(zone, json.loads(answer[1])["order"])
-            return
-        hosts = [*hosts, *cluster.hosts]
-        await asyncio.sleep(0.05)
-
-
 @pytest.mark.parametrize("partition", PARTITIONS)
 @pytest.mark.parametrize("number", range(5))
 def test_calls_stay_linearizable_while_one_member_is_partitioned_for_20_s(
@@ -692,90 +538,6 @@
     assert not violations
 
 
-async def late_order(seed: int, violations: list[str]) -> None:
-    """A node's copy of an order is under way for long; the order is sent again through another
-    node, and after its answer the opposite is ordered."""
-    random.seed(seed)
-    cluster = ControlCluster(Path("late"))
-    await cluster.start_all()
-    await asyncio.sleep(1.0)
-    leader = cluster.leader()
-    assert leader
-    near = leader.settings.ip
-    far = random.choice([host for host in cluster.hosts if host != near])
-    late, newer = random.choice([("Drain.Finish", "Drain.Begin"), ("Drain.Begin", "Drain.Finish")])
-    if late == "Drain.Finish":
-        await send_zone_order(cluster, "Drain.Begin", "z2", [near])
-        await asyncio.sleep(7.0)
-    # The copy to the leader, and copies through peers, arrive after the newer order.
-    cluster.network.extra_latency["operation_request"] = random.uniform(1.2, 9.0)
-    sent_at = now()
-    attempt = asyncio.get_running_loop().create_task(cluster.call(far, "POST", f"{late}/z2"))
-    await asyncio.sleep(0.02)
-    cluster.network.extra_latency.clear()
-    with suppress(TimeoutError):
-        async with asyncio.timeout(1.0):
-            status, _ = await asyncio.shield(attempt)
-            if status != 503 or now() - sent_at < 0.79:
-                violations.append(f"{status} after {now() - sent_at:.2f} s, the copy on its way")
-    await send_zone_order(cluster, late, "z2", [near])
-    await asyncio.sleep(random.choice([0.0, 0.1, 7.0]))
-    await send_zone_order(cluster, newer, "z2", [near])
-    await asyncio.sleep(20.0)
-    want = {"z2": 1} if newer == "Drain.Begin" else {}
-    if (have := leader_state(cluster).evacuated) != want:
-        violations.append(f"{late}, then {newer}: evacuated are {have}, not {want}")
-
-
-# Guards against an order that a partition has held up between control nodes and that undoes a newer
-# order for its zone (review/1).
-@pytest.mark.parametrize("seed", range(8))
-def test_late_copy_of_an_order_does_not_undo_a_newer_order(seed: int) -> None:
-    violations = list[str]()
-    run_in_virtual_time(late_order(seed, violations))
-    assert not violations
-
-
-async def answer_within_a_second(cluster: ControlCluster, host: str, call: str) -> int:
-    with suppress(TimeoutError):
-        async with asyncio.timeout(1.0):
-            return (await cluster.call(host, "POST", f"{call}/z2"))[0]
-    return 0
-
-
-async def order_before_the_new_leader_is_known(violations: list[str]) -> None:
-    """Orders at followers, at random times around a change of leader."""
-    cluster = ControlCluster(Path("soon"))
-    await cluster.start_all()
-    for _ in range(6):
-        leader = cluster.leader()
-        assert leader
-        host = leader.settings.ip
-        await cluster.crash(host)
-        await asyncio.sleep(random.uniform(0.0, 0.4))
-        begun = now()
-        for call in ("Drain.Begin", "Drain.Finish"):
-            while (
-                await answer_within_a_second(cluster, random.choice(list(cluster.nodes)), call)
-            ) != 200:
-                await asyncio.sleep(0.05)
-        if now() - begun > 6.0:
-            violations.append(f"two orders took {now() - begun:.1f} s")
-        await cluster.start(host)
-        await cluster.wait_until(cluster.leader)
-        await asyncio.sleep(7.0)
-        if leader_state(cluster).evacuated:
-            violations.append(f"evacuated are {leader_state(cluster).evacuated}")
-
-
-@pytest.mark.parametrize("seed", range(2))
-def test_orders_are_acknowledged_soon_after_a_change_of_leader(seed: int) -> None:
-    random.seed(seed)
-    violations = list[str]()
-    run_in_virtual_time(order_before_the_new_leader_is_known(violations))
-    assert not violations
-
-
 # Collected heartbeats, and control nodes that servers are referred to.
 
 
@@ -946,269 +708,3 @@
     except AssertionError as error:
         violations.append(str(error))
     assert violations
-
-
-# An acknowledged deregistration survives the leader that received it.
-
-
-async def deregister_and_crash(number: int, by: str, violations: list[str]) -> None:
-    """A server's deregistration is acknowledged, and the leader crashes at that moment."""
-    random.seed(number)
-    cluster, loop = ControlCluster(Path("leave")), asyncio.get_running_loop()
-    await cluster.start_all()
-    assert await submit_change(cluster, first_change(), 1, cluster.hosts) == 200
-    others = [
-        loop.create_task(run_server(cluster, f"s{n}", "z1", cluster.hosts[n], cluster.hosts))
-        for n in range(4)
-    ]
-    for seq in range(1, 4):
-        assert await cluster.send_heartbeat(random.choice(cluster.hosts), "s9", seq) == 200
-        await asyncio.sleep(1.4 + 0.2 * random.random())
-    leader = cluster.leader()
-    assert leader
-    crashed = leader.settings.ip
-    address = (
-        crashed if by == "leader" else random.choice([h for h in cluster.hosts if h != crashed])
-    )
-    status = 0
-    while status != 200:
-        status, _ = await cluster.call(address, "POST", "Instances.Deregister/s9")
-    await cluster.crash(crashed)
-    await cluster.wait_until(lambda: cluster.leader() is not None)
-    taken_over = now()
-    while now() < taken_over + 6.0:
-        if (
-            (new_leader := cluster.leader())
-            and (known := new_leader.endpoint_registry.endpoints.get("s9"))
-            and known.state == "ready"
-        ):
-            violations.append(f"ready {now() - taken_over:.1f} s after the takeover")
-            break
-        await asyncio.sleep(0.1)
-    for task in others:
-        task.cancel()
-
-
-@pytest.mark.parametrize("by", ["leader", "follower"])
-@pytest.mark.parametrize("number", range(8))
-def test_an_acknowledged_deregistration_survives_its_leader(number: int, by: str) -> None:
-    violations = list[str]()
-    run_in_virtual_time(deregister_and_crash(number, by, violations))
-    assert not violations
-
-
-# Departures that were acknowledged survive the loss of all control processes at once.
-
-
-async def restart_all(cluster: ControlCluster) -> None:
-    for host in list(cluster.nodes):
-        await cluster.crash(host)
-    await asyncio.sleep(0.8)
-    for host in cluster.hosts:
-        await cluster.start(host)
-    await cluster.wait_until(cluster.leader)
-
-
-async def departure_and_kill_of_all(seed: int, ends: bool, violations: list[str]) -> None:
-    """A server's departure is acknowledged, all control nodes are killed, once or more often, and a
-    heartbeat that was made before the departure arrives late."""
-    random.seed(seed)
-    cluster = ControlCluster(Path("depart"))
-    await cluster.start_all()
-    assert await submit_change(cluster, first_change(), 1, cluster.hosts) == 200
-    for seq in range(1, 4):
-        assert await cluster.send_heartbeat(random.choice(cluster.hosts), "s9", seq) == 200
-        await asyncio.sleep(1.5)
-    host, status = random.choice(cluster.hosts), 0
-    while status != 200:
-        if ends:
-            status, _ = await cluster.call(host, "POST", "Instances.Deregister/s9")
-        else:
-            status = await cluster.send_heartbeat(host, "s9", 5, state="draining")
-    await asyncio.sleep(random.choice([0.0, 0.2, 40.0]))
-    for _ in range(random.randint(1, 3)):
-        await restart_all(cluster)
-        await asyncio.sleep(random.uniform(0.0, 6.0))
-        await cluster.send_heartbeat(random.choice(cluster.hosts), "s9", 4)
-        await asyncio.sleep(random.uniform(0.0, 1.0))
-        leader = cluster.leader()
-        assert leader
-        known = leader.endpoint_registry.endpoints.get("s9")
-        if known and known.state == "ready":
-            violations.append("ready again")
-
-
-# Guards against departures that are kept in memory only: a server that has left gets requests
-# again after a kill of the core (review/2).
-@pytest.mark.parametrize("ends", [True, False], ids=["ended", "draining"])
-@pytest.mark.parametrize("seed", range(4))
-def test_an_acknowledged_departure_survives_a_kill_of_all(seed: int, ends: bool) -> None:
-    violations = list[str]()
-    run_in_virtual_time(departure_and_kill_of_all(seed, ends, violations))
-    assert not violations
-
-
-async def end_told_at_the_kill(violations: list[str]) -> None:
-    """All control nodes are killed before data-plane nodes are told of an acknowledged end."""
-    cluster = ControlCluster(Path("tell"))
-    await cluster.start_all()
-    assert await submit_change(cluster, first_change(), 1, cluster.hosts) == 200
-    assert await cluster.send_heartbeat(cluster.hosts[0], "s9", 1) == 200
-    assert (await cluster.call(cluster.hosts[1], "POST", "Instances.Deregister/s9"))[0] == 200
-    await restart_all(cluster)
-    leader = cluster.leader()
-    assert leader and leader.leadership
-    epoch = leader.leadership.epoch(now())
-    told = [e.state for e in leader.endpoint_registry.changed_since(0) if e.id == "s9"]
-    if told != ["gone"] or not epoch.endswith("~"):
-        violations.append(f"data-plane nodes are told {told} in epoch {epoch}")
-
-
-def test_a_leader_after_a_kill_of_all_tells_of_the_ends_at_once() -> None:
-    violations = list[str]()
-    run_in_virtual_time(end_told_at_the_kill(violations))
-    assert not violations
-
-
-# Generations of any size.
-
-
-async def change_to_a_wide_generation(violations: list[str]) -> None:
-    """A configuration is numbered by date and time with microseconds, and changed after that."""
-    cluster = ControlCluster(Path("wide"))
-    await cluster.start_all()
-    parent = 0
-    for gen in (1, 20261204110000123456, 20261204110000123457, 10**30):
-        begun = now()
-        status, _ = await cluster.call(
-            cluster.hosts[0], "POST", "Config.Replace", configuration(gen, parent)
-        )
-        parent = gen
-        if status != 200 or now() - begun > 1.0:
-            violations.append(f"gen {gen}: {status} after {now() - begun:.1f} s")
-        if gen > 1:
-            await restart_all(cluster)
-    content = (await cluster.call(cluster.hosts[0], "GET", "Config.Read"))[1]
-    if content["gen"] != parent:
-        violations.append(f"gen {content['gen']} is read back")
-
-
-# Guards against a large version number that ends all service for good (review/3).
-def test_a_change_to_a_wide_generation_is_acknowledged_at_once() -> None:
-    violations = list[str]()
-    run_in_virtual_time(change_to_a_wide_generation(violations))
-    assert not violations
-
-
-# Faults in single messages and tasks.
-
-
-def fail_once(monkeypatch: pytest.MonkeyPatch, owner: type, name: str) -> list[Any]:
-    """Lets the first call of this method at each instance raise; returns those instances."""
-    failed: list[Any] = []
-    original = getattr(owner, name)
-
-    def method(self: Any, *args: Any, **kwargs: Any) -> Any:
-        if not any(self is one for one in failed):
-            failed.append(self)
-            raise ZeroDivisionError("on purpose")
-        return original(self, *args, **kwargs)
-
-    monkeypatch.setattr(owner, name, method)
-    return failed
-
-
-async def change_after_tasks_failed(fail: Callable[[], list[Any]], violations: list[str]) -> None:
-    cluster = ControlCluster(Path("tasks"))
-    await cluster.start_all()
-    history = first_change()
-    history.sent[2] = 1, configuration(2, 1)
-    assert await submit_change(cluster, history, 1, cluster.hosts) == 200
-    failed = fail()
-    await asyncio.sleep(15.0)
-    leader = cluster.leader()
-    if leader is None or not failed:
-        violations.append(f"leader {leader}, failed {failed}")
-        return
-    begun = now()
-    if await submit_change(cluster, history, 2, [leader.settings.ip]) != 200:
-        violations.append("no change is accepted")
-    if now() - begun > 1.0:
-        violations.append(f"a change took {now() - begun:.1f} s")
-    if await cluster.send_heartbeat(cluster.hosts[-1], "s9", 1) != 200:
-        violations.append("no heartbeat is accepted")
-    await asyncio.sleep(2.0)
-    if [ingress.gen for ingress in cluster.ingresses] != [2, 2]:
-        violations.append("not all ingresses have the change")
-    for host, node in cluster.nodes.items():
-        if "s9" not in node.endpoint_registry.endpoints:
-            violations.append(f"{host} does not know the server")
-        if any(task.done() for task in node._tasks):
-            violations.append(f"a task of {host} has ended")
-
-
-TASKS = {
-    "tick": (RaftDriver, "tick"),
-    "snapshots": (SnapshotWorker, "step_and_pause"),
-    "follower watch": (Follower, "_watch_request"),
-    "heartbeat reports": (HeartbeatCollector, "report"),
-    "watch server": (WatchServer, "answer_due"),
-    "removal of lease holders": (LeaseEnrolment, "_remove_expired"),
-}
-
-
-# Guards against a task that ends by an unexpected exception while its process goes on leading.
-@pytest.mark.parametrize("task", TASKS)
-def test_each_task_of_a_control_node_goes_on_after_an_exception(
-    task: str, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    violations = list[str]()
-    run_in_virtual_time(
-        change_after_tasks_failed(lambda: fail_once(monkeypatch, *TASKS[task]), violations)
-    )
-    assert not violations
-
-
-async def updates_that_cannot_be_made(
-    monkeypatch: pytest.MonkeyPatch, violations: list[str]
-) -> None:
-    """For 10 s no update can be made; the leases of the ingresses must not end."""
-    cluster = ControlCluster(Path("unmade"))
-    await cluster.start_all()
-    history = first_change()
-    history.sent[2] = 1, configuration(2, 1)
-    assert await submit_change(cluster, history, 1, cluster.hosts) == 200
-    leader = cluster.leader()
-    assert leader
-
-    def fail(*_: Any) -> None:
-        raise ZeroDivisionError("on purpose")
-
-    with monkeypatch.context() as patch:
-        patch.setattr(WatchResponseBuilder, "update", fail)
-        task = asyncio.get_running_loop().create_task(
-            submit_change(cluster, history, 2, [leader.settings.ip])
-        )
-        for _ in range(100):
-            await asyncio.sleep(0.1)
-            silent = [
-                name
-                for name, lease in leader.node_registry.leases.items()
-                if lease.node.kind == "edge" and now() - lease.last_contact_at > 2.0
-            ]
-            if silent:
-                violations.append(f"no responses for {silent}")
-                break
-        if task.done() and task.result() == 200:
-            violations.append("acknowledged, though no ingress has it")
-    if await task not in (0, 200, 503):
-        violations.append(f"answered {task.result()}")
-    if await submit_change(cluster, history, 2, [leader.settings.ip]) != 200:
-        violations.append("no change is accepted")
-
-
-# Guards against one message that cannot be made and that ends all service (review/3).
-def test_an_update_that_cannot_be_made_does_not_end_leases(monkeypatch: pytest.MonkeyPatch) -> None:
-    violations = list[str]()
-    run_in_virtual_time(updates_that_cannot_be_made(monkeypatch, violations))
-    assert not violations
--- a/tests/control/test_state_models.py
+++ b/tests/control/test_state_models.py
@@ -20,7 +20,7 @@
 from cairndale.configuration.validation import change_errors, content_errors, content_errors_steps
 from cairndale.control.endpoint_codec import endpoint_to_message
 from cairndale.control.evacuation_log import EvacuationLog
-from cairndale.http_api.router import CONTROL_ROUTES, RouteFailure, RouteMatch, match
+from cairndale.http_api.router import CONTROL_ROUTES, ApiCall, RouteFailure, RouteMatch, match
 from cairndale.lookup.selection import LookupResponder
 from cairndale.quota.quota_counter import QUOTA_GRANT_LIFETIME_S, QuotaCounter
 from cairndale.registry.endpoints import EndpointRegistry, HeartbeatError, read_heartbeat
@@ -501,9 +501,9 @@
 @pytest.mark.parametrize(
     ("method", "target", "found"),
     [
-        ("POST", "/-/Instances.Heartbeat/i-7f", RouteMatch("beat", {"id": "i-7f"})),
-        ("POST", "/-/Drain.Begin/tun%2Da", RouteMatch("evacuate", {"zone": "tun-a"})),
-        ("GET", "/-/Config.Read?x=1", RouteMatch("read", {})),
+        ("POST", "/-/Instances.Heartbeat/i-7f", RouteMatch(ApiCall.HEARTBEAT, {"id": "i-7f"})),
+        ("POST", "/-/Drain.Begin/tun%2Da", RouteMatch(ApiCall.EVACUATE, {"zone": "tun-a"})),
+        ("GET", "/-/Config.Read?x=1", RouteMatch(ApiCall.READ, {})),
         ("GET", "/-/Config.Replace", 405),
         ("POST", "/-/Config.Replace/x", 404),
         ("POST", "/-/Drain.Begin", 404),
--- a/tests/control/test_wide_numbers.py
+++ b/tests/control/test_wide_numbers.py
@@ -26,7 +26,13 @@
 from cairndale.rpc import protocol_pb2 as pb
 from cairndale.settings import parse_settings
 from tests.control.test_state_models import SETTINGS, content, heartbeat, route
-from tests.testing.control_cluster import ControlCluster, run_in_virtual_time, use_memory_cluster
+from tests.testing.control_calls import now, restart_all
+from tests.testing.control_cluster import (
+    ControlCluster,
+    configuration,
+    run_in_virtual_time,
+    use_memory_cluster,
+)
 
 DIGITS = 4300  # of the longest number that is read from JSON
 COUNTS = st.sampled_from([0, 1, 2**31, 2**32, 2**53 + 1, 2**63, 2**64, 10**309, 10 ** (DIGITS - 1)])
@@ -165,3 +171,33 @@
     violations = list[str]()
     run_in_virtual_time(wide_sequence_numbers(violations))
     assert not violations
+
+
+async def change_to_a_wide_generation(violations: list[str]) -> None:
+    """A configuration is numbered by date and time with microseconds, and changed after that."""
+    cluster = ControlCluster(Path("wide"))
+    await cluster.start_all()
+    parent = 0
+    for gen in (1, 20261204110000123456, 20261204110000123457, 10**30):
+        begun = now()
+        status, _ = await cluster.call(
+            cluster.hosts[0], "POST", "Config.Replace", configuration(gen, parent)
+        )
+        parent = gen
+        if status != 200 or now() - begun > 1.0:
+            violations.append(f"gen {gen}: {status} after {now() - begun:.1f} s")
+        if gen > 1:
+            await restart_all(cluster)
+    content = (await cluster.call(cluster.hosts[0], "GET", "Config.Read"))[1]
+    if content["gen"] != parent:
+        violations.append(f"gen {content['gen']} is read back")
+
+
+# Guards against a large version number that ends all service for good (review/3).
+def test_a_change_to_a_wide_generation_is_acknowledged_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    use_memory_cluster(monkeypatch)
+    violations = list[str]()
+    run_in_virtual_time(change_to_a_wide_generation(violations))
+    assert not violations
--- a/tests/control/test_zone_loss.py
+++ b/tests/control/test_zone_loss.py
@@ -18,10 +18,10 @@
 from cairndale.registry.nodes import NodeRegistry
 from cairndale.rpc import protocol_pb2 as pb
 from cairndale.rpc.leader_client import LeaderClient
-from tests.control.test_operations import now
 from tests.control.test_recovery import RecoverySimulation, SimulatedIngress, run_simulation
 from tests.quota.test_quota import BOUNDS, SMALL_QUOTA, Fault, Simulation, random_faults, violations
 from tests.quota.test_quota import SimulatedIngress as QuotaIngress
+from tests.testing.control_calls import now
 from tests.testing.control_cluster import ControlCluster, run_in_virtual_time, use_memory_cluster
 
 ZONE = 5  # ingresses that fail with the leader
--- a/tests/raft/test_fragments.py
+++ b/tests/raft/test_fragments.py
@@ -32,8 +32,8 @@
 from cairndale.raft.node import MAX_APPEND_BYTES, RaftNode, bootstrap_state
 from cairndale.raft.replica import Role
 from cairndale.raft.storage import RaftStorage, StorageError
-from tests.control.test_operations import CallHistory, first_change, send_read, submit_change
 from tests.raft.test_snapshots import PowerLossEnv, PowerLossError
+from tests.testing.control_calls import CallHistory, first_change, send_read, submit_change
 from tests.testing.control_cluster import (
     ControlCluster,
     configuration,
