--- a/cairndale/chaos/standins.py
+++ b/cairndale/chaos/standins.py
@@ -122,6 +122,11 @@
         for connection in list(self.connections):
             connection.transport.abort()
 
+    def stop_heartbeats(self) -> None:
+        """Send no further heartbeats, and serve on."""
+        if self._heartbeat_task:
+            self._heartbeat_task.cancel()
+
     async def drain(self) -> None:
         """Report the state "draining" until a heartbeat with it is acknowledged."""
         self.state = "draining"
