Wait for the ingresses' leases before updates fail in their test

The trace: the change was acknowledged 1000.81 s into virtual time, when no ingress was enrolled yet; nobody held a lease, so the acknowledgement was right. The test lacked this precondition.

Change: it waits until both ingresses have the first change, and now also holds the end of each lease, not only its contacts: stricter than before.

--- a/tests/control/test_task_faults.py
+++ b/tests/control/test_task_faults.py
@@ -112,6 +112,8 @@
     history = first_change()
     history.sent[2] = 1, configuration(2, 1)
     assert await submit_change(cluster, history, 1, cluster.hosts) == 200
+    # A change is acknowledged without an ingress that holds no lease yet.
+    await cluster.wait_until(lambda: [ingress.gen for ingress in cluster.ingresses] == [1, 1])
     leader = cluster.leader()
     assert leader
 
@@ -128,7 +130,8 @@
             silent = [
                 name
                 for name, lease in leader.node_registry.leases.items()
-                if lease.node.kind == "edge" and now() - lease.last_contact_at > 2.0
+                if lease.node.kind == "edge"
+                and (now() - lease.last_contact_at > 2.0 or lease.lease_end < now() + 2.0)
             ]
             if silent:
                 violations.append(f"no responses for {silent}")
