Drop an order whose caller closes its connection within a round trip

The relay connects to the node only after the cut, so the connection, and the order on it, looked fresh; its close came a round trip later.

Cause: the age of an order is bounded by what the node knows of its connection. Held up together with its connection (a relay, the last packet of a handshake) it has no age there, and nothing looked for the close of the connection after the turn in which the order was read.

Its age is a point in time from its arrival on, so that a pause of the process in between counts too.

--- a/cairndale/control/api.py
+++ b/cairndale/control/api.py
@@ -115,7 +115,7 @@
         if route.call is ApiCall.READY:
             return self._readiness()
         if route.call in ORDER_CALLS:
-            return await self.execute_order(method, target, body, 0.0)
+            return await self.execute_order(method, target, body, self._process.now())
         if route.call is not ApiCall.HEARTBEAT:
             return await self._execute(method, target, body, FORWARD_TIMEOUT_S)
         status, answer = await self._heartbeat(route.args["id"], method, target, body)
@@ -149,13 +149,15 @@
                 return json_response(200, {})
         return await self._execute(method, target, body, ISOLATED_HEARTBEAT_TIMEOUT_S)
 
-    async def execute_order(self, method: str, target: str, body: bytes, age_s: float) -> Response:
-        """Executes an order for a zone, which its caller sent at most `age_s` seconds ago.
+    async def execute_order(
+        self, method: str, target: str, body: bytes, sent_after: float
+    ) -> Response:
+        """Executes an order for a zone, which its caller did not send before `sent_after`.
 
         If the outcome is not known, the caller is told so only once no copy of the order can take
         effect any longer: it may then send the order to another node, and the opposite after that.
         """
-        process, sent_after = self._process, self._process.now() - age_s
+        process = self._process
         expires_at = sent_after + ORDER_VALIDITY_S
         origin = CallOrigin(_new_call_id(), sent_after)
         while True:
--- a/cairndale/http_api/server.py
+++ b/cairndale/http_api/server.py
@@ -7,7 +7,9 @@
 up, and its caller may have given it up since. A call that must not be executed late (an order) is
 executed only if the connection shows that it is recent: it was sent after the connection was
 accepted, and after the previous response on it. On a connection that was idle for longer the caller
-is redirected to the same URL, and repeats the call on a new connection if it still waits.
+is redirected to the same URL, and repeats the call on a new connection if it still waits. On a
+recent connection the call may be old all the same: a proxy, or the last packet of a handshake, was
+held up with it. So it waits until the close of a connection that its caller gave up has arrived.
 """
 
 from __future__ import annotations
@@ -30,6 +32,9 @@
 IDLE_TIMEOUT_S = 10.0  # that a connection may be idle, or take to send a request
 HANDLER_TIMEOUT_S = 12.0
 MAX_ORDER_AGE_S = 0.4  # of an order at its arrival: half of the time in which it may take effect
+ORDER_WAIT_S = (
+    0.2  # longer than a round trip, after which the close of a late order's connection comes
+)
 LINGER_S = 1.5  # that a client may take to close a connection after its last response
 UNACKED_TIMEOUT_MS = 5000  # without a TCP acknowledgement
 
@@ -43,8 +48,10 @@
     def is_order(self, method: str, target: str) -> bool:
         """Whether a call must not be executed late."""
 
-    async def execute_order(self, method: str, target: str, body: bytes, age_s: float) -> Response:
-        """Answers an order that was sent at most `age_s` seconds ago."""
+    async def execute_order(
+        self, method: str, target: str, body: bytes, sent_after: float
+    ) -> Response:
+        """Answers an order that was sent after `sent_after`, in seconds on the loop's clock."""
 
 
 DeliveryListener = Callable[[str, str, Response], None]  # method, target, response
@@ -193,37 +200,51 @@
     async def _answer(self, message: Message) -> None:
         method, target = message.method.decode("latin-1"), message.target.decode("latin-1")
         orders = self._server.orders
-        is_order = orders is not None and orders.is_order(method, target)
-        age_s = self._request_age() if is_order else 0.0
+        if orders and orders.is_order(method, target):
+            await self._answer_order(orders, message, method, target)
+            return
         # In two turns of the loop everything received with the call is read, also the end of the
         # connection: after a pause of this process the client may be gone.
         for _ in range(2):
             await asyncio.sleep(0)
+        if not self.transport.is_closing():
+            await self._respond(message, self._server.handle(method, target, message.body))
+
+    async def _answer_order(
+        self, orders: OrderHandler, message: Message, method: str, target: str
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        sent_after = now - self._request_age(now)
+        await asyncio.sleep(ORDER_WAIT_S)
         if self.transport.is_closing():
-            return
-        if age_s > MAX_ORDER_AGE_S:
+            log_event(Event.ORDER_EXPIRED, "%s: its caller has closed the connection", target[:200])
+        elif now - sent_after > MAX_ORDER_AGE_S:
             self._redirect(message)
-            return
+        else:
+            order = orders.execute_order(method, target, message.body, sent_after)
+            await self._respond(message, order)
+
+    async def _respond(self, message: Message, answer: Awaitable[Response]) -> None:
+        """Writes the answer to a request, or why there is none."""
         try:
             async with asyncio.timeout(HANDLER_TIMEOUT_S):
-                if orders and is_order:
-                    response = await orders.execute_order(method, target, message.body, age_s)
-                else:
-                    response = await self._server.handle(method, target, message.body)
+                response = await answer
         except TimeoutError:
             response = error_response(503, "no answer in time")
         except Exception as error:
+            method, target = message.method.decode("latin-1"), message.target.decode("latin-1")
             log_event(Event.FAILED, "%s %s could not be answered: %r", method, target[:200], error)
             response = error_response(500, "the call could not be answered")
         self._busy = False
         if not self.transport.is_closing():
+            method, target = message.method.decode("latin-1"), message.target.decode("latin-1")
             self._delivery = _Delivery(method, target, response)
             self._write(*response, message.keep_alive and not self._server.closing)
 
-    def _request_age(self) -> float:
+    def _request_age(self, now: float) -> float:
         """The largest time for which a request that was just read may be under way, in seconds."""
-        idle_s = asyncio.get_running_loop().time() - self._idle_since
-        return max(idle_s, received_ago(self.transport.get_extra_info("socket")))
+        waited_s = received_ago(self.transport.get_extra_info("socket"))
+        return max(now - self._idle_since, waited_s)
 
     def _redirect(self, message: Message) -> None:
         """Asks the client to repeat the request on a new connection, if it still waits."""
--- a/tests/http_api/test_server.py
+++ b/tests/http_api/test_server.py
@@ -6,6 +6,7 @@
 import socket
 import time
 
+import pytest
 import uvloop
 
 from cairndale.chaos.standins import http_call
@@ -63,8 +64,10 @@
     def is_order(self, method: str, target: str) -> bool:
         return target.startswith("/-/Drain.")
 
-    async def execute_order(self, method: str, target: str, body: bytes, age_s: float) -> Response:
-        self.ages.append(age_s)
+    async def execute_order(
+        self, method: str, target: str, body: bytes, sent_after: float
+    ) -> Response:
+        self.ages.append(asyncio.get_running_loop().time() - sent_after)
         return json_response(200, {})
 
 
@@ -122,6 +125,37 @@
     assert response.startswith(b"HTTP/1.1 307 ") and orders.ages == []
 
 
+async def order_that_is_given_up(close_after_s: float) -> Orders:
+    """The orders executed: one arrives on a new connection, whose close comes a little later."""
+    orders = Orders()
+    server = HttpServer(fail, orders=orders)
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        address = probe.getsockname()
+    await server.listen(address)
+    _, writer = await asyncio.open_connection(*address)
+    writer.write(CALL)
+    await asyncio.sleep(close_after_s)
+    writer.close()
+    while server.connections or server.tasks:
+        await asyncio.sleep(0.01)
+    server.stop()
+    return orders
+
+
+async def fail(method: str, target: str, body: bytes) -> Response:
+    raise AssertionError(f"{target} is an order")
+
+
+# Guards against orders that a proxy or a handshake has held up with their connection (review/1):
+# the server sees a new connection, and its close arrives a round trip after the order.
+@pytest.mark.parametrize("close_after_s", [0.0, 0.002, 0.04, 0.15])
+def test_order_on_a_new_connection_is_not_executed_if_its_caller_has_gone(
+    close_after_s: float,
+) -> None:
+    assert uvloop.run(order_that_is_given_up(close_after_s)).ages == []
+
+
 # Guards against a call that hangs until its connection is idle, as its handler has failed.
 def test_call_whose_handler_fails_is_answered() -> None:
     async def main() -> int:
