Record the requests of a run before they are sent

A request was recorded once it had its answer, and the soak's checks began while its load was still sending: a request that a server ran at that moment was unknown.

Change: a request is recorded before it is sent, and the control soak ends its load before its checks, so that they judge all of it.

--- a/cairndale/chaos/control_soak.py
+++ b/cairndale/chaos/control_soak.py
@@ -4,7 +4,7 @@
 beside a light load, restarts in order and signals:
 
 - an order for a zone is acknowledged, the opposite is ordered, and a copy of the first, which a
-  partition held up on a connection that is open since then, arrives last;
+  partition held up, arrives last: on a connection that is open since then, or on a new one;
 - servers announce their departure, all control processes are killed and come back, and a heartbeat
   from before the departure arrives late, while the server still serves;
 - configurations with odd but valid values come into force.
@@ -40,6 +40,9 @@
 DEFAULT_EDGES = 2
 READY_WITHIN_S = 30.0
 LOAD_PAUSE_S = 0.05
+# After which the close of a late order's connection arrives.
+CLOSE_DELAYS_S = (0.0, 0.002, 0.04, 0.5)
+RELAYED_CLOSE_DELAYS_S = (0.0, 0.002, 0.04, 0.15)  # on a new connection: up to a round trip
 WIDE_GENERATION_STEPS = (1, 2**32, 2**63, 2**64 + 1, 10**30)
 ODD_DURATIONS = ("0.30000000000000004s", "4294968s", "999999999999s", "9" * 400 + "ms")
 ODD_QUANTITIES = (0, 0.5, 1.7e308, 2**64, 10**400)
@@ -93,6 +96,7 @@
         self.last_sent: dict[str, Any] = {}  # the configuration that was acknowledged last
         self._core_lock = asyncio.Lock()  # one loss of control processes at a time
         self._until = 0.0
+        self._load_ended = False
 
     def now(self) -> float:
         """Seconds on the loop's clock."""
@@ -123,6 +127,8 @@
                 await asyncio.gather(*tasks)
             await self.ready(self.edges, READY_WITHIN_S)
             await asyncio.sleep(CONTACT_S)
+            self._load_ended = True
+            await load
             served = await self.request("GET", "/tiles/end")
             return self.violations + self.verdict() + await self._check_end(served.status)
         except TimeoutError as error:
@@ -139,7 +145,7 @@
                 await action()
 
     async def _load(self) -> None:
-        while True:
+        while not self._load_ended:
             await self.request("GET", f"/tiles/{len(self.attempts)}")
             await asyncio.sleep(LOAD_PAUSE_S)
 
@@ -149,7 +155,8 @@
         """A copy of an order arrives after the opposite was ordered."""
         first = "Drain.Finish" if self.orders_in_force else "Drain.Begin"
         second = "Drain.Begin" if first == "Drain.Finish" else "Drain.Finish"
-        held = await self._open_connection()
+        is_relayed = self.rng.random() < 0.5
+        held = None if is_relayed else await self._open_connection()
         held_from = self.now()
         await self._acknowledge_order(first)
         # An order may be sent again within `ack`; after that the next one is another.
@@ -157,8 +164,11 @@
         await self._acknowledge_order(second)
         if self.now() - held_from < CALL_TIMEOUT_S:
             await asyncio.sleep(CALL_TIMEOUT_S)
+        if is_relayed:  # by a proxy that connects only after the partition
+            held = await self._open_connection()
         if held is not None:
-            await self._send_held(held, first)
+            delays = RELAYED_CLOSE_DELAYS_S if is_relayed else CLOSE_DELAYS_S
+            await self._send_held(held, first, self.rng.choice(delays))
         self.actions.append(f"{first}, {second}, a late copy of {first}")
 
     async def _open_connection(self) -> asyncio.StreamWriter | None:
@@ -169,11 +179,13 @@
         except (OSError, TimeoutError):
             return None
 
-    async def _send_held(self, connection: asyncio.StreamWriter, call: str) -> None:
-        """Deliver the held-up order and, after a random round trip, the close of its connection."""
+    async def _send_held(
+        self, connection: asyncio.StreamWriter, call: str, close_delay_s: float
+    ) -> None:
+        """Deliver the held-up order and, after a delay, the close of its connection."""
         head = f"POST /-/{call}/{ORDERED_ZONE} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
         connection.write(head.encode())
-        await asyncio.sleep(self.rng.choice([0.0, 0.002, 0.04, 0.5]))
+        await asyncio.sleep(close_delay_s)
         connection.close()
 
     async def _acknowledge_order(self, call: str) -> None:
--- a/cairndale/chaos/world.py
+++ b/cairndale/chaos/world.py
@@ -389,10 +389,11 @@
         at: str = "",
         **headers: str,
     ) -> Attempt:
-        """Send one attempt to a random ingress from a look-up, or to `at`, and record it."""
+        """Record one attempt, and send it to a random ingress from a look-up, or to `at`."""
         addresses = [at] if at else await self.look_up(random.choice(["north", "south"]))
         sent_at = asyncio.get_running_loop().time()
         attempt = Attempt(f"{random.getrandbits(64):016x}", method, 0, path=path, sent_at=sent_at)
+        self.attempts.append(attempt)
         header_fields = {
             "Host": "a.example",
             "X-Request-Id": attempt.request,
@@ -408,7 +409,6 @@
                     )
             except (OSError, ValueError, TimeoutError):
                 pass
-        self.attempts.append(attempt)
         return attempt
 
     def edge(self, name: str) -> str:
