Refuse text and nesting that no process can pass on

JSON nested some 990 levels deep got 500 for as long as it was sent. A tenant's name with a control character gave each of its requests 502, or broke its X-Tenant line in two.

Cause: json.loads returns such strings, which UTF-8 and so no message can carry; nothing looked before the change was in the log. In the backend, zone or gen of a heartbeat they would have stopped all updates of endpoints (read from the code). A RecursionError is no ValueError.

Heartbeats likewise. tests/test_pages.py: the table of allowed imports names the new module.

--- a/cairndale/configuration/validation.py
+++ b/cairndale/configuration/validation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -29,6 +30,7 @@
 ITEMS_PER_STEP = 100  # items whose fields are checked; the leader renews its lease in between
 LOOKUPS_PER_STEP = 1_000  # look-ups of a value among the values of other items
 DURATION_LIMITS = ("headerTimeout", "idleTimeout")
+_CONTROL_CHARACTERS = re.compile(r"[\x00-\x1f\x7f]")
 SIZE_LIMITS = ("maxHeaderBytes", "maxBodyBytes")
 
 
@@ -42,6 +44,11 @@
     return isinstance(value, str) and value.startswith("/")
 
 
+def is_header_text(value: object) -> bool:
+    """A non-empty string that a header field can carry, as `X-Tenant` carries a tenant's name."""
+    return is_text(value) and not _CONTROL_CHARACTERS.search(str(value))
+
+
 def is_split_part(value: object) -> bool:
     """A service of a split, with its weight."""
     return (
@@ -73,7 +80,7 @@
     Optional(str): object,
 }
 _TENANT_RULES: Rules = {
-    "name": is_text,
+    "name": is_header_text,
     "apiKeys": list_of(is_text),
     Optional("prio"): is_count,
     Optional("ratePerS"): is_number,
@@ -91,7 +98,9 @@
 ITEM_RULES = {
     "routes": ObjectRules(_ROUTE_RULES, _EXPECTATIONS),
     "backends": ObjectRules(_SERVICE_RULES, _EXPECTATIONS),
-    "tenants": ObjectRules(_TENANT_RULES, _EXPECTATIONS),
+    "tenants": ObjectRules(
+        _TENANT_RULES, {"name": "is not a non-empty text without control characters"}
+    ),
 }
 
 
--- a/cairndale/control/configuration_changes.py
+++ b/cairndale/control/configuration_changes.py
@@ -18,6 +18,7 @@
 from cairndale.configuration.state import REJECTED, State
 from cairndale.configuration.stepwise import Steps, advance
 from cairndale.configuration.validation import change_errors, content_errors_steps
+from cairndale.configuration.value_check import value_errors_steps
 from cairndale.control.change_queue import ChangeOutcome, ChangeQueue
 from cairndale.control.gc_pause import gc_paused
 from cairndale.control.leader import Leader
@@ -67,7 +68,7 @@
             is_large = len(body) > LARGE_BODY_BYTES
             try:
                 decoded = await run_in_steps(loads_steps(body), is_large)
-            except ValueError as error:
+            except (ValueError, RecursionError) as error:
                 await self._leader.confirm(called_at, self._leader.require_leadership().term)
                 return error_response(400, f"not JSON: {error}")
             await self._wait_for_parent(decoded)
@@ -139,7 +140,8 @@
         Raises CallError if neither is certain.
         """
         body, is_full = change.body, change.verb is Verb.REPLACE
-        if errors := change_errors(body, is_full, 0):
+        errors = await run_in_steps(value_errors_steps(body))
+        if errors := errors + change_errors(body, is_full, 0):
             return error_response(400, *errors)  # invalid in every state
         gen, parent, gen_in_force = body["gen"], body["parent"], state.gen
         if parent < gen and state.record_may_be_evicted(gen):
--- a/cairndale/control/operations.py
+++ b/cairndale/control/operations.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import json
-
 from cairndale.configuration.commands import Verb
 from cairndale.control.call_origin import CallOrigin
 from cairndale.control.change_queue import ChangeQueue
@@ -19,6 +17,7 @@
 from cairndale.events import Event, log_event
 from cairndale.http_api.router import CONTROL_ROUTES, ApiCall, RouteFailure, match
 from cairndale.http_api.server import Response, error_response, json_response
+from cairndale.json_text import decode_json
 from cairndale.registry.departures import Departure
 from cairndale.registry.endpoints import HeartbeatError, read_heartbeat
 
@@ -82,7 +81,7 @@
         self, leadership: Leadership, id: str, body: bytes, now: float
     ) -> Response:
         try:
-            heartbeat = read_heartbeat(id, json.loads(body), now)
+            heartbeat = read_heartbeat(id, decode_json(body), now)
         except HeartbeatError as error:
             return error_response(400, *error.errors)
         except ValueError as error:
--- a/cairndale/registry/endpoints.py
+++ b/cairndale/registry/endpoints.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from cairndale.json_text import NOT_ENCODABLE, is_encodable
 from cairndale.registry.departures import Departure, DepartureLookup
 from cairndale.settings import parse_duration
 
@@ -92,7 +93,7 @@
         service=_text(details, "details.", "backend", errors),
         addr=addr,
         zone=_text(details, "details.", "zone", errors),
-        gen=str(details.get("gen", "")) if isinstance(details, dict) else "",
+        gen=_software_version(details, errors),
         capacity=min(MAX_CAPACITY, _number(details, "details.", "capacity", 1, errors)),
         state=state,
         warmup_until=warmup_until,
@@ -106,12 +107,22 @@
 
 def _text(parent: Any, path: str, name: str, errors: list[str]) -> str:
     value = parent.get(name) if isinstance(parent, dict) else None
+    if isinstance(value, str) and not is_encodable(value):
+        errors.append(f"{path}{name}: {NOT_ENCODABLE}")
+        return ""
     if isinstance(value, str) and value:
         return value
     errors.append(f"{path}{name}: {value!r} is not a non-empty string")
     return ""
 
 
+def _software_version(details: Any, errors: list[str]) -> str:
+    version = str(details.get("gen", "")) if isinstance(details, dict) else ""
+    if not is_encodable(version):
+        errors.append(f"details.gen: {NOT_ENCODABLE}")
+    return version
+
+
 def _number(parent: Any, path: str, name: str, minimum: int, errors: list[str]) -> int:
     value = parent.get(name) if isinstance(parent, dict) else None
     if isinstance(value, int) and not isinstance(value, bool) and minimum <= value:
--- a/cairndale/registry/heartbeats.py
+++ b/cairndale/registry/heartbeats.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 
+from cairndale.json_text import decode_json
 from cairndale.registry.endpoints import Endpoint, EndpointRegistry, read_heartbeat
 from cairndale.registry.nodes import NodeRegistry
 from cairndale.rpc import protocol_pb2 as pb
@@ -46,7 +46,7 @@
         Heartbeats are most of the traffic between zones. Empty if the server is in this zone, or
         no closer node is in contact with the leader.
         """
-        zone = json.loads(body)["details"]["zone"]
+        zone = decode_json(body)["details"]["zone"]
         region = self._settings.zones.get(zone, "")
         if zone == self._settings.zone:
             return {}
@@ -63,7 +63,7 @@
         The leader reports the errors of an invalid one to its sender.
         """
         try:
-            return read_heartbeat(id, json.loads(body), now)
+            return read_heartbeat(id, decode_json(body), now)
         except ValueError:
             return None
 
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -90,8 +90,8 @@
 ALLOWED_IMPORTS = {
     "rpc": {"errors", "events", "settings"},
     "raft": {"rpc"},
-    "configuration": {"field_rules", "ingress", "settings"},
-    "registry": {"rpc", "settings"},
+    "configuration": {"field_rules", "ingress", "json_text", "settings"},
+    "registry": {"json_text", "rpc", "settings"},
     "quota": {"ingress", "settings"},
     "lookup": {"configuration", "http_api", "rpc"},
     "http_api": {"events", "ingress", "rpc", "settings"},
@@ -100,6 +100,7 @@
         "errors",
         "events",
         "http_api",
+        "json_text",
         "lookup",
         "quota",
         "raft",
