Compute with the smallest rates that a configuration may have

Cause: burst over rate is infinite there. The bounds of quantities had only an upper end.

Change: numbers above 0 are read as at least 1e-9, one in 31 years; 0 stays 0, as it means no limit.

--- a/cairndale/configuration/numbers.py
+++ b/cairndale/configuration/numbers.py
@@ -1,8 +1,8 @@
 """Numbers of a configuration in the ranges that the system computes with.
 
 JSON has numbers of any size, and a configuration with them is valid. Beyond these bounds a larger
-number means the same: more than any machine or client can do. Read with them, sums and products of
-numbers stay finite.
+number means the same: more than any machine or client can do. So does a smaller one. Read with
+them, sums, products and quotients of numbers stay finite.
 """
 
 from __future__ import annotations
@@ -12,12 +12,16 @@
 from fractions import Fraction
 
 MAX_QUANTITY = 1e15  # of requests a second, or units
+MIN_QUANTITY = 1e-9  # of those above 0; requests a second: one in 31 years
 MAX_COUNT = 1_000_000_000  # of connections or attempts
 
 
 def bounded_quantity(value: float) -> float:
-    """A number of at least 0 as a float, at most `MAX_QUANTITY`; any int is allowed."""
-    return float(min(value, MAX_QUANTITY))
+    """A number of at least 0 as a float; any int is allowed.
+
+    0 stays 0, which often means that there is no limit; others are between the bounds.
+    """
+    return float(min(max(value, MIN_QUANTITY), MAX_QUANTITY)) if value else 0.0
 
 
 def bounded_count(value: int) -> int:
--- a/tests/control/test_wide_numbers.py
+++ b/tests/control/test_wide_numbers.py
@@ -15,12 +15,15 @@
 from cairndale.configuration.commands import Command, Verb
 from cairndale.configuration.numbers import finite_weights
 from cairndale.configuration.route_table import RouteTable
+from cairndale.configuration.routes import Tenant, read_item
 from cairndale.configuration.state import State
 from cairndale.configuration.validation import change_errors, content_errors
 from cairndale.control.endpoint_codec import endpoint_from_message, endpoint_to_message
 from cairndale.control.leadership import Leadership
 from cairndale.dataplane.node import DataPlaneNode
 from cairndale.dataplane.request_router import _timeout_us
+from cairndale.ingress.policy.account import TenantAccount
+from cairndale.ingress.policy.interface import Plan
 from cairndale.registry.endpoints import EndpointRegistry, read_heartbeat
 from cairndale.registry.nodes import NodeRegistry
 from cairndale.rpc import protocol_pb2 as pb
@@ -118,6 +121,23 @@
     node.ingress.backends.stop()
 
 
+# Guards against a quota whose time to fill overflows: the ingress logged OverflowError, and the
+# plans of the tenants after it stayed as they were.
+@pytest.mark.parametrize(
+    ("rate", "burst"),
+    [(5e-324, 1), (5e-324, 10**400), (1e-310, 70), (10**400, 5e-324), (0, 1)],
+    ids=["smallest rate", "extremes", "denormal rate", "largest rate", "no limit"],
+)
+def test_a_quota_of_any_size_fills_in_a_finite_time(rate: float, burst: float) -> None:
+    raw = {"apiKeys": ["k"], "ratePerS": rate, "burst": burst}
+    tenant = read_item("tenants", "t", raw, {})
+    assert isinstance(tenant, Tenant) and (tenant.rate_per_s > 0) == (rate > 0)
+    plan = Plan(name="t", rate=tenant.rate_per_s, burst=tenant.burst)
+    account = TenantAccount(plan, 2, slot_us=1_000_000, bucket_updated_at=0)
+    account.record_arrival(10, 1.0, is_retry=False)
+    assert account.window_us >= 1_000_000
+
+
 @pytest.mark.parametrize(
     ("weights", "expected"),
     [
