--- a/cairndale/chaos/world.py
+++ b/cairndale/chaos/world.py
@@ -349,7 +349,13 @@
                         return
                     await asyncio.sleep(0.05)
         except TimeoutError:
-            raise TimeoutError(f"not ready: {' '.join(not_ready)}") from None
+            shown = (self._describe(self.machines[name]) for name in not_ready)
+            raise TimeoutError(f"not ready: {' '.join(shown)}") from None
+
+    @staticmethod
+    def _describe(machine: Machine) -> str:
+        code = machine.process.poll() if machine.process else None
+        return machine.name if code is None else f"{machine.name} (exit status {code})"
 
     async def _is_ready(self, machine: Machine) -> bool:
         try:
