Refuse a heartbeat whose port no connection can have

What operators saw: a server with the address 127.0.0.1:99999 was acknowledged and listed, and no ingress could connect to it (event 900 at each, found by odd heartbeats on real processes).

Change: a port is 0 to 65535 in ASCII digits; else 400 with the path.

--- a/cairndale/registry/endpoints.py
+++ b/cairndale/registry/endpoints.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Any
@@ -20,6 +21,8 @@
 MISSED_HEARTBEATS = 3  # consecutive ones, after which an endpoint is marked as gone
 MAX_CAPACITY = 1_000_000  # request slots; a server that reports more counts as having so many
 MAX_WARMUP_S = 3600.0
+PORT = re.compile("[0-9]{1,5}")
+MAX_PORT = 65_535
 # Two reports of the same warm-up differ by the transmission times of the heartbeats.
 WARMUP_TOLERANCE_S = 0.3
 # How long the record of a gone endpoint is kept, so that a delayed heartbeat does not add it again.
@@ -82,7 +85,7 @@
     errors: list[str] = []
     details, status = (raw.get(n) if isinstance(raw, dict) else None for n in ("details", "status"))
     addr = _text(raw, "", "addr", errors)
-    if addr and not (addr.rpartition(":")[0] and addr.rpartition(":")[2].isdigit()):
+    if addr and not _is_address(addr):
         errors.append(f"addr: {addr!r} is not an address of the form host:port")
     state = _text(status, "status.", "state", errors)
     if state and state not in REPORTED_STATES:
@@ -105,6 +108,12 @@
     return endpoint
 
 
+def _is_address(text: str) -> bool:
+    """Whether it is `host:port`, with a port that a connection can have."""
+    host, _, port = text.rpartition(":")
+    return bool(host) and PORT.fullmatch(port) is not None and int(port) <= MAX_PORT
+
+
 def _text(parent: Any, path: str, name: str, errors: list[str]) -> str:
     value = parent.get(name) if isinstance(parent, dict) else None
     if isinstance(value, str) and not is_encodable(value):
--- a/tests/control/test_odd_text.py
+++ b/tests/control/test_odd_text.py
@@ -1,4 +1,4 @@
-"""Text in JSON that no message can carry, and JSON that is nested too deeply."""
+"""Text in JSON that no message can carry, JSON that is nested too deeply, and wide ports."""
 
 from __future__ import annotations
 
@@ -93,6 +93,14 @@
         read_heartbeat("i", raw, 0.0)
 
 
+# Guards against servers that are acknowledged and that no ingress can connect to.
+@pytest.mark.parametrize("port", ["99999", "9" * 30, "\u00b2", "-1", "1.5", ""])
+def test_a_heartbeat_with_a_port_out_of_range_is_refused(port: str) -> None:
+    with pytest.raises(HeartbeatError, match=r"^addr: "):
+        read_heartbeat("i", heartbeat(1) | {"addr": f"10.1.0.9:{port}"}, 0.0)
+    assert read_heartbeat("i", heartbeat(1) | {"addr": "10.1.0.9:65535"}, 0.0).addr
+
+
 async def send_deep_heartbeat(statuses: list[int]) -> None:
     cluster = ControlCluster(Path("deep"))
     await cluster.start_all()
