Give a call of the HTTP API a type, and odd configurations a module

Change: _Call in http_api/server.py, chaos/odd_configurations.py, rpc/integer_ranges.py. What the software does is as before.

--- a/cairndale/chaos/control_soak.py
+++ b/cairndale/chaos/control_soak.py
@@ -27,6 +27,12 @@
 from pathlib import Path
 from typing import Any
 
+from cairndale.chaos.odd_configurations import (
+    GENERATION_STEPS,
+    UNREADABLE_TEXT,
+    odd_route,
+    odd_tenant,
+)
 from cairndale.chaos.standins import Server, http_call
 from cairndale.chaos.supervised_world import SupervisedWorld, exit_violations
 
@@ -43,12 +49,6 @@
 # After which the close of a late order's connection arrives.
 CLOSE_DELAYS_S = (0.0, 0.002, 0.04, 0.5)
 RELAYED_CLOSE_DELAYS_S = (0.0, 0.002, 0.04, 0.15)  # on a new connection: up to a round trip
-WIDE_GENERATION_STEPS = (1, 2**32, 2**63, 2**64 + 1, 10**30)
-ODD_DURATIONS = ("0.30000000000000004s", "4294968s", "999999999999s", "9" * 400 + "ms")
-ODD_QUANTITIES = (0, 0.5, 5e-324, 1.7e308, 2**64, 10**400)
-ODD_COUNTS = (0, 1, 2**32, 2**64, 10**400)
-ODD_NAMES = ("odd", "Zürich 東京", "n" * 2000, '"/\\ :')
-UNREADABLE_TEXT = "\ud800"  # half of a surrogate pair, which no message can carry
 
 
 @dataclass(slots=True)
@@ -310,35 +310,13 @@
 
     def _next_configuration(self, odd: bool) -> dict[str, Any]:
         """The next configuration; `odd`: with values that are rare, but valid."""
-        step = self.rng.choice(WIDE_GENERATION_STEPS) if odd else 1
+        step = self.rng.choice(GENERATION_STEPS) if odd else 1
         content = self.content() | {"gen": self.gen + step, "parent": self.gen}
         for tenant in content["tenants"]:
             tenant |= {"ratePerS": 0, "burst": 0}
         if odd:
-            content["routes"].append(
-                {
-                    "name": self.rng.choice(ODD_NAMES),
-                    "host": self.rng.choice(ODD_NAMES),
-                    "pathPrefix": f"/{self.rng.choice(ODD_NAMES)}/",
-                    "prio": self.rng.choice(ODD_COUNTS),
-                    "tries": self.rng.choice(ODD_COUNTS),
-                    "kind": "idempotent",
-                    "deadline": self.rng.choice(ODD_DURATIONS),
-                    "split": [
-                        {"backend": "books", "weight": self.rng.choice(ODD_QUANTITIES)},
-                        {"backend": "tiles", "weight": 1e308},
-                    ],
-                }
-            )
-            content["tenants"].append(
-                {
-                    "name": self.rng.choice(ODD_NAMES),
-                    "apiKeys": [self.rng.choice(ODD_NAMES)],
-                    "prio": self.rng.choice(ODD_COUNTS),
-                    "ratePerS": self.rng.choice(ODD_QUANTITIES),
-                    "burst": self.rng.choice(ODD_QUANTITIES),
-                }
-            )
+            content["routes"].append(odd_route(self.rng, ("books", "tiles")))
+            content["tenants"].append(odd_tenant(self.rng))
         return content
 
     async def _reconfigure(self) -> None:
--- a/cairndale/control/endpoint_codec.py
+++ b/cairndale/control/endpoint_codec.py
@@ -7,9 +7,7 @@
 
 from cairndale.registry.endpoints import EncodedEndpoint, Endpoint
 from cairndale.rpc import protocol_pb2 as pb
-
-MAX_UINT32 = (1 << 32) - 1
-MAX_UINT64 = (1 << 64) - 1
+from cairndale.rpc.integer_ranges import MAX_UINT32, MAX_UINT64
 
 
 def endpoint_to_message(endpoint: Endpoint, now: float) -> pb.Endpoint:
--- a/cairndale/dataplane/config_client.py
+++ b/cairndale/dataplane/config_client.py
@@ -14,6 +14,7 @@
 from cairndale.configuration.delta import ConfigDelta, DeltaError
 from cairndale.configuration.route_table import RouteTable, TableChange
 from cairndale.rpc import protocol_pb2 as pb
+from cairndale.rpc.integer_ranges import MAX_UINT32
 from cairndale.rpc.leader_time import leader_time, set_leader_time
 from cairndale.rpc.lease_timing import (
     MAX_CLOCK_DRIFT,
@@ -22,7 +23,6 @@
     long_poll_timeout,
 )
 
-MAX_UINT32 = (1 << 32) - 1
 # From the last response on. The leader has forgotten the node's lease by then, and the drift is far
 # below what makes a request outdated (`NodeRegistry.is_outdated`).
 MAX_CLOCK_READING_AGE_S = 60.0
--- a/cairndale/http_api/server.py
+++ b/cairndale/http_api/server.py
@@ -36,6 +36,7 @@
     0.2  # longer than a round trip, after which the close of a late order's connection comes
 )
 LINGER_S = 1.5  # that a client may take to close a connection after its last response
+MAX_LOGGED_CHARS = 200  # of a request's target
 UNACKED_TIMEOUT_MS = 5000  # without a TCP acknowledgement
 
 Response = tuple[int, bytes]  # status and body
@@ -68,11 +69,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Delivery:
-    """A response that was written, but may not have been received by its client yet."""
+class _Call:
+    """A request as its handler gets it."""
 
     method: str
     target: str
+    body: bytes
+
+    def __str__(self) -> str:
+        return f"{self.method} {self.target[:MAX_LOGGED_CHARS]}"
+
+
+@dataclass(frozen=True, slots=True)
+class _Delivery:
+    """A response that was written, but may not have been received by its client yet."""
+
+    call: _Call
     response: Response
 
 
@@ -198,33 +210,34 @@
         task.add_done_callback(self._server.tasks.discard)
 
     async def _answer(self, message: Message) -> None:
-        method, target = message.method.decode("latin-1"), message.target.decode("latin-1")
+        call = _Call(
+            message.method.decode("latin-1"), message.target.decode("latin-1"), message.body
+        )
         orders = self._server.orders
-        if orders and orders.is_order(method, target):
-            await self._answer_order(orders, message, method, target)
+        if orders and orders.is_order(call.method, call.target):
+            await self._answer_order(orders, message, call)
             return
         # In two turns of the loop everything received with the call is read, also the end of the
         # connection: after a pause of this process the client may be gone.
         for _ in range(2):
             await asyncio.sleep(0)
         if not self.transport.is_closing():
-            await self._respond(message, self._server.handle(method, target, message.body))
+            answer = self._server.handle(call.method, call.target, call.body)
+            await self._respond(message, call, answer)
 
-    async def _answer_order(
-        self, orders: OrderHandler, message: Message, method: str, target: str
-    ) -> None:
+    async def _answer_order(self, orders: OrderHandler, message: Message, call: _Call) -> None:
         now = asyncio.get_running_loop().time()
         sent_after = now - self._request_age(now)
         await asyncio.sleep(ORDER_WAIT_S)
         if self.transport.is_closing():
-            log_event(Event.ORDER_EXPIRED, "%s: its caller has closed the connection", target[:200])
+            log_event(Event.ORDER_EXPIRED, "%s: its caller has closed the connection", call)
         elif now - sent_after > MAX_ORDER_AGE_S:
             self._redirect(message)
         else:
-            order = orders.execute_order(method, target, message.body, sent_after)
-            await self._respond(message, order)
+            answer = orders.execute_order(call.method, call.target, call.body, sent_after)
+            await self._respond(message, call, answer)
 
-    async def _respond(self, message: Message, answer: Awaitable[Response]) -> None:
+    async def _respond(self, message: Message, call: _Call, answer: Awaitable[Response]) -> None:
         """Writes the answer to a request, or why there is none."""
         try:
             async with asyncio.timeout(HANDLER_TIMEOUT_S):
@@ -232,13 +245,11 @@
         except TimeoutError:
             response = error_response(503, "no answer in time")
         except Exception as error:
-            method, target = message.method.decode("latin-1"), message.target.decode("latin-1")
-            log_event(Event.FAILED, "%s %s could not be answered: %r", method, target[:200], error)
+            log_event(Event.FAILED, "%s could not be answered: %r", call, error)
             response = error_response(500, "the call could not be answered")
         self._busy = False
         if not self.transport.is_closing():
-            method, target = message.method.decode("latin-1"), message.target.decode("latin-1")
-            self._delivery = _Delivery(method, target, response)
+            self._delivery = _Delivery(call, response)
             self._write(*response, message.keep_alive and not self._server.closing)
 
     def _request_age(self, now: float) -> float:
@@ -262,7 +273,8 @@
     def _confirm_delivery(self) -> None:
         delivery, self._delivery = self._delivery, None
         if delivery and self._server.on_delivered:
-            self._server.on_delivered(delivery.method, delivery.target, delivery.response)
+            call = delivery.call
+            self._server.on_delivered(call.method, call.target, delivery.response)
 
     def _write(self, status: int, body: bytes, keep: bool, headers: bytes = b"") -> None:
         headers += b"Content-Type: application/json\r\n"
--- a/cairndale/registry/heartbeats.py
+++ b/cairndale/registry/heartbeats.py
@@ -12,12 +12,9 @@
 from cairndale.registry.endpoints import Endpoint, EndpointRegistry, read_heartbeat
 from cairndale.registry.nodes import NodeRegistry
 from cairndale.rpc import protocol_pb2 as pb
+from cairndale.rpc.integer_ranges import MAX_UINT32, MAX_UINT64
 from cairndale.settings import Settings
 
-# What a report has room for.
-MAX_AGE_MS = (1 << 32) - 1
-MAX_REPORTED_SEQ = (1 << 64) - 1
-
 
 @dataclass(frozen=True, slots=True, order=True)
 class _CollectedHeartbeat:
@@ -75,7 +72,7 @@
         heartbeat = self.parse(id, body, now)
         if heartbeat is None or not known.is_refreshed_by(heartbeat):
             return False
-        if heartbeat.seq > MAX_REPORTED_SEQ:
+        if heartbeat.seq > MAX_UINT64:
             return False
         collected = _CollectedHeartbeat(heartbeat.seq, now)
         before = self._unacknowledged.get(id, _CollectedHeartbeat(0, now))
@@ -90,7 +87,7 @@
         return pb.HeartbeatReport(
             ids=list(self._unacknowledged),
             seqs=[h.seq for h in collected],
-            ages_ms=[min(MAX_AGE_MS, round((now - h.received_at) * 1000)) for h in collected],
+            ages_ms=[min(MAX_UINT32, round((now - h.received_at) * 1000)) for h in collected],
         )
 
     def acknowledge(self, report: pb.HeartbeatReport) -> None:
