Go on applying, sending and dialling after an unexpected exception

What callers would have seen: after one unexpected exception as an entry is applied a control node votes and leads, and applies nothing any more: at the leader no change is ever acknowledged. One heartbeat that cannot be sent leaves the servers of its whole batch without an answer. Calls to an address that cannot be dialled wait until they time out, and its queue fills.

Found by reading each place that starts a task or a turn in control, dataplane, rpc, raft and http_api.

Change: a turn of the apply loop always schedules the next one. An entry that cannot be applied ends the process, since it must not go on without what the others have applied, and a second try would skip the entry; after the restart it begins anew.

--- a/cairndale/control/apply_loop.py
+++ b/cairndale/control/apply_loop.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 from collections.abc import Callable, Sequence
 
@@ -14,6 +15,7 @@
 from cairndale.control.applier import AppliedEntry, Applier
 from cairndale.control.raft_driver import RaftDriver
 from cairndale.control.snapshot_worker import SnapshotWorker
+from cairndale.events import Event, log_event
 from cairndale.raft.messages import Ready
 from cairndale.raft.node import RaftNode
 from cairndale.raft.replica import Role
@@ -69,20 +71,37 @@
     def _run_turn(self) -> None:
         if self._is_running or not self._applier.has_backlog:
             return
-        self._is_running, deadline = True, time.perf_counter() + MAX_TURN_S
+        self._is_running = True
+        try:
+            self._apply_until(time.perf_counter() + MAX_TURN_S)
+            self._on_turn_end()
+            if self._applier.is_between_commands and self._is_log_oversized():
+                self._snapshot_worker.create(self.state.to_dict(), self._applier.index)
+        finally:  # a listener that fails must not end the application of the log
+            if self._applier.has_backlog:
+                self._yield_to_loop(self._resume)
+            else:
+                self._is_running = False
+
+    def _apply_until(self, deadline: float) -> None:
         self._applier.encodes_content = self._raft.role is Role.LEADER
         more = True
         while more:
-            if applied := self._applier.step():
+            if applied := self._step():
                 self._entry_applied(applied)
             more = self._applier.has_backlog and time.perf_counter() < deadline
-        self._on_turn_end()
-        if self._applier.is_between_commands and self._is_log_oversized():
-            self._snapshot_worker.create(self.state.to_dict(), self._applier.index)
-        if self._applier.has_backlog:
-            self._yield_to_loop(self._resume)
-        else:
-            self._is_running = False
+
+    def _step(self) -> AppliedEntry | None:
+        """Does one step of work.
+
+        If it fails the process exits at once: it must not go on without an entry that the other
+        members have applied. After its restart it applies the entry from the beginning.
+        """
+        try:
+            return self._applier.step()
+        except Exception as error:
+            log_event(Event.FAILED, "entry %d not applied: %r", self._applier.index + 1, error)
+            os._exit(1)
 
     def _yield_to_loop(self, resume: Callable[[], None]) -> None:
         self._loop.call_soon(resume)
--- a/cairndale/control/heartbeat_batch.py
+++ b/cairndale/control/heartbeat_batch.py
@@ -12,7 +12,7 @@
 from collections.abc import Awaitable, Callable
 
 from cairndale.control.endpoint_codec import endpoint_from_message, endpoint_to_message
-from cairndale.errors import CallError, QueueFullError
+from cairndale.errors import CallError, CallTimeoutError, QueueFullError
 from cairndale.events import Event, log_event
 from cairndale.registry.endpoints import REPORTED_STATES, Endpoint, EndpointRegistry
 from cairndale.rpc import protocol_pb2 as pb
@@ -53,6 +53,11 @@
         self.heartbeats: list[Endpoint] = []
         self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
+    def fail(self, failure: CallError) -> None:
+        """Tells the callers of all heartbeats that they may not be registered."""
+        self.done.set_exception(failure)
+        self.done.exception()  # marks it as retrieved: the waiters may have been cancelled
+
     def report(self, now: float) -> pb.EndpointReport:
         """The message for the leader."""
         return pb.EndpointReport(endpoints=[endpoint_to_message(h, now) for h in self.heartbeats])
@@ -99,9 +104,11 @@
         try:
             await self._send(batch)
         except CallError as failure:
-            batch.done.set_exception(failure)
-            batch.done.exception()  # marks it as retrieved: the waiters may have been cancelled
+            batch.fail(failure)
+        except Exception as error:
+            log_event(Event.FAILED, "heartbeats could not be sent: %r", error)
+            batch.fail(CallTimeoutError("the heartbeats could not be sent"))
         else:
             batch.done.set_result(None)
         finally:
-            batch.done.cancel()  # releases the waiters after any other failure
+            batch.done.cancel()  # releases the waiters when the process stops
--- a/cairndale/rpc/connection_pool.py
+++ b/cairndale/rpc/connection_pool.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from cairndale.errors import QueueFullError, UnreachableError
+from cairndale.events import Event, log_event
 from cairndale.rpc import protocol_pb2 as pb
 from cairndale.rpc.framing import FramedConnection
 from cairndale.rpc.pending_calls import PendingCalls
@@ -81,9 +82,11 @@
             if connection.transport is None:  # closed before this task was resumed
                 raise ConnectionResetError
         except (OSError, TimeoutError):
-            self.back_off(address)
-            for envelope in self._queued.pop(address, ()):
-                self._pending.fail(envelope, UnreachableError(address))
+            self._fail_dial(address)
+            return
+        except Exception as error:  # no address, for one: its calls must not wait
+            log_event(Event.FAILED, "%r cannot be dialled: %r", address, error)
+            self._fail_dial(address)
             return
         finally:
             self._dials.pop(address, None)
@@ -91,6 +94,11 @@
         for envelope in self._queued.pop(address, ()):
             self._write(connection, envelope)
 
+    def _fail_dial(self, address: str) -> None:
+        self.back_off(address)
+        for envelope in self._queued.pop(address, ()):
+            self._pending.fail(envelope, UnreachableError(address))
+
     def is_backed_off(self, address: str) -> bool:
         """Whether the address must not be dialled now."""
         backoff = self._backoffs.get(address)
--- a/tests/control/test_heartbeat_batch.py
+++ b/tests/control/test_heartbeat_batch.py
@@ -290,3 +290,14 @@
         return count
 
     run_simulation(150, 1000, scenario, monkeypatch)
+
+
+# Guards against servers that get no answer as one heartbeat of their batch cannot be sent.
+async def test_a_batch_that_cannot_be_sent_is_answered() -> None:
+    async def send(batch: HeartbeatBatch) -> None:
+        raise ZeroDivisionError("on purpose")
+
+    batcher = HeartbeatBatcher(now, lambda: 3, send)
+    calls = [batcher.register(read_heartbeat(f"i{n}", heartbeat(n), now())) for n in range(1, 4)]
+    outcomes = await asyncio.gather(*calls, return_exceptions=True)
+    assert [type(outcome) for outcome in outcomes] == [CallTimeoutError] * 3
--- a/tests/control/test_task_faults.py
+++ b/tests/control/test_task_faults.py
@@ -9,7 +9,10 @@
 
 import pytest
 
+from cairndale.control import apply_loop
+from cairndale.control.applier import Applier
 from cairndale.control.follower import Follower
+from cairndale.control.leadership import Leadership
 from cairndale.control.lease_enrolment import LeaseEnrolment
 from cairndale.control.raft_driver import RaftDriver
 from cairndale.control.snapshot_worker import SnapshotWorker
@@ -149,3 +152,43 @@
     violations = list[str]()
     run_in_virtual_time(updates_that_cannot_be_made(monkeypatch, violations))
     assert not violations
+
+
+async def changes_after_a_failed_turn(
+    monkeypatch: pytest.MonkeyPatch, owner: type, name: str, violations: list[str]
+) -> None:
+    """One call raises while an entry is applied; later entries must be applied all the same."""
+    cluster = ControlCluster(Path("turns"))
+    await cluster.start_all()
+    history = first_change()
+    history.sent |= {gen: (gen - 1, configuration(gen, gen - 1)) for gen in (2, 3)}
+    assert await submit_change(cluster, history, 1, cluster.hosts) == 200
+    failed = fail_once(monkeypatch, owner, name)
+    for gen in (2, 3):
+        if await submit_change(cluster, history, gen, cluster.hosts) != 200:
+            violations.append(f"{gen} is not accepted")
+    await asyncio.sleep(5.0)
+    if not failed:
+        violations.append("nothing failed")
+    for host, node in cluster.nodes.items():
+        if node.state.gen != 3:
+            violations.append(f"{host} has applied {node.state.gen}")
+    if [ingress.gen for ingress in cluster.ingresses] != [3, 3]:
+        violations.append("not all ingresses have the change")
+
+
+# Guards against a member that votes and leads, but applies no entry any more.
+def test_entries_are_applied_after_a_listener_has_failed(monkeypatch: pytest.MonkeyPatch) -> None:
+    violations = list[str]()
+    run_in_virtual_time(
+        changes_after_a_failed_turn(monkeypatch, Leadership, "apply_state", violations)
+    )
+    assert not violations
+
+
+# Guards against a member that goes on without an entry that the others have applied.
+def test_a_process_that_cannot_apply_an_entry_ends(monkeypatch: pytest.MonkeyPatch) -> None:
+    codes = list[int]()
+    monkeypatch.setattr(apply_loop.os, "_exit", codes.append)
+    run_in_virtual_time(changes_after_a_failed_turn(monkeypatch, Applier, "step", list[str]()))
+    assert codes == [1] * 5  # at each member once
--- a/tests/rpc/test_peer.py
+++ b/tests/rpc/test_peer.py
@@ -16,6 +16,7 @@
     FaultCode,
     RejectedError,
     StaleCallError,
+    UnreachableError,
 )
 from cairndale.rpc import protocol_pb2 as pb
 from cairndale.rpc.compression import compress_lists
@@ -91,6 +92,16 @@
         assert response.operation_response.body == b"x"
 
 
+# Guards against calls that wait, and a queue that fills, as an address cannot be dialled at all.
+@pytest.mark.parametrize("address", ["", "127.0.0.1:99999", f"{HOST}:x", "\0:1"])
+async def test_a_call_to_an_address_that_cannot_be_dialled_fails_at_once(address: str) -> None:
+    async with rpc_peer() as ours:
+        for _ in range(2):
+            with pytest.raises(UnreachableError):
+                async with asyncio.timeout(0.5):
+                    await ours.call(address, order(), 5.0)
+
+
 async def test_error_of_a_failed_call_says_whether_it_may_have_run() -> None:
     async with rpc_peer() as ours, rpc_peer() as theirs:
         with pytest.raises(CallError) as refused:
