--- a/cairndale/http_api/server.py
+++ b/cairndale/http_api/server.py
@@ -230,7 +230,7 @@
         sent_after = now - self._request_age(now)
         await asyncio.sleep(ORDER_WAIT_S)
         if self.transport.is_closing():
-            log_event(Event.ORDER_EXPIRED, "%s: its caller has closed the connection", call)
+            log_event(Event.ORDER_EXPIRED, "%s: its connection was closed", call)
         elif now - sent_after > MAX_ORDER_AGE_S:
             self._redirect(message)
         else:
