Keep the logs of a control soak that has violations

Cause: the two soaks with "not ready" left nothing to trace them by; the older soak keeps its folder.

Change: keep_folder in chaos/supervised_world.py, for both.

--- a/cairndale/chaos/control_soak.py
+++ b/cairndale/chaos/control_soak.py
@@ -34,7 +34,7 @@
     odd_tenant,
 )
 from cairndale.chaos.standins import Server, http_call
-from cairndale.chaos.supervised_world import SupervisedWorld, exit_violations
+from cairndale.chaos.supervised_world import SupervisedWorld, exit_violations, keep_folder
 
 ORDERED_ZONE = "south-c"  # without servers and ingresses: its orders disturb nothing else
 DRAIN_S = 3.0  # `drain` in the settings of the processes
@@ -371,13 +371,17 @@
 
 
 async def run_soak(seed: int, plan: SoakPlan | None = None) -> tuple[ControlSoak, list[str]]:
-    """Run one soak; return it and the violations."""
+    """Run one soak; return it and the violations. With violations, the logs are kept."""
     with tempfile.TemporaryDirectory() as folder:
         soak = ControlSoak(Path(folder), seed=seed, plan=plan or SoakPlan())
+        violations = ["the soak did not end"]
         try:
-            return soak, await soak.run()
+            violations = await soak.run()
         finally:
             await soak.end()
+            if violations:
+                keep_folder(Path(folder), f"control-soak-{seed}")
+        return soak, violations
 
 
 def main() -> int:
--- a/cairndale/chaos/soak.py
+++ b/cairndale/chaos/soak.py
@@ -10,7 +10,6 @@
 import argparse
 import asyncio
 import random
-import shutil
 import signal
 import sys
 import tempfile
@@ -22,8 +21,7 @@
 
 from cairndale.chaos.soak_client import SoakClient
 from cairndale.chaos.soak_judge import Lifetime, SoakRecord, soak_violations
-from cairndale.chaos.supervised_world import SupervisedWorld
-from cairndale.chaos.world import ROOT
+from cairndale.chaos.supervised_world import SupervisedWorld, keep_folder
 from cairndale.dataplane.shutdown import ACCEPT_MARGIN_S
 
 ZONES = {f"{region}-{part}": region for region in ("north", "south", "east") for part in "ab"}
@@ -211,9 +209,7 @@
         finally:
             await soak.end()
             if violations:
-                log_folder = ROOT / "lab-out" / f"soak-{seed}"
-                shutil.rmtree(log_folder, ignore_errors=True)
-                shutil.copytree(folder, log_folder)
+                keep_folder(Path(folder), f"soak-{seed}")
         return soak, violations
 
 
--- a/cairndale/chaos/supervised_world.py
+++ b/cairndale/chaos/supervised_world.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import shutil
 import signal
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from pathlib import Path
 
-from cairndale.chaos.world import World
+from cairndale.chaos.world import ROOT, World
 
 # SIGHUP ends a process until its interpreter runs the program, which takes up to this long.
 INTERPRETER_START_S = 1.0
@@ -38,6 +40,13 @@
             )
 
 
+def keep_folder(folder: Path, name: str) -> None:
+    """Copy a run's logs, settings and state to `lab-out/`, in place of an earlier copy."""
+    kept = ROOT / "lab-out" / name
+    shutil.rmtree(kept, ignore_errors=True)
+    shutil.copytree(folder, kept)
+
+
 @dataclass
 class SupervisedWorld(World):
     """A `World` with a platform; `supervise` has to run as a task."""
