Take settings whose numbers are wider than a float

What platforms would have seen: with memMb or a number of sla.slo above the range of floats a process did not start (OverflowError), or its leader granted no retries (event 900 at each request).

Cause: as with the numbers of configurations; settings were read without an upper bound.

Change: numbers of settings are read up to 1e12, descriptors up to 2^30.

--- a/cairndale/settings.py
+++ b/cairndale/settings.py
@@ -17,6 +17,8 @@
 from cairndale.raft.voters import Tolerance
 
 MAX_DURATION_S = 10 * 365 * 24 * 3600.0
+MAX_NUMBER = 1e12  # of requests, of a ratio, or MB
+MAX_OPEN_FILES = 1 << 30
 DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 ADDRESS = re.compile(r"([0-9]{1,3}(?:\.[0-9]{1,3}){3}):([0-9]{1,5})")
 
@@ -172,7 +174,11 @@
 _TEXT: Any = And(str, len)
 _DURATION: Any = Use(_labelled("seconds", parse_duration))
 _ADDRESS: Any = Use(_labelled("address", parse_address))
-_NUMBER: Any = And(Or(int, float), lambda n: not isinstance(n, bool) and n >= 0)
+_NUMBER: Any = And(
+    Or(int, float),
+    lambda n: not isinstance(n, bool) and n >= 0,
+    Use(lambda n: min(n, MAX_NUMBER)),  # a larger one means the same, and sums stay finite
+)
 _PORT: Any = And(int, lambda n: 0 < n < 65536)
 _FIELDS: dict[str, Any] = {  # by path in the file
     "self.hostname": _TEXT,
@@ -184,7 +190,7 @@
     "self.bootstrap": bool,
     "self.stateDir": Or(None, _TEXT),
     "self.limits.memMb": _NUMBER,
-    "self.limits.nofile": And(int, lambda n: n > 0),
+    "self.limits.nofile": And(int, lambda n: n > 0, Use(lambda n: min(n, MAX_OPEN_FILES))),
     "network.listen": {Optional(str): _ADDRESS},
     "network.portRange": And([_PORT], lambda r: len(r) == 2 and r[0] < r[1]),
     "network.peers": [_ADDRESS],
--- a/tests/control/test_wide_numbers.py
+++ b/tests/control/test_wide_numbers.py
@@ -138,6 +138,43 @@
     assert account.window_us >= 1_000_000
 
 
+NUMBERS_OF_SETTINGS = [
+    *(f"sla.slo.{name}" for name in ("retryRatio", "retrySlack", "quotaOverrun", "quotaSlack")),
+    *(f"sla.slo.{name}" for name in ("warmupOverrun", "warmupSlack")),
+    "self.limits.memMb",
+    "self.limits.nofile",
+]
+
+
+# Guards against a process that does not start, or a leader that grants no units, as a number of
+# the settings file is wider than a float.
+@pytest.mark.parametrize("path", NUMBERS_OF_SETTINGS)
+@pytest.mark.parametrize("value", [10**400, 10**30])
+async def test_settings_with_odd_numbers_are_taken(path: str, value: int) -> None:
+    raw = json.loads(json.dumps(SETTINGS))
+    *parents, name = path.split(".")
+    section = raw
+    for parent in parents:
+        section = section[parent]
+    section[name] = value
+    made = parse_settings(raw)
+    node = DataPlaneNode(made)
+    leadership = Leadership(
+        3, 100.0, False, EndpointRegistry(), NodeRegistry(), [], made.bounds, 1.5
+    )
+    state = State()
+    assert state.apply(Command(Verb.REPLACE, "d", content(gen=1)))
+    leadership.apply_state(state)
+    for _ in range(3):
+        leadership.grants.grant_budget(100.2, pb.BudgetRequest(budgets=["further/s1"]))
+    response = pb.WatchResponse(epoch="1", lease_ms=4500, config_version=1, ingress_count=1)
+    response.has_content = True
+    response.content = zlib.compress(json.dumps(content()).encode())
+    node.applier.apply(response, node.describe(), node.serving.now())
+    assert node.config_client.route_table.gen == 7
+    node.ingress.backends.stop()
+
+
 @pytest.mark.parametrize(
     ("weights", "expected"),
     [
