Write once how soaks are run and what tests of control nodes share

Change: chaos/soak_runner.py; the fixture memory_cluster in tests/control/conftest.py; listen() in tests/http_api/test_server.py. No test was changed but for these names.

--- a/cairndale/chaos/control_soak.py
+++ b/cairndale/chaos/control_soak.py
@@ -14,7 +14,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import json
 import random
@@ -33,8 +32,9 @@
     odd_route,
     odd_tenant,
 )
+from cairndale.chaos.soak_runner import parse_options, run_and_keep_logs, run_seeds
 from cairndale.chaos.standins import Server, http_call
-from cairndale.chaos.supervised_world import SupervisedWorld, exit_violations, keep_folder
+from cairndale.chaos.supervised_world import SupervisedWorld, exit_violations
 
 ORDERED_ZONE = "south-c"  # without servers and ingresses: its orders disturb nothing else
 DRAIN_S = 3.0  # `drain` in the settings of the processes
@@ -374,39 +374,18 @@
     """Run one soak; return it and the violations. With violations, the logs are kept."""
     with tempfile.TemporaryDirectory() as folder:
         soak = ControlSoak(Path(folder), seed=seed, plan=plan or SoakPlan())
-        violations = ["the soak did not end"]
-        try:
-            violations = await soak.run()
-        finally:
-            await soak.end()
-            if violations:
-                keep_folder(Path(folder), f"control-soak-{seed}")
-        return soak, violations
+        return await run_and_keep_logs(soak, folder, f"control-soak-{seed}")
 
 
 def main() -> int:
     """Run soaks from the command line; the exit code is 1 if one of them had violations."""
-    parser = argparse.ArgumentParser(prog="cairndale.chaos.control_soak")
-    parser.add_argument("seed", type=int, nargs="?", default=1)
-    parser.add_argument("count", type=int, nargs="?", default=1)
-    parser.add_argument("--edges", type=int, default=DEFAULT_EDGES, help="data-plane nodes")
-    parser.add_argument("--length", type=float, default=DEFAULT_LENGTH_S, help="seconds of load")
-    options = parser.parse_args()
-    failed = 0
-    for seed in range(options.seed, options.seed + options.count):
-        plan = SoakPlan(options.edges, options.length)
-        soak, violations = asyncio.run(run_soak(seed, plan))
-        failed += bool(violations)
-        served = sum(attempt.status == 200 for attempt in soak.attempts)
-        print(
-            f"seed {seed}: {len(soak.attempts)} attempts, {served} served, {len(soak.actions)}"
-            f" actions, {len(soak.departed)} departures, {len(violations)} violations",
-            flush=True,
-        )
-        for line in violations[:8]:
-            print(f"  {line}", flush=True)
-    print(f"{options.count} soaks, {failed} with violations")
-    return 1 if failed else 0
+    options = parse_options("cairndale.chaos.control_soak", DEFAULT_EDGES, DEFAULT_LENGTH_S)
+    plan = SoakPlan(options.edges, options.length)
+    return run_seeds(
+        range(options.seed, options.seed + options.count),
+        lambda seed: run_soak(seed, plan),
+        lambda soak: f"{len(soak.actions)} actions, {len(soak.departed)} departures",
+    )
 
 
 if __name__ == "__main__":
--- a/cairndale/chaos/soak.py
+++ b/cairndale/chaos/soak.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import random
 import signal
@@ -21,7 +20,8 @@
 
 from cairndale.chaos.soak_client import SoakClient
 from cairndale.chaos.soak_judge import Lifetime, SoakRecord, soak_violations
-from cairndale.chaos.supervised_world import SupervisedWorld, keep_folder
+from cairndale.chaos.soak_runner import parse_options, run_and_keep_logs, run_seeds
+from cairndale.chaos.supervised_world import SupervisedWorld
 from cairndale.dataplane.shutdown import ACCEPT_MARGIN_S
 
 ZONES = {f"{region}-{part}": region for region in ("north", "south", "east") for part in "ab"}
@@ -203,40 +203,18 @@
     """Run one soak; return it and the violations. With violations, the logs are kept."""
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(Path(folder), seed=seed, plan=plan or SoakPlan())
-        violations = ["the soak did not end"]
-        try:
-            violations = await soak.run()
-        finally:
-            await soak.end()
-            if violations:
-                keep_folder(Path(folder), f"soak-{seed}")
-        return soak, violations
+        return await run_and_keep_logs(soak, folder, f"soak-{seed}")
 
 
 def main() -> int:
     """Run soaks from the command line; the exit code is 1 if one of them had violations."""
-    parser = argparse.ArgumentParser(prog="cairndale.chaos.soak")
-    parser.add_argument("seed", type=int, nargs="?", default=1)
-    parser.add_argument("count", type=int, nargs="?", default=1)
-    parser.add_argument("--edges", type=int, default=DEFAULT_EDGES, help="data-plane nodes")
-    parser.add_argument("--length", type=float, default=DEFAULT_LENGTH_S, help="seconds of load")
-    options = parser.parse_args()
+    options = parse_options("cairndale.chaos.soak", DEFAULT_EDGES, DEFAULT_LENGTH_S)
     plan = SoakPlan(options.edges, options.length)
-    failed = 0
-    for seed in range(options.seed, options.seed + options.count):
-        soak, violations = asyncio.run(run_soak(seed, plan))
-        failed += bool(violations)
-        served = sum(attempt.status == 200 for attempt in soak.attempts)
-        print(
-            f"seed {seed}: {len(soak.attempts)} attempts, {served} served,"
-            f" {len(soak.record.lookups)} look-ups, {len(soak.actions)} actions,"
-            f" {len(violations)} violations",
-            flush=True,
-        )
-        for line in violations[:8]:
-            print(f"  {line}", flush=True)
-    print(f"{options.count} soaks, {failed} with violations")
-    return 1 if failed else 0
+    return run_seeds(
+        range(options.seed, options.seed + options.count),
+        lambda seed: run_soak(seed, plan),
+        lambda soak: f"{len(soak.record.lookups)} look-ups, {len(soak.actions)} actions",
+    )
 
 
 if __name__ == "__main__":
--- a/tests/control/test_departures.py
+++ b/tests/control/test_departures.py
@@ -18,13 +18,9 @@
 from tests.testing.control_cluster import (
     ControlCluster,
     run_in_virtual_time,
-    use_memory_cluster,
 )
 
-
-@pytest.fixture(autouse=True)
-def memory_cluster(monkeypatch: pytest.MonkeyPatch) -> None:
-    use_memory_cluster(monkeypatch)
+pytestmark = pytest.mark.usefixtures("memory_cluster")
 
 
 # An acknowledged deregistration survives the leader that received it.
--- a/tests/control/test_odd_text.py
+++ b/tests/control/test_odd_text.py
@@ -15,7 +15,6 @@
     ControlCluster,
     configuration,
     run_in_virtual_time,
-    use_memory_cluster,
 )
 
 HALF = "x\ud800y"  # half of a surrogate pair, which JSON may escape and UTF-8 does not have
@@ -29,9 +28,7 @@
     return value
 
 
-@pytest.fixture(autouse=True)
-def memory_cluster(monkeypatch: pytest.MonkeyPatch) -> None:
-    use_memory_cluster(monkeypatch)
+pytestmark = pytest.mark.usefixtures("memory_cluster")
 
 
 UNREADABLE = {
--- a/tests/control/test_operations.py
+++ b/tests/control/test_operations.py
@@ -47,13 +47,9 @@
     ControlCluster,
     configuration,
     run_in_virtual_time,
-    use_memory_cluster,
 )
 
-
-@pytest.fixture(autouse=True)
-def memory_cluster(monkeypatch: pytest.MonkeyPatch) -> None:
-    use_memory_cluster(monkeypatch)
+pytestmark = pytest.mark.usefixtures("memory_cluster")
 
 
 async def record_removed_servers(cluster: ControlCluster, removed: list[str]) -> None:
--- a/tests/control/test_task_faults.py
+++ b/tests/control/test_task_faults.py
@@ -28,13 +28,9 @@
     ControlCluster,
     configuration,
     run_in_virtual_time,
-    use_memory_cluster,
 )
 
-
-@pytest.fixture(autouse=True)
-def memory_cluster(monkeypatch: pytest.MonkeyPatch) -> None:
-    use_memory_cluster(monkeypatch)
+pytestmark = pytest.mark.usefixtures("memory_cluster")
 
 
 # Faults in single messages and tasks.
--- a/tests/http_api/test_server.py
+++ b/tests/http_api/test_server.py
@@ -18,6 +18,15 @@
 )
 
 
+async def listen(server: HttpServer) -> tuple[str, int]:
+    """Let the server listen on a free port; return its address."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        host, port = probe.getsockname()
+    await server.listen((host, port))
+    return host, port
+
+
 async def handled_targets(disconnect: bool) -> list[str]:
     """The requests that were processed: one that arrives while the process is busy, and a later
     one. `disconnect`: the first client has closed its connection by then."""
@@ -28,10 +37,7 @@
         return json_response(200, {})
 
     server = HttpServer(handle)
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        address = probe.getsockname()
-    await server.listen(address)
+    address = await listen(server)
     client = socket.create_connection(address)  # nothing is read from it before the next `await`
     client.sendall(CALL)
     if disconnect:
@@ -83,10 +89,7 @@
 
     orders = Orders()
     server = HttpServer(handle, orders=orders)
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        address = probe.getsockname()
-    await server.listen(address)
+    address = await listen(server)
     if blocks_process:
         client = socket.create_connection(address)
         client.sendall(CALL)
@@ -129,10 +132,7 @@
     """The orders executed: one arrives on a new connection, whose close comes a little later."""
     orders = Orders()
     server = HttpServer(fail, orders=orders)
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        address = probe.getsockname()
-    await server.listen(address)
+    address = await listen(server)
     _, writer = await asyncio.open_connection(*address)
     writer.write(CALL)
     await asyncio.sleep(close_after_s)
@@ -163,10 +163,7 @@
             raise ZeroDivisionError("on purpose")
 
         server = HttpServer(handle)
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            address = probe.getsockname()
-        await server.listen(address)
+        address = await listen(server)
         status, _ = await http_call(f"{address[0]}:{address[1]}", "GET", "/-/Config.Read")
         server.stop()
         return status
