Hold by a test that an order of unknown outcome is answered late enough

Change: test_an_order_of_unknown_outcome_is_answered_once_no_copy_can_take_ effect. The product is not changed.

--- a/tests/control/test_order_age.py
+++ b/tests/control/test_order_age.py
@@ -9,6 +9,9 @@
 
 import pytest
 
+from cairndale.control.call_origin import ORDER_VALIDITY_S
+from cairndale.control.follower import Follower
+from cairndale.errors import CallTimeoutError
 from tests.testing.control_calls import (
     leader_state,
     now,
@@ -104,3 +107,29 @@
     violations = list[str]()
     run_in_virtual_time(order_before_the_new_leader_is_known(violations))
     assert not violations
+
+
+async def order_whose_call_to_the_leader_fails(seconds: list[float]) -> None:
+    """The call may have reached the leader, and fails at once."""
+    cluster = ControlCluster(Path("fails"))
+    await cluster.start_all()
+    await asyncio.sleep(1.0)
+    leader = cluster.leader()
+    assert leader
+    host = next(host for host in cluster.hosts if host != leader.settings.ip)
+    begun = now()
+    status, _ = await cluster.call(host, "POST", "Drain.Begin/z2")
+    seconds += [now() - begun] if status == 503 else []
+
+
+# Guards against a caller that orders the opposite while a copy of its order may still take effect.
+def test_an_order_of_unknown_outcome_is_answered_once_no_copy_can_take_effect(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def fail(*_: object) -> None:
+        raise CallTimeoutError("on purpose")
+
+    monkeypatch.setattr(Follower, "call", fail)
+    seconds = list[float]()
+    run_in_virtual_time(order_whose_call_to_the_leader_fails(seconds))
+    assert seconds == [pytest.approx(ORDER_VALIDITY_S)]
