--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -342,6 +342,8 @@
                              f"X-Tenant={headers.get('x-tenant', '-')}")
             await asyncio.sleep(self.work_s)
             data = f"{self.id}:{target}".encode()
+            if "empty" in target or method == "HEAD":  # what HEAD asks for here is empty, too
+                data = b""
             if "size=" in target:  # as large as the request asks for
                 data = data.ljust(int(target.partition("size=")[2]), b".")
             writer.write(f"HTTP/1.1 200 OK\r\n{echo}X-Seal: {self.id}.{len(data)}\r\nContent-Length: {len(data)}\r\n\r\n"
