--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -11,6 +11,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -50,15 +51,16 @@
         self._file.flush()
 
 
-def free_block() -> str:
-    """Three octets of a loopback network of which no address is in use by this script's ports."""
-    return f"127.{random.randrange(10, 250)}.{random.randrange(1, 250)}"
-
-
-def free_port(host: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
+def free_place(hosts: list[int]) -> tuple[str, int]:
+    """Three octets of a loopback network, and the first of 16 ports that are free at its addresses with these last octets."""
+    while True:
+        block, base = f"127.{random.randrange(10, 250)}.{random.randrange(1, 250)}", random.randrange(21_000, 30_000, 16)
+        with suppress(OSError):
+            for host in hosts:
+                for port in range(base, base + 16):
+                    with socket.socket() as probe:
+                        probe.bind((f"{block}.{host}", port))
+            return block, base
 
 
 class Machine:
@@ -76,11 +78,11 @@
     def __init__(self, record: Record, cores: int = 3, edges: int = 2, **slo: Any) -> None:
         self.record, self.slo = record, SLO | slo
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        self.base = random.randrange(21_000, 30_000, 16)
-        block, zones = free_block(), list(ZONES)
+        core_hosts, edge_hosts = range(1, cores + 1), range(101, edges + 101)
+        (block, self.base), zones = free_place([*core_hosts, *edge_hosts]), list(ZONES)
         self.machines = [
-            Machine(f"core-{n + 1}", f"{block}.{n + 1}", zones[n % len(zones)], True) for n in range(cores)
-        ] + [Machine(f"edge-{n + 1}", f"{block}.{n + 101}", zones[n % len(zones)], False) for n in range(edges)]
+            Machine(f"core-{n}", f"{block}.{host}", zones[(n - 1) % len(zones)], True) for n, host in enumerate(core_hosts, 1)
+        ] + [Machine(f"edge-{n}", f"{block}.{host}", zones[(n - 1) % len(zones)], False) for n, host in enumerate(edge_hosts, 1)]
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self.run_lines = {role["on"]: role["run"] for role in deploy["roles"].values()}
 
@@ -127,10 +129,8 @@
         if machine.core:
             (self.folder / f"{machine.name}-state").mkdir(exist_ok=True)
         machine.started += 1
-        environment = {
-            "PATH": os.environ.get("PATH", ""), "LANG": "C.UTF-8", "HOME": str(self.folder),
-            "PYTHONPATH": str(ROOT / "target/deps"), "CAIRNDALE_CONFIG": str(path),
-        }
+        environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
+        environment |= {"PYTHONPATH": str(ROOT / "target/deps"), "CAIRNDALE_CONFIG": str(path)}
         log = (self.folder / f"{machine.name}.log").open("ab")
         machine.process = subprocess.Popen(
             shlex.split(self.run_lines["core" if machine.core else "edge"]), cwd=ROOT, env=environment,
@@ -143,9 +143,6 @@
             machine.process.send_signal(number)
             self.record.line(f"platform: {machine.name} gets {number.name}")
 
-    def log_text(self, machine: Machine) -> str:
-        return (self.folder / f"{machine.name}.log").read_text(errors="replace")
-
     async def begin(self, within: float = 30.0) -> None:
         for machine in self.machines:
             self.start(machine)
@@ -174,6 +171,7 @@
         for machine in self.machines:
             if machine.process:
                 machine.process.wait(10)
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 async def read_answer(reader: asyncio.StreamReader) -> tuple[int, dict[str, str], bytes]:
@@ -392,12 +390,14 @@
     record.line(f"TROUBLE={int(trouble)}")
 
     async def bounded() -> int:
+        if task := asyncio.current_task():  # so that all processes are ended, too
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(within):
             return await play(record, trouble)
 
     try:
         status = asyncio.run(bounded())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.line(f"the case could not run: {error!r}")
         status = 2
     record.line(f"exit status {status}")
