--- a/review/4/play.py
+++ b/review/4/play.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
+sys.excepthook = lambda *error: (sys.__excepthook__(*error), os._exit(2))  # Python's own status for it is 1
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from stand_ins_2 import LIMITS, Client, Operator, Platform, Record, Server, main, route, service  # noqa: E402
 
@@ -52,7 +54,7 @@
         run = {id for server in servers for _, id, _, _ in server.runs}
         broken = 0
         for key, (id, sent_at, status) in sent:
-            if id in run:
+            if id in run and sent_at > acknowledged_at + REVOKE_S:
                 broken += 1
                 record.line(f"CONFIG/ROUTE: {id} with the key {key} ran, status {status}, sent "
                             f"{sent_at - acknowledged_at:.1f} s after the acknowledgement")
--- a/review/6/play.py
+++ b/review/6/play.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
+sys.excepthook = lambda *error: (sys.__excepthook__(*error), os._exit(2))  # Python's own status for it is 1
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from stand_ins_2 import HOST, LIMITS, Client, Operator, Platform, Record, Server, main, route, service  # noqa: E402
 
