Refuse an answer whose status is out of range

Cause: the parser (llhttp, by httptools) takes any three digits for a status, and nothing behind it asked. In the data plane and in an ingress that relays to plain servers every answer but a few statuses is passed on, so a status that stands for nothing was, too. Statuses are 100 to 599 (RFC 9110, 15).

Change: `response_rules.py` holds what the parser lets through; `HttpConnection.check_head` asks it when a head is complete, before anything of the answer is used, so buffered and streamed answers, in one piece or byte by byte, take one way. The attempt ends as one whose connection broke: it may have run, so only a request that may run twice is tried again; else the client gets 502. `chaos/malformed.py` is a catalogue of answers that break the RFCs.

Names of fields with blanks, control bytes, at any place, also behind a 1xx and in trailers, were refused before: their tests only stand beside the others, nothing else changed for them.

--- a/cairndale/ingress/net/backends.py
+++ b/cairndale/ingress/net/backends.py
@@ -36,6 +36,7 @@
     RejectAttempt,
     StartDial,
 )
+from cairndale.ingress.net.response_rules import ResponseHeadRules
 from cairndale.ingress.net.sockets import Sockets
 from cairndale.ingress.policy.interface import Outcome
 
@@ -192,6 +193,7 @@
         # When the last part of a streamed response was received; inf while reading is paused.
         self.last_part_at = math.inf
         self._buffer_timer: asyncio.TimerHandle | None = None
+        self._head_rules = ResponseHeadRules()
 
     def send(self, exchange: Exchange) -> None:
         """Write an attempt's request, as far as the socket takes it, and buffer the rest."""
@@ -266,6 +268,9 @@
         else:
             super().data_received(data)
 
+    def check_head(self, message: Message) -> None:
+        self._head_rules.check_head(message.status)
+
     def head_received(self, message: Message) -> None:
         """Buffer the start of a response of unknown length for a short time.
 
--- a/cairndale/ingress/net/http.py
+++ b/cairndale/ingress/net/http.py
@@ -10,6 +10,7 @@
 import httptools
 
 from cairndale.ingress.net.bodies import Upload
+from cairndale.ingress.net.response_rules import check_framing
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
@@ -142,6 +143,9 @@
     def message_began(self) -> None:
         """The first byte of a message has been received."""
 
+    def check_head(self, message: Message) -> None:
+        """Raise ValueError if the head, which the parser accepts, makes the message invalid."""
+
     def head_received(self, message: Message) -> None:
         """The head of a message is complete; its body is not."""
 
@@ -245,23 +249,14 @@
 
     def on_headers_complete(self) -> None:
         message, self._in_head, self._head_bytes, self._size = self._message, False, 0, 0
-        length, coding = (
-            message.headers.get(b"content-length"),
-            message.headers.get(b"transfer-encoding"),
-        )
-        if (length is not None and (coding is not None or not length.isdigit())) or (
-            coding is not None and coding.strip().lower() != b"chunked"
-        ):
-            # Two recipients could disagree on where the message ends (request smuggling).
-            self._error_status = 400
-            raise ValueError(f"contradictory framing: length {length!r}, coding {coding!r}")
-        message.length = int(length) if length is not None else None
+        message.length = check_framing(message.headers)
         message.minor_version = 0 if self._parser.get_http_version() == "1.0" else 1
         message.keep_alive = self._parser.should_keep_alive()
         if isinstance(self._parser, httptools.HttpRequestParser):
             message.method = self._parser.get_method()
         else:
             message.status = self._parser.get_status_code()
+        self.check_head(message)
         self._limit(message.length or 0, self.max_body, 413)
         self._hooks.append((self.head_received, (message,)))
         if (message.length or 0) > MAX_BUFFERED_BODY_BYTES:
--- a/tests/ingress/cli/test_cli.py
+++ b/tests/ingress/cli/test_cli.py
@@ -21,6 +21,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote, unquote
 
 import pytest
 import tomli_w
@@ -28,6 +29,7 @@
 from hypothesis import strategies as st
 from msgspec import UNSET
 
+from cairndale.chaos.malformed import MALFORMED
 from cairndale.ingress.cli import read as config_reader
 from cairndale.ingress.cli.checked import convert
 from cairndale.ingress.cli.model import (
@@ -323,6 +325,9 @@
     protocol_version = "HTTP/1.1"
 
     def do_GET(self) -> None:
+        if self.path.startswith("/malformed?"):
+            self.wfile.write(MALFORMED[unquote(self.path.partition("?")[2])](b"", b"a body"))
+            return
         body = json.dumps(
             {"path": self.path, "method": self.command, "fields": dict(self.headers)}
         ).encode()
@@ -419,6 +424,13 @@
         running.stop()
 
 
+def test_single_ingress_forwards_no_malformed_response(ingress: RunningIngress) -> None:
+    fetched = {
+        name: ingress.fetch(f"/malformed?{quote(name)}", X_Api_Key=name)[0] for name in MALFORMED
+    }
+    assert {name: status for name, status in fetched.items() if status != 502} == {}
+
+
 def test_single_ingress_enforces_quotas_and_forwards_answers_of_plain_servers(
     ingress: RunningIngress, tmp_path: Path
 ) -> None:
--- /dev/null
+++ b/tests/ingress/net/test_malformed_responses.py
@@ -0,0 +1,78 @@
+"""A response that breaks RFC 9110 or RFC 9112 is no answer to an attempt."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import pytest
+import pytest_asyncio
+
+from cairndale.chaos.malformed import EARLY_HINTS, MALFORMED
+from cairndale.dataplane.upstream_protocol import classify_answer
+from cairndale.ingress.policy.interface import Outcome
+from tests.testing.ingress import PeerServer, SingleBackend
+
+ID = b"X-Request-Id: r1\r\n"
+SENT = b"POST /x HTTP/1.1\r\n" + ID + b"Host: a\r\nContent-Length: 2\r\n\r\nhi"
+OK = b"HTTP/1.1 200 OK\r\n" + ID + b"Content-Length: 3\r\n\r\nown"
+# Unusual, and yet to be taken: the client gets a response of the ingress's own making.
+UNUSUAL = {
+    "no reason": OK.replace(b"200 OK", b"200"),
+    "empty reason": OK.replace(b"200 OK", b"200 "),
+    "reason beyond ASCII": OK.replace(b"200 OK", b"200 \xc3\xa0 la\tcarte"),
+    "empty lines before": b"\r\n\r\n" + OK,
+    "HTTP/1.0": OK.replace(b"HTTP/1.1", b"HTTP/1.0"),
+    "HTTP/1.0 after a 1xx": EARLY_HINTS + OK.replace(b"HTTP/1.1", b"HTTP/1.0"),
+    "1xx, then its own": b"HTTP/1.1 199 What\r\nContent-Length: 0\r\n\r\n" + OK,
+    "highest status": OK.replace(b"200 OK", b"599 What"),
+    "a name of all characters": OK.replace(b"Content", b"!#$%&'*+-.^_`|~09AZaz: 1\r\nContent"),
+}
+
+
+@pytest_asyncio.fixture(params=["data plane", "relaying ingress", "platform's protocol"])
+async def fleet(request: pytest.FixtureRequest) -> AsyncIterator[SingleBackend]:
+    fleet = SingleBackend(await PeerServer().start())
+    fleet.backends.relays_responses = request.param != "platform's protocol"
+    fleet.backends.classifier = classify_answer if request.param == "data plane" else None
+    yield fleet
+    fleet.backends.stop()
+    fleet.server.stop()
+
+
+async def outcome(fleet: SingleBackend, response: bytes, bytewise: bool) -> Outcome:
+    """Send a request, and hand its connection the response, whole or byte by byte."""
+    requests = sum(peer.data.count(SENT) for peer in fleet.server.peers)
+    result = fleet.send(SENT)
+    await fleet.server.wait_until(
+        lambda: sum(peer.data.count(SENT) for peer in fleet.server.peers) > requests
+    )
+    (connection,) = fleet.backends._pools[1].busy
+    for part in [bytes((byte,)) for byte in response] if bytewise else [response]:
+        if not connection.closed:
+            connection.data_received(part)
+    assert result.done()
+    return result.result().outcome
+
+
+@pytest.mark.parametrize("bytewise", [False, True])
+@pytest.mark.parametrize("name", MALFORMED)
+async def test_malformed_response_is_no_answer(
+    fleet: SingleBackend, name: str, bytewise: bool
+) -> None:
+    """The attempt may have run, and its connection is closed, whether it was new or in use."""
+    malformed = MALFORMED[name](ID, b"a body")
+    assert await outcome(fleet, malformed, bytewise) is Outcome.RESET
+    assert await outcome(fleet, OK, bytewise) is Outcome.OK
+    assert await outcome(fleet, malformed, bytewise) is Outcome.RESET
+    assert await outcome(fleet, OK, bytewise) is Outcome.OK
+    assert len(fleet.server.peers) == 3
+
+
+@pytest.mark.parametrize("bytewise", [False, True])
+@pytest.mark.parametrize("name", UNUSUAL)
+async def test_unusual_response_is_an_answer(
+    fleet: SingleBackend, name: str, bytewise: bool
+) -> None:
+    is_relayed = fleet.backends.relays_responses or b"599" not in UNUSUAL[name]
+    expected = Outcome.OK if is_relayed else Outcome.ERROR
+    assert await outcome(fleet, UNUSUAL[name], bytewise) is expected
