Refuse an answer of another version or protocol

What callers saw: an answer that began with HTTP/0.9, HTTP/2.0, RTSP/1.0 or ICE/1.1 reached them as HTTP/1.1 200.

Cause: as with the status, the parser's word was taken: it accepts versions 0.9, 1.0, 1.1 and 2.0, and three protocols, as it also serves others; it tells the version, and whatever was not 1.0 counted as 1.1. It does not tell the protocol.

Change: the version has to be 1.0 or 1.1. The status line of the head is compared with the bytes received, which `ResponseHeadRules` keeps from read to read until the head is complete. Where a response begins behind another one in the same read, its place is not known, and the line may stand anywhere in it: a right answer is never refused by this. What the client gets, what is logged and what becomes of the connection is as with a wrong status.

Why this works: the parser gives version and status only as it read them from this line, so a line of HTTP that has both is the one that was parsed, or stands in the same read (an answer of another protocol behind a 1xx, with that very line of HTTP in its body, would still pass).

--- a/cairndale/ingress/net/backends.py
+++ b/cairndale/ingress/net/backends.py
@@ -265,11 +265,18 @@
         if self.exchange is None:
             # Unexpected data: the rest of it would be taken for the next response.
             self.disconnect()
-        else:
-            super().data_received(data)
+            return
+        head_begun = self._in_head and self._message_begun
+        self._head_rules.read_began(data, head_begun, not self._in_head)
+        super().data_received(data)
+        self._head_rules.read_ended(self._in_head and self._message_begun)
+
+    def on_message_complete(self) -> None:
+        super().on_message_complete()
+        self._head_rules.message_ended()
 
     def check_head(self, message: Message) -> None:
-        self._head_rules.check_head(message.status)
+        self._head_rules.check_head(message.status, self._parser.get_http_version())
 
     def head_received(self, message: Message) -> None:
         """Buffer the start of a response of unknown length for a short time.
--- a/cairndale/ingress/net/response_rules.py
+++ b/cairndale/ingress/net/response_rules.py
@@ -1,7 +1,8 @@
 """Rules for the heads of HTTP/1.1 responses that the parser does not hold a peer to.
 
 The parser (llhttp, by httptools) rejects names, values, lengths and chunks that break RFC 9112. It
-accepts any three digits as a status. Source: RFC 9110 (15).
+accepts any three digits as a status, and the versions and protocols that its other users need.
+Sources: RFC 9110 (2.5, 15), RFC 9112 (2.3, 4).
 """
 
 from __future__ import annotations
@@ -9,6 +10,7 @@
 from collections.abc import Mapping
 
 VALID_STATUSES = range(100, 600)
+VALID_VERSIONS = ("1.0", "1.1")
 
 
 class InvalidResponseError(ValueError):
@@ -32,7 +34,42 @@
 class ResponseHeadRules:
     """Checks the heads of the responses on one connection, in order."""
 
-    def check_head(self, status: int) -> None:
-        """Check a complete head whose framing has been checked. Raises InvalidResponseError."""
+    def __init__(self) -> None:
+        # The data that may hold the head: of the present read, and of those in which it began.
+        self._received = b""
+        self._begins_read = True  # whether the head stands at the beginning of that data
+
+    def read_began(self, data: bytes, head_begun: bool, body_begun: bool) -> None:
+        """Note data before it is parsed; it continues a head, or a body, or neither."""
+        if head_begun:
+            self._received += data
+        else:
+            self._received, self._begins_read = data, not body_begun
+
+    def read_ended(self, head_begun: bool) -> None:
+        """Release the data, unless it ends within a head."""
+        if not head_begun:
+            self._received = b""
+
+    def message_ended(self) -> None:
+        """Note the end of a response; the next one may begin within the same read."""
+        self._begins_read = False
+
+    def check_head(self, status: int, version: str) -> None:
+        """Check a complete head. Raises InvalidResponseError."""
         if status not in VALID_STATUSES:
             raise InvalidResponseError(f"status {status:03d} is out of range")
+        if version not in VALID_VERSIONS:
+            raise InvalidResponseError(f"version {version}")
+        if not self._has_status_line(b"HTTP/%b %d" % (version.encode(), status)):
+            raise InvalidResponseError("the protocol is not HTTP")
+
+    def _has_status_line(self, status_line: bytes) -> bool:
+        """Return whether the head begins like this: the parser does not tell the protocol's name.
+
+        Where in a read a response begins that follows another one is not known; so there the line
+        may stand anywhere.
+        """
+        if self._begins_read:
+            return self._received.lstrip(b"\r\n").startswith(status_line)
+        return status_line in self._received
--- a/tests/ingress/net/test_malformed_responses.py
+++ b/tests/ingress/net/test_malformed_responses.py
@@ -76,3 +76,19 @@
     is_relayed = fleet.backends.relays_responses or b"599" not in UNUSUAL[name]
     expected = Outcome.OK if is_relayed else Outcome.ERROR
     assert await outcome(fleet, UNUSUAL[name], bytewise) is expected
+
+
+async def test_own_response_may_follow_the_end_of_anothers_within_a_read(
+    fleet: SingleBackend,
+) -> None:
+    """The status line of the own response is in no read in which another head was received."""
+    fleet.backends.classifier = classify_answer
+    another = b"HTTP/1.1 404 No\r\nX-Request-Id: r0\r\nContent-Length: 4\r\n\r\nbo"
+    result = fleet.send(SENT)
+    await fleet.server.wait_until(
+        lambda: bool(fleet.server.peers) and SENT in fleet.server.peers[0].data
+    )
+    (connection,) = fleet.backends._pools[1].busy
+    for part in (another, b"dy" + OK):
+        connection.data_received(part)
+    assert (result.result().outcome, result.result().body) == (Outcome.OK, b"own")
