Refuse an answer with a control byte in its reason

What callers saw: an answer whose status line held a NUL or another control byte reached them as a success, with a reason of the ingress's own.

Cause: the parser takes any byte but CR and LF for a reason, and the ingress drops the reason unread.

Change: the reason is read as the parser reports it; a control byte other than a tab (RFC 9112, 4) makes the answer invalid, as with a wrong status.

--- a/cairndale/chaos/malformed.py
+++ b/cairndale/chaos/malformed.py
@@ -54,6 +54,7 @@
     "protocol RTSP": _sized(b"RTSP/1.0 200 OK"),
     "protocol ICE": _sized(b"ICE/1.1 200 OK"),
     "protocol ICE after a 1xx": _sized(b"ICE/1.1 200 OK", before=EARLY_HINTS),
+    "control byte in the reason": _sized(b"HTTP/1.1 200 O\x00K"),
     "blank in a name": _sized(extra=b"X Y: 1\r\n"),
     "blank before a name": _sized(extra=b" X: 1\r\n"),
     "blank behind a name": _sized(length_name=b"Content-Length "),
--- a/cairndale/ingress/net/backends.py
+++ b/cairndale/ingress/net/backends.py
@@ -271,6 +271,9 @@
         super().data_received(data)
         self._head_rules.read_ended(self._in_head and self._message_begun)
 
+    def on_status(self, part: bytes) -> None:
+        self._head_rules.check_reason(part)
+
     def on_message_complete(self) -> None:
         super().on_message_complete()
         self._head_rules.message_ended()
--- a/cairndale/ingress/net/response_rules.py
+++ b/cairndale/ingress/net/response_rules.py
@@ -1,18 +1,20 @@
 """Rules for the heads of HTTP/1.1 responses that the parser does not hold a peer to.
 
 The parser (llhttp, by httptools) rejects names, values, lengths and chunks that break RFC 9112. It
-accepts any three digits as a status, the versions and protocols that its other users need, and
-fields that frame a body where there may be none. Sources: RFC 9110 (2.5, 8.6, 15), RFC 9112 (2.3,
-4, 6.1, 6.3).
+accepts any three digits as a status, any bytes as a reason, the versions and protocols that its
+other users need, and fields that frame a body where there may be none. Sources: RFC 9110 (2.5, 8.6,
+15), RFC 9112 (2.3, 4, 6.1, 6.3).
 """
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 
 VALID_STATUSES = range(100, 600)
 VALID_VERSIONS = ("1.0", "1.1")
 NO_CONTENT = 204
+CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")  # but for the tab
 
 
 class InvalidResponseError(ValueError):
@@ -62,6 +64,11 @@
         """Note the end of a response; the next one may begin within the same read."""
         self._begins_read = False
 
+    def check_reason(self, part: bytes) -> None:
+        """Check a part of the reason phrase. Raises InvalidResponseError."""
+        if CONTROL_BYTE.search(part):
+            raise InvalidResponseError("control byte in the reason")
+
     def check_head(self, status: int, version: str, headers: Mapping[bytes, bytes]) -> None:
         """Check a complete head whose framing has been checked. Raises InvalidResponseError."""
         if status not in VALID_STATUSES:
--- a/tests/dataplane/test_malformed_responses.py
+++ b/tests/dataplane/test_malformed_responses.py
@@ -17,6 +17,7 @@
 
 LARGE = MAX_BUFFERED_BODY_BYTES + 1
 BYTE_PAUSE_S = 0.0003  # between bytes that the ingress reads one by one
+MAX_HEAD_BYTES = 500
 PARALLEL_REQUESTS = 8
 CLIENT_TIMEOUT_S = 10.0
 READS_PER_RETRY = 10  # retries are limited to a share of the requests
@@ -48,13 +49,13 @@
         self.writing = asyncio.ensure_future(self._write(data, "bytewise" in self.script))
 
     async def _write(self, data: bytes, bytewise: bool) -> None:
-        head_end = data.rindex(b"\r\n\r\n", 0, 500) + 4 if bytewise else 0
-        for byte in data[:head_end]:
+        """Write until the ingress closes the connection; after the head, no longer byte by byte."""
+        head_end = data.rindex(b"\r\n\r\n", 0, MAX_HEAD_BYTES) + 4 if bytewise else 0
+        for part in [*(bytes((byte,)) for byte in data[:head_end]), data[head_end:]]:
             if self.transport.is_closing():
                 return
-            self.transport.write(bytes((byte,)))
+            self.transport.write(part)
             await asyncio.sleep(BYTE_PAUSE_S)
-        self.transport.write(data[head_end:])
 
 
 class ScriptedServer(Server):
