Close a connection whose answer ended with a trailer that ends it

What callers saw: nothing of a kept connection's answer, and 502 in place of the next: after an answer in chunks with a trailer `Connection: close` or `Transfer-Encoding: gzip` the next request on its connection failed, though its server had run and answered it; one that must not run twice was lost by that.

Cause: whether a connection may be used again was read from the parser at the end of the head. A trailer changes the parser's mind: it then rejects whatever follows as "Data after `Connection: close`". Trailers are dropped by us, so nothing showed.

Change: it is read again at the end of the message, and the connection is closed instead of kept.

--- a/cairndale/ingress/net/http.py
+++ b/cairndale/ingress/net/http.py
@@ -280,6 +280,8 @@
             0,
             False,
         )
+        # A trailer may have told the parser that the connection ends here.
+        message.keep_alive = message.keep_alive and self._parser.should_keep_alive()
         message.body, self._parts = b"".join(self._parts), []
         self._hooks.append(
             (self.body_ended if message.streamed else self.message_received, (message,))
--- a/tests/ingress/net/test_malformed_responses.py
+++ b/tests/ingress/net/test_malformed_responses.py
@@ -95,3 +95,16 @@
     for part in (another, b"dy" + OK):
         connection.data_received(part)
     assert (result.result().outcome, result.result().body) == (Outcome.OK, b"own")
+
+
+@pytest.mark.parametrize("bytewise", [False, True])
+@pytest.mark.parametrize("trailer", [b"Connection: close", b"Transfer-Encoding: gzip", b"A: b"])
+async def test_trailer_does_not_spoil_the_next_response(
+    fleet: SingleBackend, trailer: bytes, bytewise: bool
+) -> None:
+    """Trailers are dropped, but the parser rejects what follows some of them."""
+    head = OK.partition(b"Content-Length")[0]
+    chunked = head + b"Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n%b\r\n\r\n" % trailer
+    assert await outcome(fleet, chunked, bytewise) is Outcome.OK
+    assert await outcome(fleet, OK, bytewise) is Outcome.OK
+    assert len(fleet.server.peers) == (1 if trailer == b"A: b" else 2)
