--- a/cairndale/ingress/net/backends.py
+++ b/cairndale/ingress/net/backends.py
@@ -25,7 +25,7 @@
 from cairndale.ingress.net.bodies import SOCKET_BUFFER_BYTES
 from cairndale.ingress.net.discovery import EndpointEntry
 from cairndale.ingress.net.engine import AttemptContext, AttemptResult, RequestData
-from cairndale.ingress.net.http import HOP_BY_HOP, HttpConnection, Message
+from cairndale.ingress.net.http import HOP_BY_HOP, HttpConnection, Message, ResponseHeadRules
 from cairndale.ingress.net.pool import (
     Action,
     AssignConnection,
@@ -36,7 +36,6 @@
     RejectAttempt,
     StartDial,
 )
-from cairndale.ingress.net.response_rules import ResponseHeadRules
 from cairndale.ingress.net.sockets import Sockets
 from cairndale.ingress.policy.interface import Outcome
 
--- /dev/null
+++ b/cairndale/ingress/net/http/__init__.py
@@ -0,0 +1,30 @@
+"""HTTP/1.1 messages, of clients and of servers: read from connections, checked, encoded."""
+
+from cairndale.ingress.net.http.connection import (
+    MAX_BODY_BYTES,
+    MAX_BUFFERED_BODY_BYTES,
+    MAX_HEAD_BYTES,
+    HttpConnection,
+    Message,
+)
+from cairndale.ingress.net.http.encoding import (
+    BODYLESS_STATUSES,
+    HOP_BY_HOP,
+    encode_response,
+    reason_phrase,
+)
+from cairndale.ingress.net.http.response_rules import InvalidResponseError, ResponseHeadRules
+
+__all__ = [
+    "BODYLESS_STATUSES",
+    "HOP_BY_HOP",
+    "MAX_BODY_BYTES",
+    "MAX_BUFFERED_BODY_BYTES",
+    "MAX_HEAD_BYTES",
+    "HttpConnection",
+    "InvalidResponseError",
+    "Message",
+    "ResponseHeadRules",
+    "encode_response",
+    "reason_phrase",
+]
