A follower of the list service takes valid answers only, however they arrive

What callers saw: a follower took the list of its leader from an answer in HTTP/2.0, ICE or RTSP, with an unknown coding or a length in a 1xx, and served it; it confirmed the age of its list by a version from such an answer, or from one whose end was missing; after a promotion it left a deposed leader unnotified on the word of one. And it could not follow a leader at all whose status line came in two reads: "watch rejected with status 0", or 2, or 20.

Cause: three readers of answers of its own: one asked the parser for the status while it was still being read, took a 1xx for the final answer and checked no more; two split the bytes by hand, without regard to fields and length.

The follower uses them in all three places. After an invalid answer it connects anew after its usual pause; the log names the reason once.

--- a/cairndale/discovery/replica.py
+++ b/cairndale/discovery/replica.py
@@ -21,10 +21,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import httptools
-
 from cairndale.discovery.service import Service
 from cairndale.discovery.state import InvalidDataError, Record, State, decode_record, decode_state
+from cairndale.ingress.net.http import LineReader, Response, ResponseReader, call, encode_call
 
 LEADER_TIMEOUT = 6.0  # s without a line: three heartbeat intervals
 RETRY_BACKOFF = (0.1, 2.0)  # s between attempts: the first, the longest
@@ -191,19 +190,13 @@
         notice = {"lineage": state.lineage, "epoch": state.epoch, "leader": self.service.writes_at}
         body = json.dumps(notice).encode()
         host, _, port = deposed_leader.rpartition(":")
-        request = (
-            b"POST /depose HTTP/1.1\r\nHost: %b\r\nConnection: close\r\nContent-Length: "
-            b"%d\r\n\r\n%b"
-        )
+        request = encode_call("POST", "/depose", deposed_leader, body)
         while True:
             try:
-                response = await _request(
-                    host, int(port), request % (deposed_leader.encode(), len(body), body)
-                )
+                response = await _call(host, int(port), request)
                 # 409: the former leader is at a later epoch or of another lineage by now.
-                if response.split()[1:2] in ([b"200"], [b"409"]):
-                    status_line = response.partition(b"\r\n")[0].decode("latin-1")
-                    log.info("former leader at %s notified: %s", deposed_leader, status_line)
+                if response.status in (200, 409):
+                    log.info("former leader at %s notified: %d", deposed_leader, response.status)
                     return
             except (OSError, ValueError):  # TimeoutError is an OSError
                 pass
@@ -217,12 +210,7 @@
             try:
                 await self._follow_once(host, port)
                 reason = "watch ended"
-            except (
-                OSError,
-                httptools.HttpParserError,
-                httptools.HttpParserUpgrade,
-                ValueError,
-            ) as error:
+            except (OSError, ValueError) as error:
                 reason = str(error) or "timed out"
             except InvalidDataError as error:
                 reason = str(error)
@@ -236,17 +224,14 @@
             delay = min(2 * delay, RETRY_BACKOFF[1])
 
     async def _poll_version_loop(self, host: str, port: int) -> None:
-        request = (
-            f"GET /discovery/version HTTP/1.1\r\nHost: {host}:{port}\r\nConnection: close\r\n\r\n"
-        ).encode()
+        request = encode_call("GET", "/discovery/version", f"{host}:{port}")
         while True:
             requested_at = self._loop.time()
-            with contextlib.suppress(OSError, ValueError, KeyError, TypeError, IndexError):
-                head, _, body = (await _request(host, port, request)).partition(b"\r\n\r\n")
-                status = head.split()[1]
-                self.progress.leader_supports_version_query = status != b"404"
-                if status == b"200":
-                    answer = json.loads(body)
+            with contextlib.suppress(OSError, ValueError, KeyError, TypeError):
+                response = await _call(host, port, request)
+                self.progress.leader_supports_version_query = response.status != 404
+                if response.status == 200:
+                    answer = json.loads(response.body)
                     leader_version = (
                         int(answer["index"]),
                         int(answer["epoch"]),
@@ -266,19 +251,16 @@
             position = f"from={state.index}&epoch={state.epoch}&lineage={state.lineage}"
             target = f"/discovery/hosts?watch=1&follow=1&{position}"
             writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
-            response = WatchResponse()
+            response, lines = ResponseReader(), LineReader(MAX_LINE_BYTES)
             while not response.complete:
                 async with asyncio.timeout(LEADER_TIMEOUT):
                     data = await reader.read(64 * 1024)
                 if not data:
                     return
-                response.parser.feed_data(data)
-                if response.parser.get_status_code() != 200:
-                    raise ValueError(
-                        f"watch rejected with status {response.parser.get_status_code()}"
-                    )
-                received, response.lines = response.lines, []
-                for line in received:
+                body = response.feed(data)
+                if response.status not in (0, 200):
+                    raise ValueError(f"watch rejected with status {response.status}")
+                for line in lines.feed(body):
                     await self._apply_line(line)
         finally:
             writer.transport.abort()
@@ -308,38 +290,6 @@
             raise ValueError(f"not committed: {error.strerror}") from None
 
 
-async def _request(host: str, port: int, request: bytes) -> bytes:
-    """Sends a request that asks for the connection to be closed; returns the complete response."""
+async def _call(host: str, port: int, request: bytes) -> Response:
     async with asyncio.timeout(RESPONSE_TIMEOUT):
-        reader, writer = await asyncio.open_connection(host, port)
-        try:
-            writer.write(request)
-            response = b""
-            while (data := await reader.read(MAX_RESPONSE_BYTES)) and len(
-                response
-            ) <= MAX_RESPONSE_BYTES:
-                response += data
-            return response
-        finally:
-            writer.close()
-
-
-class WatchResponse:
-    """Parses the response to a watch into lines."""
-
-    def __init__(self) -> None:
-        self.parser = httptools.HttpResponseParser(self)
-        self.lines: list[bytes] = []
-        self.complete = False
-        self._partial_line = b""
-
-    def on_body(self, part: bytes) -> None:
-        """Called by the parser: splits the data received into lines."""
-        *lines, self._partial_line = (self._partial_line + part).split(b"\n")
-        self.lines += lines
-        if len(self._partial_line) > MAX_LINE_BYTES:
-            raise ValueError(f"line longer than {MAX_LINE_BYTES} bytes")
-
-    def on_message_complete(self) -> None:
-        """Called by the parser at the end of the response."""
-        self.complete = True
+        return await call(host, port, request, MAX_RESPONSE_BYTES)
--- a/cairndale/ingress/net/http/__init__.py
+++ b/cairndale/ingress/net/http/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 messages, of clients and of servers: read from connections, checked, encoded."""
 
+from cairndale.ingress.net.http.client import Response, call, call_blocking, encode_call
 from cairndale.ingress.net.http.connection import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_BODY_BYTES,
@@ -13,6 +14,7 @@
     encode_response,
     reason_phrase,
 )
+from cairndale.ingress.net.http.response_reader import LineReader, ResponseReader
 from cairndale.ingress.net.http.response_rules import InvalidResponseError, ResponseHeadRules
 
 __all__ = [
@@ -23,8 +25,14 @@
     "MAX_HEAD_BYTES",
     "HttpConnection",
     "InvalidResponseError",
+    "LineReader",
     "Message",
+    "Response",
     "ResponseHeadRules",
+    "ResponseReader",
+    "call",
+    "call_blocking",
+    "encode_call",
     "encode_response",
     "reason_phrase",
 ]
