The ingress takes its list of servers from valid answers only

What callers saw: an answer of discovery with the status 000 or 099, in another version or protocol, with an unknown coding or a length in a 1xx was applied: requests went to the servers it named. A 1xx before the list ended the watch.

Cause: as at a follower: the watch asked the parser for the status, 300 and above was refused and nothing else, and the end of a 1xx was taken for the end of the answer.

Change: the watch reads by `ResponseReader` and `LineReader`. After an invalid answer it is closed and another one is tried, as after an invalid line; `discovery: status 000 is out of range` is logged.

--- a/cairndale/ingress/net/discovery.py
+++ b/cairndale/ingress/net/discovery.py
@@ -17,9 +17,7 @@
 from dataclasses import dataclass, field
 from typing import Any, cast
 
-import httptools
-
-from cairndale.ingress.net.http import MAX_HEAD_BYTES
+from cairndale.ingress.net.http import LineReader, ResponseReader
 
 WATCH_TIMEOUT_S = 6.0  # without a line: three heartbeats
 FIRST_LINE_TIMEOUT_S = 2.0  # for the first line, if there are other addresses to try
@@ -595,10 +593,9 @@
         self.received_line = self.rejected = False
         self.closed = asyncio.Event()
         self._discovery, self._loop = discovery, asyncio.get_running_loop()
-        self._parser = httptools.HttpResponseParser(self)
+        self._response, self._lines = ResponseReader(), LineReader(MAX_LINE_BYTES)
         self._timer: asyncio.TimerHandle | None = None
-        self._partial_line, self._head_bytes, self._last_received_at = b"", 0, 0.0
-        self._lines: list[bytes] = []
+        self._last_received_at = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is not a subclass
@@ -610,27 +607,19 @@
     def data_received(self, data: bytes) -> None:
         self._last_received_at = self._loop.time()
         try:
-            self._parser.feed_data(data)
-            if self._parser.get_status_code() >= 300:
-                self.rejected = self._parser.get_status_code() >= 500
-                raise ValueError("watch rejected")
-            if self._head_bytes >= 0:
-                self._head_bytes += len(data)
-            if len(self._partial_line) > MAX_LINE_BYTES or self._head_bytes > MAX_HEAD_BYTES:
-                raise ValueError("line or response head too long")
-            lines, self._lines = self._lines, []
-            for line in lines:
+            body = self._response.feed(data)
+            if self._response.status >= 300:
+                self.rejected = self._response.status >= 500
+                raise ValueError(f"watch rejected with status {self._response.status}")
+            for line in self._lines.feed(body):
                 self._discovery.handle_line(line)
                 self.received_line = True
+            if self._response.complete:
+                self.transport.close()
         except UpdateRejected as error:
             self._discovery.update_rejected(str(error))
             self.transport.abort()
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-            ValueError,
-            RecursionError,
-        ) as error:
+        except (ValueError, RecursionError) as error:
             log.warning("discovery: %s", error)
             self.transport.abort()
 
@@ -655,13 +644,3 @@
             self.transport.abort()
             return
         self._timer = self._loop.call_later(remaining, self._check_timeout)
-
-    def on_headers_complete(self) -> None:
-        self._head_bytes = -1
-
-    def on_body(self, part: bytes) -> None:
-        *lines, self._partial_line = (self._partial_line + part).split(b"\n")
-        self._lines += lines
-
-    def on_message_complete(self) -> None:
-        self.transport.close()
--- a/tests/ingress/net/test_discovery.py
+++ b/tests/ingress/net/test_discovery.py
@@ -7,11 +7,13 @@
 import random
 from collections.abc import Iterator
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from cairndale.chaos.malformed import EARLY_HINTS, MALFORMED_HEADS
 from cairndale.discovery import lines
 from cairndale.discovery.lines import Reader
 from cairndale.discovery.state import RejectedError as WriteRefused
@@ -26,6 +28,7 @@
     EndpointTable,
     EndpointUpdate,
     UpdateRejected,
+    Watch,
 )
 from cairndale.ingress.policy import interface as it
 from cairndale.ingress.policy.engine import RequestPolicy
@@ -583,3 +586,39 @@
     assert [len(t.entries) for t in updates] == [2, 0] and discovery.index == 3
     discovery.stop()
     server.stop()
+
+
+class FedWatch:
+    """A watch that the test feeds; `updates` are those passed on."""
+
+    def __init__(self) -> None:
+        self.updates: list[EndpointUpdate] = []
+        self.discovery = Discovery((HOST, 1), 0, self.updates.append)
+        self.watch, self.transport = Watch(self.discovery), Mock()
+        self.watch.connection_made(self.transport)
+
+    def feed(self, data: bytes, bytewise: bool) -> None:
+        for part in [bytes((byte,)) for byte in data] if bytewise else [data]:
+            if not (self.transport.abort.called or self.transport.close.called):
+                self.watch.data_received(part)
+        self.watch.connection_lost(None)
+
+
+LINE = json.dumps({"index": 5, "snapshot": True, "endpoints": [entry("a")]}).encode() + b"\n"
+
+
+@pytest.mark.parametrize("bytewise", [False, True])
+@pytest.mark.parametrize("name", MALFORMED_HEADS)
+async def test_list_in_a_malformed_response_is_not_applied(name: str, bytewise: bool) -> None:
+    fed = FedWatch()
+    fed.feed(MALFORMED_HEADS[name](b"", LINE), bytewise)
+    assert fed.transport.abort.called and fed.updates == []
+
+
+@pytest.mark.parametrize("bytewise", [False, True])
+@pytest.mark.parametrize("before", [b"", EARLY_HINTS, b"HTTP/1.1 100 Continue\r\n\r\n"])
+async def test_list_in_a_valid_response_is_applied(before: bytes, bytewise: bool) -> None:
+    fed = FedWatch()
+    fed.feed(before + HEAD + chunk(LINE) + b"0\r\nA: b\r\n\r\n", bytewise)
+    assert len(fed.updates) == 1 and not fed.transport.abort.called
+    assert fed.transport.close.called
--- a/tests/ingress/test_main.py
+++ b/tests/ingress/test_main.py
@@ -15,7 +15,16 @@
 
 import pytest
 
-from tests.testing.ingress import HOST, OK, RAW, PeerServer, read_answer, request
+from cairndale.chaos.malformed import MALFORMED
+from tests.testing.ingress import (
+    HOST,
+    OK,
+    RAW,
+    PeerServer,
+    read_answer,
+    reply_with,
+    request,
+)
 
 ROOT = Path(__file__).parents[2]
 
@@ -297,3 +306,28 @@
         return await read_answer(reader)
     finally:
         writer.close()
+
+
+async def test_list_in_a_malformed_answer_of_discovery_is_not_used(tmp_path: Path) -> None:
+    """Once the next watch is answered, its list is."""
+    server = await PeerServer(reply_with(OK)).start()
+    listed = {"name": "s-1", "address": f"{HOST}:{server.port}", "status": "up"}
+    line = json.dumps({"index": 1, "snapshot": True, "endpoints": [listed]}).encode() + b"\n"
+    discovery = await PeerServer().start()
+    process = start_with(tmp_path / "config.json", discovery=f"{HOST}:{discovery.port}")
+    port = await asyncio.to_thread(listening_port, process)
+    discovery.peers[0].transport.write(MALFORMED["status 000"](b"", line))
+    await discovery.wait_until(
+        lambda: len(discovery.peers) > 1 and b"\r\n\r\n" in discovery.peers[1].data
+    )
+    assert not (await ask(port, request("r1"))).startswith(b"HTTP/1.1 200 ")
+    assert server.peers == []
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    discovery.peers[1].transport.write(head + b"%x\r\n%b\r\n" % (len(line), line))
+    async with asyncio.timeout(30):
+        while not (await ask(port, request())).startswith(b"HTTP/1.1 200 "):
+            await asyncio.sleep(0.05)
+    process.send_signal(signal.SIGTERM)
+    await asyncio.to_thread(process.communicate, timeout=60)
+    server.stop()
+    discovery.stop()
