The operators' client takes valid answers of control nodes only

What callers saw: `cairndale.cli` said that an order was done, or showed a configuration, by an answer in whose head a name held a blank or a control byte, a value was folded or held a control byte, a line had no colon, length and coding contradicted each other, or a chunk or a trailer was wrong: the line was dropped with all lines behind it, or the body read up to the end of the connection. A 1xx other than 100 was taken for the answer, and found unclear.

Cause: http.client of the standard library reads fields with the parser for mail, which stops at the first line it doesn't understand, says so in `defects`, which nobody reads, and goes on with what it has.

An invalid answer is no clear one: the next node is asked, as the API's calls allow, and at the end the exit code is 3, "the order may still take effect". `cli` may import `ingress` for it, which is downwards (docs/architecture.md); the test's table has the name, since it lists what may be imported and the package stands below. No other rule of that test changed.

--- a/cairndale/cli/control_client.py
+++ b/cairndale/cli/control_client.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 import random
 import time
 from dataclasses import dataclass
 from typing import Any
 
+from cairndale.ingress.net.http import call_blocking, encode_call
 from cairndale.settings import Address
 
 TIMEOUT_S = 20.0  # for a clear answer, over all attempts
@@ -62,15 +62,13 @@
 
 def _attempt(address: Address, method: str, call: str, body: bytes) -> ApiAnswer:
     host, port = address
-    connection = http.client.HTTPConnection(host, port, timeout=ATTEMPT_TIMEOUT_S)
+    request_data = encode_call(
+        method, f"/-/{call}", f"{host}:{port}", body, {"Content-Type": "application/json"}
+    )
     try:
-        connection.request(method, f"/-/{call}", body, {"Content-Type": "application/json"})
-        response = connection.getresponse()
-        text = response.read()
+        response = call_blocking(host, port, request_data, ATTEMPT_TIMEOUT_S)
         if response.status < 500 and response.status not in UNCLEAR_STATUSES:
-            return ApiAnswer(response.status, json.loads(text))
-    except (OSError, ValueError, http.client.HTTPException) as error:
+            return ApiAnswer(response.status, json.loads(response.body))
+    except (OSError, ValueError) as error:
         raise UnclearAnswerError(f"{host}:{port}: {error}") from error
-    finally:
-        connection.close()
     raise UnclearAnswerError(f"{host}:{port}: status {response.status}")
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -121,7 +121,7 @@
         "settings",
         "supervision",
     },
-    "cli": {"configuration", "control", "raft", "settings"},
+    "cli": {"configuration", "control", "ingress", "raft", "settings"},
 }
 
 
