`ironledge ops` shows valid answers only

What callers saw: `ironledge ops` showed answers of ingresses as good, or as "unreachable", whose head, length, chunks or trailers were broken; the exit code was 0 for many.

Cause: as in `cairndale.cli`: the standard library's http.client drops what it doesn't understand and goes on.

Change: calls by `call_blocking`; an invalid answer is shown as `invalid answer: REASON`, and counts as a failure (exit code 1).

Measured: test_operators_see_that_an_answer_is_malformed fails without the change (at the first kind of answer), passes with it; tests/ingress/cli: 67 passed.

--- a/cairndale/ingress/cli/__main__.py
+++ b/cairndale/ingress/cli/__main__.py
@@ -11,7 +11,6 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from http.client import HTTPConnection, HTTPException
 from importlib.metadata import PackageNotFoundError, version
 from pathlib import Path
 from typing import Any
@@ -21,6 +20,7 @@
 from cairndale.ingress.cli import read as config_reader
 from cairndale.ingress.cli.model import Config, to_builtins
 from cairndale.ingress.cli.schema import EXAMPLE_CONFIG, json_schema, reference_page
+from cairndale.ingress.net.http import InvalidResponseError, call_blocking, encode_call
 
 EXIT_USAGE, EXIT_FAILED, EXIT_INTERRUPTED = 2, 1, 130
 CALL_TIMEOUT_S = 2.0  # ingresses answer operators' calls within 1 s
@@ -246,15 +246,14 @@
     """Sends one call; the result as printed by `--json`."""
     host, _, port = address.rpartition(":")
     try:
-        connection = HTTPConnection(host, int(port), timeout=CALL_TIMEOUT_S)
-        try:
-            connection.request(method, path)
-            response = connection.getresponse()
-            text = response.read(1 << 22).decode(errors="replace").strip()
-        finally:
-            connection.close()
-    except (OSError, HTTPException, ValueError) as error:
+        response = call_blocking(
+            host, int(port), encode_call(method, path, address), CALL_TIMEOUT_S
+        )
+    except InvalidResponseError as error:
+        return {"address": address, "ok": False, "answer": f"invalid answer: {error}"}
+    except (OSError, ValueError) as error:
         return {"address": address, "ok": False, "answer": f"unreachable: {error}"}
+    text = response.body.decode(errors="replace").strip()
     try:
         answer: Any = json.loads(text)
     except ValueError:
--- a/tests/ingress/cli/test_cli.py
+++ b/tests/ingress/cli/test_cli.py
@@ -29,8 +29,9 @@
 from hypothesis import strategies as st
 from msgspec import UNSET
 
-from cairndale.chaos.malformed import MALFORMED
+from cairndale.chaos.malformed import EARLY_HINTS, MALFORMED
 from cairndale.ingress.cli import read as config_reader
+from cairndale.ingress.cli.__main__ import _call
 from cairndale.ingress.cli.checked import convert
 from cairndale.ingress.cli.model import (
     SIZE_UNITS_BYTES,
@@ -51,6 +52,7 @@
     Writer,
     event_name,
 )
+from tests.testing.canned_server import CannedServer
 from tests.testing.ingress import RAW
 
 ROOT = Path(__file__).parents[3]
@@ -319,6 +321,19 @@
         assert run_command(*args, cwd=tmp_path).returncode == 2
 
 
+def test_operators_see_that_an_answer_is_malformed() -> None:
+    body = b'{"open": 7}'
+    for name, build in MALFORMED.items():
+        with CannedServer(build(b"", body)) as server:
+            row = _call(f"{HOST}:{server.port}", "GET", "/status")
+        assert not row["ok"] and row["answer"].startswith("invalid answer: "), (name, row)
+    valid = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+    with CannedServer(MALFORMED["no colon"](b"", body), EARLY_HINTS + valid) as server:
+        address = f"{HOST}:{server.port}"
+        runs = [run_command("ops", "status", address, "--json") for _ in range(2)]
+    assert [(r.returncode, json.loads(r.stdout)[0]["ok"]) for r in runs] == [(1, False), (0, True)]
+
+
 class EchoHandler(BaseHTTPRequestHandler):
     """A plain server that answers with the request's path, method and header fields."""
 
