A follower of the list service goes on after values that it can't read

What callers saw: after one line with a number without end, an entry too short or deep nesting, a follower followed no more, and served its list as it was until it was started again; a version number without end ended its queries for the leader's version. An age of NaN or below 0 was taken: by it a list is as fresh as the other side likes to say.

Cause: the tasks go on after the exceptions that were thought of (ValueError, KeyError, TypeError, AttributeError); JSON also gives infinite numbers (OverflowError), lists that are too short (IndexError) and texts that are too deep (RecursionError), and any of these ended the task unseen. An age was used as it was read.

Change: one set of exceptions stands for all that decoding raises, text that is too deep counts as no JSON, an age has to be finite and not negative. After such a line the follower connects anew, as after others.

--- a/cairndale/discovery/replica.py
+++ b/cairndale/discovery/replica.py
@@ -22,7 +22,14 @@
 from typing import Any
 
 from cairndale.discovery.service import Service
-from cairndale.discovery.state import InvalidDataError, Record, State, decode_record, decode_state
+from cairndale.discovery.state import (
+    DECODING_ERRORS,
+    InvalidDataError,
+    Record,
+    State,
+    decode_record,
+    decode_state,
+)
 from cairndale.ingress.net.http import LineReader, Response, ResponseReader, call, encode_call
 
 LEADER_TIMEOUT = 6.0  # s without a line: three heartbeat intervals
@@ -103,9 +110,9 @@
                 received = decode_record(line["record"])
             elif index > state.index:
                 raise InvalidDataError(f"version {index} without a record")
-            self.leader_age = float(line.get("age_ms", 0)) / 1000
+            self.leader_age = _age_s(line.get("age_ms", 0))
             self.writes_at = str(line.get("writes_at", self.writes_at))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except DECODING_ERRORS as error:
             raise InvalidDataError(f"malformed line: {error!r}") from None
         # With another leader, answers of the one before say nothing about its list.
         if epoch != state.epoch:
@@ -227,17 +234,17 @@
         request = encode_call("GET", "/discovery/version", f"{host}:{port}")
         while True:
             requested_at = self._loop.time()
-            with contextlib.suppress(OSError, ValueError, KeyError, TypeError):
+            with contextlib.suppress(OSError, InvalidDataError, *DECODING_ERRORS):
                 response = await _call(host, port, request)
                 self.progress.leader_supports_version_query = response.status != 404
                 if response.status == 200:
-                    answer = json.loads(response.body)
+                    answer = _decode_json(response.body)
                     leader_version = (
                         int(answer["index"]),
                         int(answer["epoch"]),
                         str(answer["lineage"]),
                     )
-                    current_as_of = requested_at - float(answer["age_ms"]) / 1000
+                    current_as_of = requested_at - _age_s(answer["age_ms"])
                     self.progress.record_leader_version(
                         self.service.state, *leader_version, current_as_of
                     )
@@ -269,7 +276,7 @@
         if not line.strip():
             return
         state, progress = self.service.state, self.progress
-        new = progress.receive(state, json.loads(line), self._loop.time())
+        new = progress.receive(state, _decode_json(line), self._loop.time())
         self.service.leader_address = progress.writes_at
         if isinstance(new, State):
             if state.epoch < new.epoch and state.index > 0:
@@ -290,6 +297,22 @@
             raise ValueError(f"not committed: {error.strerror}") from None
 
 
+def _decode_json(text: bytes) -> Any:
+    """Raises InvalidDataError, also for text that is nested too deeply to be read."""
+    try:
+        return json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise InvalidDataError(f"not JSON: {error}") from None
+
+
+def _age_s(age_ms: Any) -> float:
+    """Returns the age in seconds; raises ValueError if it is not finite, or negative."""
+    age = float(age_ms) / 1000
+    if not 0 <= age < math.inf:
+        raise ValueError(f"age {age} s is out of range")
+    return age
+
+
 async def _call(host: str, port: int, request: bytes) -> Response:
     async with asyncio.timeout(RESPONSE_TIMEOUT):
         return await call(host, port, request, MAX_RESPONSE_BYTES)
--- a/cairndale/discovery/state.py
+++ b/cairndale/discovery/state.py
@@ -35,6 +35,10 @@
         self.status, self.answer = status, {"error": error, **details}
 
 
+# What decoding raises for values of the wrong type, range or length.
+DECODING_ERRORS = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
+
+
 class InvalidDataError(Exception):
     """Data, from disk or from a leader, that is malformed or inconsistent with the state."""
 
@@ -165,7 +169,7 @@
             ),
             tuple((int(a), int(b), int(c)) for a, b, c in raw["spans"]) if "spans" in raw else None,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise InvalidDataError(f"malformed record: {error!r}") from None
 
 
@@ -340,7 +344,7 @@
             ),
             tuple((int(a), int(b), int(c)) for a, b, c in raw["spans"]),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise InvalidDataError(f"malformed state: {error!r}") from None
     while len(state.removed_versions) > history_limit:  # written with a larger limit
         _, state.compacted_index = state.removed_versions.popitem(last=False)
--- a/tests/discovery/test_malformed_responses.py
+++ b/tests/discovery/test_malformed_responses.py
@@ -40,6 +40,7 @@
 
     def __init__(self, leader: PeerServer) -> None:
         self.leader, self.state = leader, State("mine")
+        self.lists: list[list[str]] = []  # the servers after each change
         stub = SimpleNamespace(state=self.state, role="", leader_address="", writes_at="here:1")
         stub.replicate = self.replicate
         self.service: Any = stub
@@ -49,6 +50,7 @@
         for record in records:
             self.service.state.apply(record)
         self.service.state = full_state or self.service.state
+        self.lists.append(list(self.service.state.servers))
 
     async def follow(self, response: bytes, bytewise: bool = False) -> int:
         """Follow until the response ends; return the version of the list."""
@@ -170,3 +172,47 @@
     assert set(statuses_by_name(await fetch_list(process.reads))) == {"a"}
     await process.stop()
     leader.stop()
+
+
+UNREADABLE_LINES = {
+    "version without end": b'{"index": 1e999, "epoch": 1, "lineage": "l"}\n',
+    "deep nesting": b"[" * 100_000 + b"\n",
+    "short write": leader_list("b").replace(b'"writes":[]', b'"writes":[[]]'),
+    "endless version in a record": b'{"index":1,"epoch":1,"lineage":"mine","record":{"i":1e999}}\n',
+    "age that is no number": leader_list("b").replace(b'{"index"', b'{"age_ms":NaN,"index"'),
+    "age below 0": leader_list("b").replace(b'{"index"', b'{"age_ms":-1,"index"'),
+}
+
+
+@pytest.mark.parametrize("what", UNREADABLE_LINES)
+async def test_follower_goes_on_after_a_line_that_it_cannot_read(
+    follower: Follower, monkeypatch: pytest.MonkeyPatch, what: str
+) -> None:
+    monkeypatch.setattr(replica, "RETRY_BACKOFF", (0.0, 0.0))
+    bodies = [UNREADABLE_LINES[what], leader_list("a")]
+    follower.leader.on_data, remaining = answers(*(HEAD + chunk(body) for body in bodies))
+    following = asyncio.ensure_future(follower.replica._follow_loop(HOST, follower.leader.port))
+    async with asyncio.timeout(10):
+        while not follower.service.state.index and not following.done():
+            await asyncio.sleep(0.01)
+    assert not following.done(), following.exception()
+    assert (follower.lists, remaining) == ([["a"]], [])
+    following.cancel()
+
+
+@pytest.mark.parametrize("age", ["NaN", "-1", "1e999"])
+@pytest.mark.parametrize("index", ["0", "1e999", "[" * 100_000])
+async def test_unreadable_version_confirms_nothing(
+    follower: Follower, monkeypatch: pytest.MonkeyPatch, age: str, index: str
+) -> None:
+    monkeypatch.setattr(replica, "VERSION_POLL_INTERVAL", 0.0)
+    body = b'{"epoch":1,"lineage":"mine","age_ms":%b,"index":%b}' % (age.encode(), index.encode())
+    response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+    follower.leader.on_data, remaining = answers(response, response)
+    poll = asyncio.ensure_future(follower.replica._poll_version_loop(HOST, follower.leader.port))
+    async with asyncio.timeout(10):
+        while remaining and not poll.done():
+            await asyncio.sleep(0.01)
+    assert not poll.done(), poll.exception()
+    assert follower.replica.age() >= replica.UNCONFIRMED_AGE
+    poll.cancel()
