Take a total of the counter only if it is a plain number

What callers saw: nothing yet; an answer such as `ok 1_0` or one with a control byte or a blank beside the number counted as a total.

Cause: what `float` takes for a number was taken for the counter's protocol (`ok TOTAL`, a decimal number).

Change: the characters of a number only; anything else closes the connection, as other invalid answers do.

--- a/cairndale/ingress/net/counter.py
+++ b/cairndale/ingress/net/counter.py
@@ -9,6 +9,7 @@
 import logging
 import math
 import random
+import re
 from collections import deque
 from collections.abc import Callable
 from typing import cast
@@ -22,6 +23,8 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_LINE_BYTES = 256
 MAX_TTL_MS = 60_000
+# A total; `float` alone also takes white space around it and underscores.
+TOTAL = re.compile(rb"[0-9.eE+-]+")
 
 CounterCallback = Callable[[Outcome, float], None]
 log = logging.getLogger(__name__)
@@ -195,6 +198,8 @@
         status, _, rest = line.partition(b" ")
         outcome, total = Outcome.FULL, 0.0
         if status == b"ok":
+            if not TOTAL.fullmatch(rest):
+                return False
             try:
                 outcome, total = Outcome.OK, float(rest)
             except ValueError:
--- a/tests/ingress/net/test_counter.py
+++ b/tests/ingress/net/test_counter.py
@@ -112,7 +112,16 @@
     calls.counter.stop()
 
 
-@pytest.mark.parametrize("reply", [b"what\r\n", b"pong\r\n", b"ok nan\r\n", b"ok\r\n", b"x" * 1000])
+@pytest.mark.parametrize(
+    "reply",
+    [
+        *(
+            b"ok %b\r\n" % total
+            for total in (b"nan", b"inf", b"1_0", b" 1", b"1 ", b"\x0b1", b"1\x1f")
+        ),
+        *(b"what\r\n", b"pong\r\n", b"ok\r\n", b"x" * 1000),
+    ],
+)
 async def test_invalid_answer_closes_the_connection_and_reconnects(
     server: PeerServer, reply: bytes
 ) -> None:
