Soak and demo: servers break HTTP, clients read as strictly as the ingress

Cause: nothing had found the incident. Stand-ins of servers cut, delayed and repeated answers, but never broke the protocol, and the clients of demo, storm and soak took what their parser took: a status 000 even counted as "no answer".

Change: the fault "malformed" of the stand-ins, drawn from the catalogue or named; clients of `chaos` read by `ResponseReader`, and a malformed answer at a client, or a success that a malformed answer of a server was made into, is a violation. The soak has a series of it beside the others, with random numbers of its own. `./demo system` ends with each kind once, to a request that must not run twice.

--- a/cairndale/chaos/__main__.py
+++ b/cairndale/chaos/__main__.py
@@ -1,5 +1,5 @@
 """Demonstration: runs the whole system on loopback for 16 s with injected faults, and prints a line
-of request outcomes a second and a verdict."""
+of request outcomes a second and a verdict. Then servers answer by malformed responses."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+from cairndale.chaos.malformed import MALFORMED
 from cairndale.chaos.world import Attempt, World
 
 CLIENTS = 24
@@ -19,6 +20,7 @@
 # For each request. A rejected request may always be retried; after other failures only if it is
 # idempotent.
 MAX_ATTEMPTS = 3
+SOUND_PAUSE_S = 0.02  # between requests that find out whether servers are used again
 
 
 class Demo:
@@ -71,6 +73,26 @@
     async def _start(self, name: str) -> None:
         self.world.start(name)
 
+    async def receive_malformed_responses(self) -> None:
+        """Have the servers answer by each kind of malformed response, and count what clients get.
+
+        Between two kinds they are sound, until a request is served.
+        """
+        world, statuses = self.world, Counter[int]()
+        for kind in MALFORMED:
+            for server in world.started_servers:
+                server.fault = kind
+            attempt = await world.request("POST", "/books/1")
+            statuses[attempt.status] += 1
+            for server in world.started_servers:
+                server.fault = ""
+            while (await world.request("POST", "/books/1")).status != 200:
+                await asyncio.sleep(SOUND_PAUSE_S)
+        print(
+            f"\n{len(MALFORMED)} kinds of malformed responses to requests that must not run twice: "
+            + ", ".join(f"{n} got {status}" for status, n in statuses.most_common())
+        )
+
     async def _restart_wiped(self, name: str) -> None:
         await self.world.wipe(name)
         self.world.start(name)
@@ -100,6 +122,7 @@
         clients = [asyncio.ensure_future(demo.client(until)) for _ in range(CLIENTS)]
         await demo.inject_faults()
         await asyncio.gather(*clients)
+        await demo.receive_malformed_responses()
         violations = world.verdict()
         total: Counter[str] = sum(demo.outcomes, Counter())
         runs_by_server = Counter(line.server for line in world.ledger.executions)
--- a/cairndale/chaos/soak.py
+++ b/cairndale/chaos/soak.py
@@ -35,6 +35,7 @@
 RESTART_WITHIN_S = GRACE_S + 5.0
 READY_WITHIN_S = 30.0
 READY_POLL_S = 0.05
+MAX_MALFORMING_SERVERS = 3  # at once, of both services
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +100,7 @@
         actions = [
             asyncio.ensure_future(self._repeat(action)) for action in (*series, self._restart_core)
         ]
+        actions.append(asyncio.ensure_future(self._malform_responses()))
         platform = asyncio.ensure_future(self.supervise())
         try:
             async with asyncio.timeout(self.plan.length_s + RESTART_WITHIN_S + READY_WITHIN_S):
@@ -190,6 +192,20 @@
             status, _ = await self.configure()
             self.actions.append(f"gen {self.gen}: {status}")
 
+    async def _malform_responses(self) -> None:
+        """Have some servers break RFC 9110 or RFC 9112 in each response, others after a while."""
+        # Numbers of its own: those of the other series are the same without this one.
+        rng, loop = random.Random(f"{self.seed} malformed"), asyncio.get_running_loop()
+        while loop.time() < self._until:
+            await asyncio.sleep(rng.uniform(*self.plan.pause_s))
+            servers = rng.sample(self.started_servers, rng.randint(1, MAX_MALFORMING_SERVERS))
+            self.actions.append(f"malformed responses of {len(servers)} servers")
+            for server in servers:
+                server.fault = "malformed"
+            await asyncio.sleep(rng.uniform(*self.plan.pause_s))
+            for server in servers:
+                server.fault = ""
+
     async def _restart_core(self) -> None:
         """Restart one control node by SIGTERM; one at a time."""
         name = self.rng.choice([n for n, m in self.machines.items() if m.core])
--- a/cairndale/chaos/soak_client.py
+++ b/cairndale/chaos/soak_client.py
@@ -7,11 +7,10 @@
 import random
 from dataclasses import dataclass, field
 
-import httptools
-
 from cairndale.chaos.soak_judge import AbortedRequest, ObservedLookup, SoakRecord
 from cairndale.chaos.standins import http_call
 from cairndale.chaos.world import KEY, Attempt
+from cairndale.ingress.net.http import InvalidResponseError, ResponseReader
 
 PATHS = {"/tiles/1": "GET", "/books/1": "POST", "/open/1": "GET"}
 HOST = "a.example"
@@ -22,25 +21,6 @@
 READ_BYTES = 65536
 
 
-@dataclass(slots=True)
-class _ResponseCollector:
-    """Collects one response through the parser's callbacks."""
-
-    body: bytes = b""
-    is_complete: bool = False
-    closes_connection: bool = False  # the connection ends after it
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() == b"connection" and b"close" in value.lower():
-            self.closes_connection = True
-
-    def on_body(self, part: bytes) -> None:
-        self.body += part
-
-    def on_message_complete(self) -> None:
-        self.is_complete = True
-
-
 class _Connection:
     """One open connection to an ingress."""
 
@@ -64,18 +44,17 @@
         """Return status, body, and whether the connection may be used again.
 
         Raises EOFError or OSError if the connection ends before a complete response, TimeoutError
-        after `RESPONSE_TIMEOUT_S`, httptools.HttpParserError for a malformed response.
+        after `RESPONSE_TIMEOUT_S`, InvalidResponseError for a malformed response.
         """
-        response = _ResponseCollector()
-        parser = httptools.HttpResponseParser(response)
+        response, body = ResponseReader(), b""
         self._writer.write(request)
         async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-            while not response.is_complete:
+            while not response.complete:
                 data = await self._reader.read(READ_BYTES)
                 if not data:
                     raise EOFError
-                parser.feed_data(data)
-        return parser.get_status_code(), response.body, not response.closes_connection
+                body += response.feed(data)
+        return response.status, body, response.keep_alive
 
 
 @dataclass
@@ -154,7 +133,9 @@
         request = "\r\n".join([*head, "", ""]).encode()
         try:
             attempt.status, attempt.body, keep = await connection.exchange(request)
-        except (EOFError, OSError, TimeoutError, httptools.HttpParserError):
+        except InvalidResponseError as error:
+            attempt.malformed, keep = str(error), False
+        except (EOFError, OSError, TimeoutError):
             self.record.aborted_requests.append(
                 AbortedRequest(attempt.request, connection.address, attempt.sent_at, loop.time())
             )
--- a/cairndale/chaos/standins.py
+++ b/cairndale/chaos/standins.py
@@ -13,8 +13,9 @@
 
 import httptools
 
+from cairndale.chaos.malformed import MALFORMED
 from cairndale.http_api.server import BufferedConnection
-from cairndale.ingress.net.http import Message, encode_response
+from cairndale.ingress.net.http import Message, ResponseReader, encode_response
 
 HEARTBEAT_TIMEOUT_S = 1.0  # for the response to a heartbeat; then the next node is called
 
@@ -62,6 +63,8 @@
     executions: list[Execution] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     heartbeats: list[Heartbeat] = field(default_factory=list)
+    # Requests that a server ran and answered by a malformed response, with that server.
+    answered_malformed: set[tuple[str, str]] = field(default_factory=set)
     rejected: int = 0
 
     def execution_counts(self) -> Counter[str]:
@@ -73,7 +76,8 @@
     """One incarnation of a server.
 
     `fault` is how it misbehaves: "late" sends a surplus response after each, "cut" truncates
-    responses, "mute" runs requests and never responds, "full" rejects all requests.
+    responses, "mute" runs requests and never responds, "full" rejects all requests, "malformed"
+    breaks RFC 9110 or RFC 9112 in each response, in a random way or in that named by `MALFORMED`.
     """
 
     def __init__(
@@ -250,6 +254,11 @@
             )
         else:
             data = encode_response(200, response_body, identity_headers)
+        if server.fault == "malformed" or server.fault in MALFORMED:
+            server.ledger.answered_malformed.add((id.decode(), server.id))
+            build = MALFORMED.get(server.fault) or random.choice(list(MALFORMED.values()))
+            self.transport.write(build(identity_headers, response_body))
+            return
         if server.fault == "cut":
             self.transport.write(data[:-3])
             self.transport.close()
@@ -289,25 +298,11 @@
 
 
 def parse_response(data: bytes) -> tuple[int, bytes]:
-    """Return status and body of a response; raises ValueError if it is incomplete or malformed."""
-
-    class ResponseCollector:
-        def __init__(self) -> None:
-            self.parts: list[bytes] = []
-            self.is_complete = False
-
-        def on_body(self, part: bytes) -> None:
-            self.parts.append(part)
+    """Return status and body of a response.
 
-        def on_message_complete(self) -> None:
-            self.is_complete = True
-
-    collector = ResponseCollector()
-    parser = httptools.HttpResponseParser(collector)
-    try:
-        parser.feed_data(data)
-    except httptools.HttpParserError as error:
-        raise ValueError(str(error)) from None
-    if not collector.is_complete:
-        raise ValueError("incomplete HTTP response")
-    return parser.get_status_code(), b"".join(collector.parts)
+    Raises IncompleteResponseError, or InvalidResponseError for a malformed one.
+    """
+    reader = ResponseReader()
+    body = reader.feed(data)
+    reader.end()
+    return reader.status, body
--- a/cairndale/chaos/world.py
+++ b/cairndale/chaos/world.py
@@ -11,12 +11,14 @@
 import signal
 import socket
 import sys
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from subprocess import DEVNULL, Popen
 from typing import Any
 
 from cairndale.chaos.standins import Ledger, Server, http_call
+from cairndale.ingress.net.http import IncompleteResponseError, InvalidResponseError
 
 ROOT = Path(__file__).parent.parent.parent
 ZONES = {
@@ -61,7 +63,10 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One attempt of a client's request, and its outcome; status 0 means no response."""
+    """One attempt of a client's request, and its outcome; status 0 means no response.
+
+    `malformed` says what is wrong with the response, if it breaks RFC 9110 or RFC 9112.
+    """
 
     request: str
     method: str
@@ -69,6 +74,7 @@
     body: bytes = b""
     path: str = ""
     sent_at: float = 0.0
+    malformed: str = ""
 
 
 @dataclass
@@ -413,8 +419,10 @@
                     attempt.status, attempt.body = await http_call(
                         random.choice(addresses), method, path, body, header_fields
                     )
-            except (OSError, ValueError, TimeoutError):
+            except (OSError, IncompleteResponseError):
                 pass
+            except InvalidResponseError as error:
+                attempt.malformed = str(error)
         return attempt
 
     def edge(self, name: str) -> str:
@@ -443,4 +451,15 @@
                 )
             if attempt.status == 200 and not run_count:
                 violations.append(f"{attempt.request}: status 200, but it never ran")
-        return violations
+        return violations + list(self._malformed_response_violations())
+
+    def _malformed_response_violations(self) -> Iterator[str]:
+        """No client gets a malformed response, nor a success that was made of one."""
+        answered = {(line.request, line.server) for line in self.ledger.executions}
+        valid = answered - self.ledger.answered_malformed
+        for attempt in self.attempts:
+            server = attempt.body.partition(b":")[0].decode()
+            if attempt.malformed:
+                yield f"{attempt.request}: the client got a response with {attempt.malformed}"
+            elif 200 <= attempt.status < 300 and (attempt.request, server) not in valid:
+                yield f"{attempt.request}: {attempt.status} of a malformed response of {server!r}"
--- a/cairndale/ingress/net/http/__init__.py
+++ b/cairndale/ingress/net/http/__init__.py
@@ -15,7 +15,11 @@
     reason_phrase,
 )
 from cairndale.ingress.net.http.response_reader import LineReader, ResponseReader
-from cairndale.ingress.net.http.response_rules import InvalidResponseError, ResponseHeadRules
+from cairndale.ingress.net.http.response_rules import (
+    IncompleteResponseError,
+    InvalidResponseError,
+    ResponseHeadRules,
+)
 
 __all__ = [
     "BODYLESS_STATUSES",
@@ -24,6 +28,7 @@
     "MAX_BUFFERED_BODY_BYTES",
     "MAX_HEAD_BYTES",
     "HttpConnection",
+    "IncompleteResponseError",
     "InvalidResponseError",
     "LineReader",
     "Message",
--- a/cairndale/ingress/net/http/response_reader.py
+++ b/cairndale/ingress/net/http/response_reader.py
@@ -6,6 +6,7 @@
 
 from cairndale.ingress.net.http.connection import MAX_HEAD_BYTES
 from cairndale.ingress.net.http.response_rules import (
+    IncompleteResponseError,
     InvalidResponseError,
     ResponseHeadRules,
     check_framing,
@@ -22,6 +23,7 @@
     def __init__(self) -> None:
         self.status = 0  # of the final response, once its head is complete
         self.complete = False
+        self.keep_alive = False  # the connection may be used again, once this is complete
         self._parser = httptools.HttpResponseParser(self)
         self._rules = ResponseHeadRules()
         self._headers: dict[bytes, bytes] = {}
@@ -50,11 +52,11 @@
     def end(self) -> None:
         """Note the orderly end of the connection, which completes a body without length or chunks.
 
-        Raises InvalidResponseError if the response is incomplete.
+        Raises IncompleteResponseError if the response is not complete.
         """
         has_end = self._headers.keys() & {b"content-length", b"transfer-encoding"}
         if not self.complete and (has_end or not self.status):
-            raise InvalidResponseError("the response ended early")
+            raise IncompleteResponseError("the response ended early")
         self.complete = True
 
     # Callbacks of httptools, which reports exceptions that they raise as its own.
@@ -86,6 +88,7 @@
 
     def on_message_complete(self) -> None:
         self.complete = self.status != 0
+        self.keep_alive = self._parser.should_keep_alive()
         self._rules.message_ended()
 
 
--- a/cairndale/ingress/net/http/response_rules.py
+++ b/cairndale/ingress/net/http/response_rules.py
@@ -21,6 +21,10 @@
     """A response breaks RFC 9110 or RFC 9112, or has ended early."""
 
 
+class IncompleteResponseError(InvalidResponseError):
+    """A response has ended early; what came of it is valid."""
+
+
 def is_interim(status: int) -> bool:
     """Return whether a response of this status (1xx) precedes the final one."""
     return 100 <= status < 200
--- a/tests/chaos/test_soak.py
+++ b/tests/chaos/test_soak.py
@@ -25,6 +25,7 @@
     assert violations == [], soak.actions
     assert sum(attempt.status == 200 for attempt in soak.attempts) > 100
     assert any("restarted" in action for action in soak.actions), soak.actions
+    assert soak.ledger.answered_malformed
 
 
 def make_record(ends_at: float = 20.0) -> SoakRecord:
--- a/tests/chaos/test_world.py
+++ b/tests/chaos/test_world.py
@@ -5,7 +5,10 @@
 import asyncio
 from pathlib import Path
 
-from cairndale.chaos.world import World
+import pytest
+
+from cairndale.chaos.standins import Execution
+from cairndale.chaos.world import Attempt, World
 
 
 # Guards against a soak that fails as its checks begin while a request of its load is being served:
@@ -20,3 +23,24 @@
     assert not request.done() and world.verdict() == []
     request.cancel()
     await world.end()
+
+
+@pytest.mark.parametrize(
+    ("attempt", "is_violated"),
+    [
+        (Attempt("x", "POST", 200, b"sound:"), False),
+        (Attempt("x", "POST", 200, b"broken:"), True),
+        (Attempt("x", "POST", 204), True),
+        (Attempt("x", "POST", 502), False),
+        (Attempt("x", "POST", 0, malformed="status 000 is out of range"), True),
+    ],
+)
+def test_a_success_made_of_a_malformed_response_is_reported(
+    tmp_path: Path, attempt: Attempt, is_violated: bool
+) -> None:
+    world = World(tmp_path)
+    world.attempts.append(attempt)
+    server = "sound" if attempt.body == b"sound:" else "broken"
+    world.ledger.executions.append(Execution("x", server, "", "", "POST", "/books/1", 1.0))
+    world.ledger.answered_malformed.add(("x", "broken"))
+    assert bool(world.verdict()) == is_violated
