--- a/cairndale/chaos/mutations.py
+++ b/cairndale/chaos/mutations.py
@@ -76,8 +76,8 @@
 
 def sent_twice() -> None:
     """A connection lost in the middle of a request counts as one that never carried it."""
-    from cairndale.ingress.net.backends import Exchange
     from cairndale.ingress.net.engine import AttemptResult
+    from cairndale.ingress.net.upstream_connection import Exchange
     from cairndale.ingress.policy.interface import Outcome
 
     def lost(self: Exchange) -> None:
--- a/cairndale/dataplane/upstream_protocol.py
+++ b/cairndale/dataplane/upstream_protocol.py
@@ -6,11 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from collections.abc import Set as AbstractSet
-
 from cairndale.ingress.net.engine import AttemptResult
-from cairndale.ingress.net.http import HOP_BY_HOP, Message
+from cairndale.ingress.net.http import HOP_BY_HOP, Message, encode_end_to_end_fields
 from cairndale.ingress.policy.interface import Outcome
 
 REQUEST_ID = b"x-request-id"
@@ -27,15 +24,6 @@
 }
 NOT_FOR_ENDPOINTS = HOP_BY_HOP | RESERVED
 NOT_FOR_CLIENTS = HOP_BY_HOP | {NOT_RUN}
-NO_OPTIONS = frozenset({b""})  # the options of an absent or empty `Connection` field
-
-
-def _connection_options(headers: Mapping[bytes, bytes]) -> AbstractSet[bytes]:
-    """Return the fields that `Connection` lists: they are hop-by-hop (RFC 9110, 7.6.1)."""
-    named = headers.get(b"connection")
-    if not named:
-        return NO_OPTIONS
-    return {name.strip().lower() for name in named.split(b",")}
 
 
 def request_head(message: Message, request_id: bytes) -> bytes:
@@ -45,9 +33,8 @@
     only the system may set. The caller adds the remaining fields and the empty line that ends the
     head.
     """
-    dropped = NOT_FOR_ENDPOINTS | _connection_options(message.headers)
     head = b"%b %b HTTP/1.1\r\nX-Request-Id: %b\r\n" % (message.method, message.target, request_id)
-    head += b"".join(b"%b: %b\r\n" % (n, v) for n, v in message.fields if n.lower() not in dropped)
+    head += encode_end_to_end_fields(message, NOT_FOR_ENDPOINTS)
     if message.upload:
         length = message.upload.length
         return head + (
@@ -81,12 +68,7 @@
         )
     if status == 421 or NOT_RUN in headers:
         return AttemptResult(Outcome.FULL)
-    per_hop = _connection_options(headers)
-    fields = b"".join(
-        b"%b: %b\r\n" % (n, v)
-        for n, v in message.fields
-        if n.lower() not in NOT_FOR_CLIENTS and n.lower() not in per_hop
-    )
+    fields = encode_end_to_end_fields(message, NOT_FOR_CLIENTS)
     return AttemptResult(
         Outcome.OK, message.body, length=message.length, status=status, fields=fields
     )
--- a/cairndale/ingress/net/http/__init__.py
+++ b/cairndale/ingress/net/http/__init__.py
@@ -11,6 +11,7 @@
 from cairndale.ingress.net.http.encoding import (
     BODYLESS_STATUSES,
     HOP_BY_HOP,
+    encode_end_to_end_fields,
     encode_response,
     reason_phrase,
 )
@@ -38,6 +39,7 @@
     "call",
     "call_blocking",
     "encode_call",
+    "encode_end_to_end_fields",
     "encode_response",
     "reason_phrase",
 ]
--- a/cairndale/ingress/net/http/encoding.py
+++ b/cairndale/ingress/net/http/encoding.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from collections.abc import Set as AbstractSet
+
+from cairndale.ingress.net.http.connection import Message
+
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -35,6 +40,30 @@
 BODYLESS_STATUSES = (204, 304)  # responses without body and without Content-Length
 
 
+NO_OPTIONS = frozenset({b""})  # the options of an absent or empty `Connection` field
+
+
+def _connection_options(headers: Mapping[bytes, bytes]) -> AbstractSet[bytes]:
+    """Return the fields that `Connection` lists: they are hop-by-hop (RFC 9110, 7.6.1)."""
+    named = headers.get(b"connection")
+    if not named:
+        return NO_OPTIONS
+    return {name.strip().lower() for name in named.split(b",")}
+
+
+def encode_end_to_end_fields(message: Message, excluded: AbstractSet[bytes]) -> bytes:
+    """Encode the fields to forward, as received: all but `excluded` and what `Connection` lists.
+
+    `excluded`: names in lower case, among them `HOP_BY_HOP`.
+    """
+    per_hop = _connection_options(message.headers)
+    return b"".join(
+        b"%b: %b\r\n" % (name, value)
+        for name, value in message.fields
+        if name.lower() not in excluded and name.lower() not in per_hop
+    )
+
+
 def reason_phrase(status: int) -> bytes:
     """Return the reason phrase of a status."""
     if status not in REASON_PHRASES:
--- a/cairndale/ingress/net/requests.py
+++ b/cairndale/ingress/net/requests.py
@@ -15,7 +15,7 @@
 from urllib.parse import parse_qs
 
 from cairndale.ingress.net.engine import ClientRequest, NameTable
-from cairndale.ingress.net.http import HOP_BY_HOP, Message
+from cairndale.ingress.net.http import HOP_BY_HOP, Message, encode_end_to_end_fields
 from cairndale.ingress.policy import interface as it
 
 REQUEST_ID = re.compile(rb"[!-~]{1,128}")
@@ -24,6 +24,8 @@
 NUMBER = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 MAX_CUSTOMER = 1 << 33
 ANONYMOUS = b"anonymous"  # the customer of requests that name none
+# Fields of requests that the ingress sets itself, or that concern one connection.
+NOT_FORWARDED = HOP_BY_HOP | {b"request-id", b"request-timeout", b"expect"}
 METHODS = {b"GET", b"POST", b"PUT", b"PATCH", b"DELETE", b"OPTIONS"}
 DURATION = re.compile(rb"([0-9]{1,6}(?:\.[0-9]{1,6})?)(ms|us|m|u|s)")
 UNIT_US = {b"ms": 1000, b"m": 1000, b"us": 1, b"u": 1, b"s": 1_000_000}
@@ -213,13 +215,7 @@
         the ingress sets itself (Request-Id, Request-Timeout).
         """
         head = b"%b %b HTTP/1.1\r\nRequest-Id: %b\r\n" % (message.method, message.target, id)
-        connection_options = {
-            n.strip().lower() for n in message.headers.get(b"connection", b"").split(b",")
-        }
-        excluded = HOP_BY_HOP | connection_options | {b"request-id", b"request-timeout", b"expect"}
-        head += b"".join(
-            b"%b: %b\r\n" % (n, v) for n, v in message.fields if n.lower() not in excluded
-        )
+        head += encode_end_to_end_fields(message, NOT_FORWARDED)
         if message.upload:
             length = message.upload.length
             framing = b"Transfer-Encoding: chunked\r\n"
