Tests: probes, promises and large bodies among malformed answers

Cause: the cases so far showed requests and their outcomes, not what else is read from an answer.

Change: a malformed answer to a probe is no load report; a malformed answer doesn't promise that its request has not run; the single ingress's process also gets large bodies. The product is as it was.

--- a/tests/ingress/cli/test_cli.py
+++ b/tests/ingress/cli/test_cli.py
@@ -29,7 +29,7 @@
 from hypothesis import strategies as st
 from msgspec import UNSET
 
-from cairndale.chaos.malformed import EARLY_HINTS, MALFORMED
+from cairndale.chaos.malformed import EARLY_HINTS, MALFORMED, MALFORMED_HEADS
 from cairndale.ingress.cli import read as config_reader
 from cairndale.ingress.cli.__main__ import _call
 from cairndale.ingress.cli.checked import convert
@@ -44,6 +44,7 @@
 )
 from cairndale.ingress.cli.schema import EXAMPLE_CONFIG, json_schema, reference_page
 from cairndale.ingress.net.config import config_from
+from cairndale.ingress.net.http import MAX_BUFFERED_BODY_BYTES
 from cairndale.ingress.net.requests import FieldError, read_timeout
 from cairndale.ingress.observability.logs import (
     STABLE_EVENT_NAMES,
@@ -341,7 +342,8 @@
 
     def do_GET(self) -> None:
         if self.path.startswith("/malformed?"):
-            self.wfile.write(MALFORMED[unquote(self.path.partition("?")[2])](b"", b"a body"))
+            name, _, size = unquote(self.path.partition("?")[2]).rpartition(",")
+            self.wfile.write(MALFORMED[name](b"", b"b" * int(size)))
             return
         body = json.dumps(
             {"path": self.path, "method": self.command, "fields": dict(self.headers)}
@@ -440,10 +442,14 @@
 
 
 def test_single_ingress_forwards_no_malformed_response(ingress: RunningIngress) -> None:
-    fetched = {
-        name: ingress.fetch(f"/malformed?{quote(name)}", X_Api_Key=name)[0] for name in MALFORMED
+    """Whether it would be buffered or streamed."""
+    cases = [(name, 9) for name in MALFORMED]
+    cases += [(name, MAX_BUFFERED_BODY_BYTES + 1) for name in MALFORMED_HEADS]
+    statuses = {
+        case: ingress.fetch(f"/malformed?{quote(f'{case[0]},{case[1]}')}", X_Api_Key=str(case))[0]
+        for case in cases
     }
-    assert {name: status for name, status in fetched.items() if status != 502} == {}
+    assert {case: status for case, status in statuses.items() if status != 502} == {}
 
 
 def test_single_ingress_enforces_quotas_and_forwards_answers_of_plain_servers(
--- a/tests/ingress/net/test_malformed_responses.py
+++ b/tests/ingress/net/test_malformed_responses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import pytest
@@ -9,8 +10,9 @@
 
 from cairndale.chaos.malformed import EARLY_HINTS, MALFORMED
 from cairndale.dataplane.upstream_protocol import classify_answer
+from cairndale.ingress.net.engine import AttemptResult
 from cairndale.ingress.policy.interface import Outcome
-from tests.testing.ingress import PeerServer, SingleBackend
+from tests.testing.ingress import PeerServer, SingleBackend, reply_with
 
 ID = b"X-Request-Id: r1\r\n"
 SENT = b"POST /x HTTP/1.1\r\n" + ID + b"Host: a\r\nContent-Length: 2\r\n\r\nhi"
@@ -108,3 +110,26 @@
     assert await outcome(fleet, chunked, bytewise) is Outcome.OK
     assert await outcome(fleet, OK, bytewise) is Outcome.OK
     assert len(fleet.server.peers) == (1 if trailer == b"A: b" else 2)
+
+
+@pytest.mark.parametrize("name", MALFORMED)
+async def test_malformed_answer_to_a_probe_is_no_load_report(
+    fleet: SingleBackend, name: str
+) -> None:
+    report = ID + b"Server-Load: queue=3\r\n"
+    fleet.server.on_data = reply_with(MALFORMED[name](report, b"a body"))
+    answered: asyncio.Future[AttemptResult] = asyncio.get_running_loop().create_future()
+    fleet.backends.probe(1, answered.set_result)
+    async with asyncio.timeout(10):
+        result = await answered
+    assert (result.outcome, result.load) == (Outcome.RESET, b"")
+
+
+@pytest.mark.parametrize("name", MALFORMED)
+async def test_malformed_response_does_not_promise_that_the_request_has_not_run(
+    fleet: SingleBackend, name: str
+) -> None:
+    """Otherwise a request that must not run twice would be sent to another server."""
+    promise = ID + b"X-Not-Run: 1\r\nNot-Started: 1\r\n"
+    malformed = MALFORMED[name](promise, b"a body").replace(b" 200 ", b" 503 ")
+    assert await outcome(fleet, malformed, False) is Outcome.RESET
