Refuse an answer in chunks that the parser doesn't decode

What callers saw: an answer with `Transfer-Encoding: chunked` and a tab behind it, which is valid, came with the sizes of its chunks and its last chunk as its body, bit by bit, and never ended: a body that was not the server's, then a broken connection at the deadline.

Cause: the ingress strips blanks and tabs from a value before it looks whether the coding is one it knows; the parser strips blanks only, takes the coding for an unknown one, and hands the raw bytes on up to the end of the connection.

Change: the tab stays behind a coding, so that what the parser doesn't decode is refused as another coding is (`field_value`). Requests of this kind were refused by the parser before.

--- a/cairndale/ingress/net/http/connection.py
+++ b/cairndale/ingress/net/http/connection.py
@@ -10,7 +10,7 @@
 import httptools
 
 from cairndale.ingress.net.bodies import Upload
-from cairndale.ingress.net.http.response_rules import check_framing
+from cairndale.ingress.net.http.response_rules import check_framing, field_value
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
@@ -187,10 +187,11 @@
             self._head_bytes += len(name) + len(value) + 4
             self._limit(self._head_bytes, self.max_head, 431)
             return
-        value = value.strip(b" 	")
+        lower_name = name.lower()
+        value = field_value(lower_name, value)
         if self.keep_fields:
             self._message.fields.append((name, value))
-        headers, name = self._message.headers, name.lower()
+        headers, name = self._message.headers, lower_name
         before = headers.get(name)
         headers[name] = value if before is None else before + b", " + value
         self._limit(self._size, self.max_head, 431)
--- a/cairndale/ingress/net/http/response_reader.py
+++ b/cairndale/ingress/net/http/response_reader.py
@@ -10,6 +10,7 @@
     InvalidResponseError,
     ResponseHeadRules,
     check_framing,
+    field_value,
     is_interim,
 )
 
@@ -73,8 +74,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._head_begun:  # trailers are dropped
             name = name.lower()
-            before = self._headers.get(name)
-            self._headers[name] = value.strip() if before is None else before + b", " + value
+            value, before = field_value(name, value), self._headers.get(name)
+            self._headers[name] = value if before is None else before + b", " + value
 
     def on_headers_complete(self) -> None:
         self._head_begun = False
--- a/cairndale/ingress/net/http/response_rules.py
+++ b/cairndale/ingress/net/http/response_rules.py
@@ -30,6 +30,15 @@
     return 100 <= status < 200
 
 
+def field_value(name: bytes, value: bytes) -> bytes:
+    """Return a field's value, as the parser has it, without white space around it.
+
+    `name`: in lower case. The parser does not decode a body whose coding is `chunked` and a tab,
+    so that tab stays, for `check_framing` to refuse.
+    """
+    return value.strip(b" " if name == b"transfer-encoding" else b" \t")
+
+
 def check_framing(headers: Mapping[bytes, bytes]) -> int | None:
     """Return the Content-Length of a message, None if it has none. Raises ValueError.
 
@@ -38,7 +47,7 @@
     """
     length, coding = headers.get(b"content-length"), headers.get(b"transfer-encoding")
     if (length is not None and (coding is not None or not length.isdigit())) or (
-        coding is not None and coding.strip().lower() != b"chunked"
+        coding is not None and coding.lower() != b"chunked"
     ):
         raise ValueError(f"contradictory framing: length {length!r}, coding {coding!r}")
     return int(length) if length is not None else None
--- a/tests/ingress/net/test_malformed_responses.py
+++ b/tests/ingress/net/test_malformed_responses.py
@@ -133,3 +133,16 @@
     promise = ID + b"X-Not-Run: 1\r\nNot-Started: 1\r\n"
     malformed = MALFORMED[name](promise, b"a body").replace(b" 200 ", b" 503 ")
     assert await outcome(fleet, malformed, False) is Outcome.RESET
+
+
+@pytest.mark.parametrize("bytewise", [False, True])
+@pytest.mark.parametrize(
+    ("blank", "expected"),
+    [(b"", Outcome.OK), (b" ", Outcome.OK), (b"\t", Outcome.RESET), (b" \t ", Outcome.RESET)],
+)
+async def test_coding_is_one_that_the_parser_decodes(
+    fleet: SingleBackend, blank: bytes, expected: Outcome, bytewise: bool
+) -> None:
+    """The parser doesn't decode what has a tab behind `chunked`, though that is valid."""
+    head = OK.partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked%b\r\n\r\n" % blank
+    assert await outcome(fleet, head + b"3\r\nown\r\n0\r\n\r\n", bytewise) is expected
