--- a/cairndale/chaos/malformed.py
+++ b/cairndale/chaos/malformed.py
@@ -41,6 +41,7 @@
 
 
 EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+SWITCHING = b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
 
 # Malformed in the status line or the fields: nothing of them may be relayed.
 MALFORMED_HEADS: dict[str, ResponseBuilder] = {
@@ -75,6 +76,9 @@
     "coding in HTTP/1.0": _chunked(b"HTTP/1.0 200 OK"),
     "204 with a length": _sized(b"HTTP/1.1 204 No Content"),
     "204 with a coding": _chunked(b"HTTP/1.1 204 No Content"),
+    "protocol switched unasked": _sized(before=SWITCHING),
+    "version 2.0 in a 1xx": _sized(before=EARLY_HINTS.replace(b"HTTP/1.1", b"HTTP/2.0")),
+    "blank in a name of a 1xx": _sized(before=EARLY_HINTS.replace(b"Link", b"Li nk")),
     "1xx with a length": _sized(before=EARLY_HINTS.replace(b"Link: </a>", b"Content-Length: 9")),
 }
 # Malformed behind the head: a part may be relayed, never as a complete response.
