Stand-ins answer by the malformed response that a request asks for

Cause: the demo and the tests of the data plane scripted malformed answers twice, the demo by faults of all servers in turn.

The tests check what they checked before.

--- a/cairndale/chaos/__main__.py
+++ b/cairndale/chaos/__main__.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from urllib.parse import urlencode
 
 from cairndale.chaos.malformed import MALFORMED
 from cairndale.chaos.world import Attempt, World
@@ -20,8 +21,7 @@
 # For each request. A rejected request may always be retried; after other failures only if it is
 # idempotent.
 MAX_ATTEMPTS = 3
-# Requests that find out whether servers are used again, and the pause between them.
-MAX_SOUND_REQUESTS, SOUND_PAUSE_S = 50, 0.02
+SOUND_PAUSE_S = 0.02  # between requests for malformed responses
 
 
 class Demo:
@@ -75,22 +75,12 @@
         self.world.start(name)
 
     async def receive_malformed_responses(self) -> None:
-        """Have the servers answer by each kind of malformed response, and count what clients get.
-
-        Between two kinds they are sound, until a request is served.
-        """
-        world, statuses = self.world, Counter[int]()
+        """Ask the servers for each kind of malformed response, and count what clients get."""
+        statuses = Counter[int]()
         for kind in MALFORMED:
-            for server in world.started_servers:
-                server.fault = kind
-            attempt = await world.request("POST", "/books/1")
-            statuses[attempt.status] += 1
-            for server in world.started_servers:
-                server.fault = ""
-            for _ in range(MAX_SOUND_REQUESTS):
-                if (await world.request("POST", "/books/1")).status == 200:
-                    break
-                await asyncio.sleep(SOUND_PAUSE_S)
+            query = urlencode({"malformed": kind})
+            statuses[(await self.world.request("POST", f"/books/1?{query}")).status] += 1
+            await asyncio.sleep(SOUND_PAUSE_S)
         print(
             f"\n{len(MALFORMED)} kinds of malformed responses to requests that must not run twice: "
             + ", ".join(f"{n} got {status}" for status, n in statuses.most_common())
--- a/cairndale/chaos/standins.py
+++ b/cairndale/chaos/standins.py
@@ -14,6 +14,7 @@
 import httptools
 
 from cairndale.chaos.malformed import MALFORMED
+from cairndale.chaos.scripted_response import ScriptedResponse
 from cairndale.http_api.server import BufferedConnection
 from cairndale.ingress.net.http import Message, ResponseReader, encode_response
 
@@ -63,8 +64,9 @@
     executions: list[Execution] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     heartbeats: list[Heartbeat] = field(default_factory=list)
-    # Requests that a server ran and answered by a malformed response, with that server.
-    answered_malformed: set[tuple[str, str]] = field(default_factory=set)
+    # Requests that a server ran and answered by a malformed response, with that server, and
+    # whether the connection had been used before.
+    answered_malformed: dict[tuple[str, str], bool] = field(default_factory=dict)
     rejected: int = 0
 
     def execution_counts(self) -> Counter[str]:
@@ -77,7 +79,8 @@
 
     `fault` is how it misbehaves: "late" sends a surplus response after each, "cut" truncates
     responses, "mute" runs requests and never responds, "full" rejects all requests, "malformed"
-    breaks RFC 9110 or RFC 9112 in each response, in a random way or in that named by `MALFORMED`.
+    breaks RFC 9110 or RFC 9112 in each response. The first execution of a request that asks for a
+    malformed response is answered as it asks (`scripted_response.py`).
     """
 
     def __init__(
@@ -189,6 +192,7 @@
     def __init__(self, server: Server) -> None:
         super().__init__(httptools.HttpRequestParser)
         self.server = server
+        self._used_before = False
         self._timers: list[asyncio.TimerHandle] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -233,14 +237,19 @@
                 now,
             )
             server.ledger.executions.append(execution)
-            loop.call_later(server.service_time, self._answer, id, message.body)
+            loop.call_later(server.service_time, self._answer, id, message)
 
-    def _answer(self, id: bytes, body: bytes) -> None:
+    def _answer(self, id: bytes, message: Message) -> None:
         server = self.server
         if self.transport.is_closing() or server.fault == "mute":
             return
         identity_headers = b"X-Request-Id: %b\r\nX-Seal: %b\r\n" % (id, server.id.encode())
-        response_body = b"%b:%b" % (server.id.encode(), body)
+        response_body = b"%b:%b" % (server.id.encode(), message.body)
+        script = ScriptedResponse.of_target(message.target)
+        if script and server.ledger.execution_counts()[id.decode()] == 1:
+            self._note_malformed(id)
+            self._writing = asyncio.ensure_future(script.write(self.transport, identity_headers))
+            return
         if server.chunked:
             head = b"HTTP/1.1 200 OK\r\n%bTransfer-Encoding: chunked\r\n\r\n" % identity_headers
             data = (
@@ -254,11 +263,12 @@
             )
         else:
             data = encode_response(200, response_body, identity_headers)
-        if server.fault == "malformed" or server.fault in MALFORMED:
-            server.ledger.answered_malformed.add((id.decode(), server.id))
-            build = MALFORMED.get(server.fault) or random.choice(list(MALFORMED.values()))
+        if server.fault == "malformed":
+            self._note_malformed(id)
+            build = random.choice(list(MALFORMED.values()))
             self.transport.write(build(identity_headers, response_body))
             return
+        self._used_before = True
         if server.fault == "cut":
             self.transport.write(data[:-3])
             self.transport.close()
@@ -267,6 +277,10 @@
         if server.fault == "late":  # a surplus response, where that to the next request is expected
             asyncio.get_running_loop().call_later(0.02, self.transport.write, data)
 
+    def _note_malformed(self, id: bytes) -> None:
+        key = (id.decode(), self.server.id)
+        self.server.ledger.answered_malformed[key] = self._used_before
+
 
 async def http_call(
     address: str,
--- a/cairndale/chaos/world.py
+++ b/cairndale/chaos/world.py
@@ -456,7 +456,7 @@
     def _malformed_response_violations(self) -> Iterator[str]:
         """No client gets a malformed response, nor a success that was made of one."""
         answered = {(line.request, line.server) for line in self.ledger.executions}
-        valid = answered - self.ledger.answered_malformed
+        valid = answered - self.ledger.answered_malformed.keys()
         for attempt in self.attempts:
             server = attempt.body.partition(b":")[0].decode()
             if attempt.malformed:
--- a/tests/chaos/test_world.py
+++ b/tests/chaos/test_world.py
@@ -42,5 +42,5 @@
     world.attempts.append(attempt)
     server = "sound" if attempt.body == b"sound:" else "broken"
     world.ledger.executions.append(Execution("x", server, "", "", "POST", "/books/1", 1.0))
-    world.ledger.answered_malformed.add(("x", "broken"))
+    world.ledger.answered_malformed["x", "broken"] = False
     assert bool(world.verdict()) == is_violated
