Command lines: an answer that is nested too deeply is not clear

What callers saw: `cairndale.cli` and `ironledge ops` ended with a traceback after an answer of JSON nested some thousands of levels, instead of asking the next node, or showing what came.

Cause: as at the follower of the list service: json.loads raises RecursionError for it, which is no ValueError.

Change: `cairndale.cli` counts it as no clear answer; `ironledge ops` shows it as text, as it does other answers that are no JSON.

Measured: both tests fail without the change (2 of 2), pass with it; tests/cli and tests/ingress/cli pass as a whole.

--- a/cairndale/cli/control_client.py
+++ b/cairndale/cli/control_client.py
@@ -69,6 +69,6 @@
         response = call_blocking(host, port, request_data, ATTEMPT_TIMEOUT_S)
         if response.status < 500 and response.status not in UNCLEAR_STATUSES:
             return ApiAnswer(response.status, json.loads(response.body))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:  # the last for deeply nested JSON
         raise UnclearAnswerError(f"{host}:{port}: {error}") from error
     raise UnclearAnswerError(f"{host}:{port}: status {response.status}")
--- a/cairndale/ingress/cli/__main__.py
+++ b/cairndale/ingress/cli/__main__.py
@@ -256,7 +256,7 @@
     text = response.body.decode(errors="replace").strip()
     try:
         answer: Any = json.loads(text)
-    except ValueError:
+    except (ValueError, RecursionError):
         answer = text
     return {
         "address": address,
--- a/tests/cli/test_control_client.py
+++ b/tests/cli/test_control_client.py
@@ -34,6 +34,13 @@
         request([(HOST, server.port)], "POST", "Config.Replace", b"{}")
 
 
+def test_answer_that_is_nested_too_deeply_is_not_clear() -> None:
+    body = b"[" * 100_000
+    response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+    with CannedServer(response) as server, pytest.raises(UnclearAnswerError):
+        request([(HOST, server.port)], "GET", "Config.Read")
+
+
 @pytest.mark.parametrize("bytewise", [False, True])
 @pytest.mark.parametrize("response", [VALID, EARLY_HINTS + VALID, UNFRAMED])
 def test_valid_answer_is_clear(response: bytes, bytewise: bool) -> None:
--- a/tests/ingress/cli/test_cli.py
+++ b/tests/ingress/cli/test_cli.py
@@ -329,6 +329,9 @@
             row = _call(f"{HOST}:{server.port}", "GET", "/status")
         assert not row["ok"] and row["answer"].startswith("invalid answer: "), (name, row)
     valid = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+    deep = b"[" * 100_000  # no JSON that can be read, so it is shown as text
+    with CannedServer(b"HTTP/1.1 200 OK\r\n\r\n" + deep) as server:
+        assert _call(f"{HOST}:{server.port}", "GET", "/status")["answer"] == deep.decode()
     with CannedServer(MALFORMED["no colon"](b"", body), EARLY_HINTS + valid) as server:
         address = f"{HOST}:{server.port}"
         runs = [run_command("ops", "status", address, "--json") for _ in range(2)]
