Keep requests from running without a key once the last tenant is removed

An empty table of tenants counted as a configuration without tenants, which asks for no key. A Replace with an empty list or without one, a delta and a restart led to the same; nothing stored or sent told "none is left" from "never had any".

Change: the leader puts a placeholder, a tenant without keys, in place of the last tenant, and takes it out as the next one comes. Config.Read shows what was sent. An ingress that ever had a tenant asks for a key until it ends, also beside an old leader. Beside an empty list of unknown origin, a key that is presented has to be known. A configuration that never had tenants stays open.

--- a/cairndale/configuration/route_table.py
+++ b/cairndale/configuration/route_table.py
@@ -50,9 +50,11 @@
         tenants_by_key: tenants by API key.
         request_classes: the classes of the routes, by name.
         service_references: the number of references from routes to a service, by service name.
+        had_tenants: whether this table, or one that it replaces, has ever had a tenant.
     """
 
-    def __init__(self, content: dict[str, Any]) -> None:
+    def __init__(self, content: dict[str, Any], *, had_tenants: bool = False) -> None:
+        """`had_tenants`: of the table that this one replaces."""
         self.gen: int = content.get("gen", 0)
         self.digest = 0
         self.routes: dict[str, Route] = {}
@@ -63,6 +65,8 @@
         self.tenants_by_key: dict[bytes, Tenant] = {}
         self.request_classes: dict[str, RequestClass] = {}
         self.service_references: Counter[str] = Counter()
+        self.had_tenants = had_tenants
+        self._lists_tenants = "tenants" in content
         self._class_references: Counter[str] = Counter()
         self._tables: dict[str, dict[str, Any]] = {
             "routes": self.routes,
@@ -103,6 +107,16 @@
         match = AUTHORIZATION.fullmatch(authorization)
         return self.tenants_by_key.get(match[1]) if match else None
 
+    def admits_without_tenant(self, authorization: bytes) -> bool:
+        """Whether a request that belongs to no tenant may use routes that are not public.
+
+        It may while there have never been tenants. An empty list of tenants may have been emptied
+        before this process received it, so a key is not accepted beside it.
+        """
+        if self.had_tenants:
+            return False
+        return not (self._lists_tenants and AUTHORIZATION.fullmatch(authorization))
+
     def apply_delta(self, delta: ConfigDelta) -> TableChange:
         """Applies a delta atomically. Raises DeltaError if it does not apply to this content."""
         if (delta.base_gen, delta.base_digest) != (generation_id(self.gen), self.digest):
@@ -151,6 +165,7 @@
         self.digest = (self.digest + item.digest) % DIGEST_MODULUS
         self._tables[table][item.name] = item
         if isinstance(item, Tenant):
+            self.had_tenants = True
             for key in item.api_keys:
                 self.tenants_by_key[key] = item
         elif isinstance(item, Route):
--- a/cairndale/configuration/validation.py
+++ b/cairndale/configuration/validation.py
@@ -10,6 +10,7 @@
 from schema import Optional
 
 from cairndale.configuration.content import TABLES
+from cairndale.configuration.key_requirement import reserved_name_errors
 from cairndale.configuration.stepwise import Steps, run_to_completion
 from cairndale.field_rules import (
     NOT_A_DURATION,
@@ -222,7 +223,7 @@
     """
     if not isinstance(body, dict):
         return ["the body is not a JSON object"]
-    errors = _generation_errors(body, gen)
+    errors = _generation_errors(body, gen) + reserved_name_errors(body, is_replace)
     if is_replace:
         errors += [f"{name}: is missing" for name in ("routes", "backends") if name not in body]
         return errors
--- a/cairndale/control/configuration_changes.py
+++ b/cairndale/control/configuration_changes.py
@@ -15,6 +15,7 @@
 
 from cairndale.configuration.commands import Command, Verb
 from cairndale.configuration.json_stream import LARGE_BODY_BYTES, loads_steps
+from cairndale.configuration.key_requirement import with_key_requirement
 from cairndale.configuration.state import REJECTED, State
 from cairndale.configuration.stepwise import Steps, advance
 from cairndale.configuration.validation import change_errors, content_errors_steps
@@ -123,7 +124,9 @@
 
     async def _commit(self, change: _Change) -> ChangeOutcome:
         """Commits a change. That needs no further confirmation: a majority has stored the entry."""
-        if await self._leader.decide(Command(change.verb, change.digest, change.body)):
+        # If another change comes into force first, the command has no effect, whatever its body.
+        body = with_key_requirement(change.verb, change.body, self._leader.state.content)
+        if await self._leader.decide(Command(change.verb, change.digest, body)):
             state = self._leader.state
             log_event(Event.CONFIG_ACCEPTED, "gen %d, version %d", state.gen, state.version)
             return ChangeOutcome(json_response(200, {"gen": change.body["gen"]}), state.version)
--- a/cairndale/control/operations.py
+++ b/cairndale/control/operations.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from cairndale.configuration.commands import Verb
+from cairndale.configuration.key_requirement import without_placeholder
 from cairndale.control.call_origin import CallOrigin
 from cairndale.control.change_queue import ChangeQueue
 from cairndale.control.configuration_changes import ConfigurationChanges
@@ -69,7 +70,7 @@
         state = self._leader.state
         match call:
             case ApiCall.READ if state.gen:
-                return json_response(200, state.content)
+                return json_response(200, without_placeholder(state.content))
             case ApiCall.READ:
                 return error_response(404, "no configuration yet")
             case ApiCall.SHOW:
--- a/cairndale/dataplane/config_client.py
+++ b/cairndale/dataplane/config_client.py
@@ -250,7 +250,10 @@
         )
 
     def _replace_route_table(self, content: bytes) -> None:
-        self.route_table = RouteTable(json.loads(zlib.decompress(content)) if content else {})
+        self.route_table = RouteTable(
+            json.loads(zlib.decompress(content)) if content else {},
+            had_tenants=self.route_table.had_tenants,
+        )
         self._needs_full_state = False
 
     def _apply_evacuated_zones(self, response: pb.WatchResponse) -> bool:
--- a/cairndale/dataplane/request_router.py
+++ b/cairndale/dataplane/request_router.py
@@ -79,7 +79,7 @@
     def match(
         self, host: bytes, target: bytes, authorization: bytes
     ) -> tuple[Route, Tenant | None]:
-        """Return the route, and the tenant unless the route is public.
+        """Return the route, and the tenant unless the route is public or there are no tenants.
 
         Raises BadRequest if the configuration in force does not allow the request: 404 if there is
         no route, 401 if the API key is unknown.
@@ -88,10 +88,10 @@
         route = route_table.find_route(host, target)
         if route is None:
             raise BadRequest(404, "no route")
-        if route.public or not route_table.tenants:
+        if route.public:
             return route, None
         tenant = route_table.find_tenant(authorization)
-        if tenant is None:
+        if tenant is None and not route_table.admits_without_tenant(authorization):
             raise BadRequest(401, "the key is unknown")
         return route, tenant
 
