Read back an empty list of tenants after an Update that names one

Cause: after a Replace without a list of tenants, an Update that removes a tenant which is not there leaves an empty list, but Config.Read kept leaving the list out: the placeholder still said that there was none. Found by the random changes of tests/configuration/test_key_requirement.py.

Change: each Update that touches tenants and leaves none sets the placeholder anew.

--- a/cairndale/configuration/key_requirement.py
+++ b/cairndale/configuration/key_requirement.py
@@ -95,13 +95,11 @@
     if not added and not removed:
         return body
     names = {tenant["name"] for tenant in tenants}
-    has_placeholder = PLACEHOLDER_NAME in names
-    has_tenants = bool(added or names - removed - {PLACEHOLDER_NAME})
-    if has_placeholder == (not has_tenants):
-        return body
-    if has_placeholder:
+    if not added and names <= removed | {PLACEHOLDER_NAME}:
+        return {**body, "upsert": _with_tenant(upsert, _placeholder(is_listed=True))}
+    if PLACEHOLDER_NAME in names:
         return {**body, "remove": _with_tenant(remove, PLACEHOLDER_NAME)}
-    return {**body, "upsert": _with_tenant(upsert, _placeholder(is_listed=True))}
+    return body
 
 
 def _with_tenant(tables: Mapping[str, Any], tenant: Any) -> dict[str, Any]:
