Find routes of hosts with a port, by one normal form of hosts

Requests and look-ups took the port off, routes kept the host as it was sent, and the check for equal routes had a third form.

Change: configuration/hosts.py owns the normal form (port, case, dot at the end, IPv6 in brackets, empty port) for configurations, requests and look-ups, and the index of routes by host of ingresses and control nodes. A route with a port serves this port and goes first; one without serves every port, as before. Routes that are equal are refused, and so are hosts that no request can name.

--- a/cairndale/configuration/route_table.py
+++ b/cairndale/configuration/route_table.py
@@ -4,18 +4,17 @@
 
 import re
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
-from types import MappingProxyType
 from typing import Any
 
 from cairndale.configuration.content_digest import DIGEST_MODULUS, TOP_LEVEL_FIELDS, iter_items
 from cairndale.configuration.delta import ConfigDelta, DeltaError
 from cairndale.configuration.generation_id import generation_id
+from cairndale.configuration.hosts import HostIndex, NormalHost, normalize_host
 from cairndale.configuration.routes import Item, Route, Service, Tenant, TopLevelField, read_item
 from cairndale.ingress.policy.interface import RequestClass
 
-NO_ROUTES: Mapping[bytes, Route] = MappingProxyType({})
 AUTHORIZATION = re.compile(rb"[Tt][Oo][Kk][Ee][Nn] +([!-~]+)")
 
 
@@ -46,7 +45,7 @@
         gen: the generation; 0: no configuration.
         digest: the digest of the content (`content_digest`).
         routes, tenants, services, fields: the items by name.
-        routes_by_host: routes by host (the virtual host), then by path prefix.
+        routes_by_host: routes by host (the virtual host) and path prefix.
         tenants_by_key: tenants by API key.
         request_classes: the classes of the routes, by name.
         service_references: the number of references from routes to a service, by service name.
@@ -61,7 +60,7 @@
         self.tenants: dict[str, Tenant] = {}
         self.services: dict[str, Service] = {}
         self.fields: dict[str, TopLevelField] = {}
-        self.routes_by_host: dict[bytes, dict[bytes, Route]] = {}
+        self.routes_by_host: HostIndex[Route] = HostIndex()
         self.tenants_by_key: dict[bytes, Tenant] = {}
         self.request_classes: dict[str, RequestClass] = {}
         self.service_references: Counter[str] = Counter()
@@ -85,21 +84,22 @@
         """The listener's limits by their configuration names."""
         return self.fields["limits"].value if "limits" in self.fields else {}
 
-    def routes_of_host(self, host: bytes) -> Mapping[bytes, Route]:
-        """The routes of a host (with or without a port) by path prefix; empty if it has none."""
-        return self.routes_by_host.get(normalize_host(host), NO_ROUTES)
+    def routes_of_host(self, host: NormalHost) -> Sequence[Route]:
+        """The routes that clients of a host may use; without a port, those of all its ports."""
+        return self.routes_by_host.all_of_host(host)
 
     def find_route(self, host: bytes, target: bytes) -> Route | None:
-        """The route with the longest prefix of the path; `host` may include a port."""
-        routes = self.routes_of_host(host)
-        if not routes:
-            return None
+        """The route with the longest prefix of the path; `host` is a request's `Host` field.
+
+        Routes of the host with the request's port go first, those of the host at any port second.
+        """
         path = target.partition(b"?")[0]
-        end = path.rfind(b"/")
-        while end >= 0:
-            if route := routes.get(path[: end + 1]):
-                return route
-            end = path.rfind(b"/", 0, end)
+        for routes in self.routes_by_host.prefixes(normalize_host(host)):
+            end = path.rfind(b"/")
+            while end >= 0:
+                if route := routes.get(path[: end + 1]):
+                    return route
+                end = path.rfind(b"/", 0, end)
         return None
 
     def find_tenant(self, authorization: bytes) -> Tenant | None:
@@ -169,7 +169,7 @@
             for key in item.api_keys:
                 self.tenants_by_key[key] = item
         elif isinstance(item, Route):
-            self.routes_by_host.setdefault(item.host, {})[item.prefix] = item
+            self.routes_by_host.add(item.host, item.prefix, item)
             self.request_classes.setdefault(item.request_class.name, item.request_class)
             self._class_references[item.request_class.name] += 1
             self.service_references.update(item.services)
@@ -186,11 +186,7 @@
             self._remove_route(item)
 
     def _remove_route(self, route: Route) -> None:
-        routes = self.routes_by_host[route.host]
-        if routes.get(route.prefix) is route:  # else another route has replaced it
-            del routes[route.prefix]
-        if not routes:
-            del self.routes_by_host[route.host]
+        self.routes_by_host.remove(route.host, route.prefix, route)
         class_name = route.request_class.name
         _release(self._class_references, [class_name])
         if class_name not in self._class_references:
@@ -208,10 +204,3 @@
         references[name] -= 1
         if not references[name]:
             del references[name]
-
-
-def normalize_host(host: bytes) -> bytes:
-    """A host in the form that is used as key of routes: in lower case, without a port."""
-    host = host.lower()
-    name, colon, port = host.rpartition(b":")
-    return name if colon and port.isdigit() else host
--- a/cairndale/configuration/routes.py
+++ b/cairndale/configuration/routes.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from cairndale.configuration.content_digest import item_digest
+from cairndale.configuration.hosts import NormalHost, normalize_host
 from cairndale.configuration.numbers import bounded_count, bounded_quantity, finite_weights
 from cairndale.ingress.policy.interface import Repeat, RequestClass
 from cairndale.settings import parse_duration
@@ -30,7 +31,8 @@
         public: whether requests need no API key of a tenant.
         home_regions: the regions that may serve the route; empty: any.
         priority: 0 is the highest priority.
-        host: the host in lower case.
+        host: the host in its normal form.
+        has_normal_host: whether the configuration has the host in this form.
         prefix: the path prefix; begins and ends with a slash.
     """
 
@@ -41,7 +43,8 @@
     public: bool
     home_regions: frozenset[str]
     priority: int
-    host: bytes
+    host: NormalHost
+    has_normal_host: bool
     prefix: bytes
     digest: int
 
@@ -145,6 +148,7 @@
     name: str, raw: dict[str, Any], digest: int, request_classes: Mapping[str, RequestClass]
 ) -> Route:
     split = raw.get("split") or [{"backend": raw["backend"], "weight": 1}]
+    host = normalize_host(raw["host"].encode())
     return Route(
         name=name,
         request_class=_read_request_class(raw, request_classes),
@@ -153,7 +157,8 @@
         public=bool(raw.get("public")),
         home_regions=frozenset(raw.get("homeRegions") or ()),
         priority=int(raw.get("prio", 0)),
-        host=raw["host"].lower().encode(),
+        host=host,
+        has_normal_host=raw["host"] == str(host),
         prefix=raw["pathPrefix"].encode(),
         digest=digest,
     )
--- a/cairndale/configuration/validation.py
+++ b/cairndale/configuration/validation.py
@@ -9,7 +9,8 @@
 
 from schema import Optional
 
-from cairndale.configuration.content import TABLES
+from cairndale.configuration.content import TABLES, Content
+from cairndale.configuration.hosts import host_error, normalize_host
 from cairndale.configuration.key_requirement import reserved_name_errors
 from cairndale.configuration.stepwise import Steps, run_to_completion
 from cairndale.field_rules import (
@@ -105,26 +106,39 @@
 }
 
 
-def content_errors(content: dict[str, Any]) -> list[str]:
-    """All errors of a complete configuration, as it would be in force."""
-    return run_to_completion(content_errors_steps(content))
+def content_errors(content: Content, in_force: Content | None = None) -> list[str]:
+    """All errors of a complete configuration, as it would be in force.
+
+    `in_force`: the configuration that an Update is made on top of. Items that the Update keeps, the
+    same objects in both, are not checked on their own again: rules that are stricter than those of
+    the version that accepted them must not stop unrelated changes.
+    """
+    return run_to_completion(content_errors_steps(content, in_force))
 
 
-def content_errors_steps(content: dict[str, Any]) -> Steps[list[str]]:
+def content_errors_steps(content: Content, in_force: Content | None = None) -> Steps[list[str]]:
     """Like `content_errors`, in steps: a large configuration takes longer than a leader's lease."""
-    return (yield from _ContentCheck(content).run_steps())
+    return (yield from _ContentCheck(content, _ids_of_items(in_force or {})).run_steps())
+
+
+def _ids_of_items(content: Content) -> set[int]:
+    """The identities of the items, which are objects, in the tables of a valid content."""
+    return {id(item) for table in TABLES for item in content.get(table, ())}
 
 
 # A path, and the item or value at this path. A tuple, as with objects the whole check takes a
 # quarter longer.
 _Located = tuple[str, Any]
+# A path, the item there, and a value of this item.
+_LocatedValue = tuple[str, dict[str, Any], Any]
 
 
 @dataclass(slots=True)
 class _ContentCheck:
     """One check of a content: first the fields of items, then constraints between valid items."""
 
-    content: dict[str, Any]
+    content: Content
+    kept: set[int]  # identities of items that are in force
     errors: list[str] = field(default_factory=list)
     valid: dict[str, list[_Located]] = field(
         default_factory=lambda: {table: [] for table in TABLES}
@@ -148,13 +162,15 @@
         rules, valid = ITEM_RULES[table], self.valid[table]
         for number, item in enumerate(items):
             path = f"{table}[{number}]"
-            if errors := rules.errors(path, item):
+            if id(item) in self.kept:
+                valid.append((path, item))
+            elif errors := rules.errors(path, item) or _text_errors(table, path, item):
                 self.errors += errors
             else:
                 valid.append((path, item))
             if number % ITEMS_PER_STEP == ITEMS_PER_STEP - 1:
                 yield
-        names = ((f"{path}.name", item["name"]) for path, item in valid)
+        names = ((f"{path}.name", item, item["name"]) for path, item in valid)
         yield from self._check_unique_steps("this name", names)
 
     def _check_services_steps(self) -> Steps[None]:
@@ -165,28 +181,34 @@
                 yield
             self.errors += _service_errors(path, route, services)
 
-    def _host_prefixes(self) -> Iterator[_Located]:
+    def _host_prefixes(self) -> Iterator[_LocatedValue]:
         for path, route in self.valid["routes"]:
-            yield path, (route["host"].lower(), route["pathPrefix"])
+            yield path, route, (normalize_host(route["host"].encode()), route["pathPrefix"])
 
-    def _api_keys(self) -> Iterator[_Located]:
+    def _api_keys(self) -> Iterator[_LocatedValue]:
         for path, tenant in self.valid["tenants"]:
             for key in set(tenant["apiKeys"]):
-                yield f"{path}.apiKeys", key
-
-    def _check_unique_steps(self, label: str, values: Iterator[_Located]) -> Steps[None]:
-        """Each value occurs at one path only."""
-        first_paths: dict[Any, str] = {}
-        for number, (path, value) in enumerate(values, 1):
-            if value in first_paths:
-                self.errors.append(f"{path}: {label} is also used in {first_paths[value]}")
-            else:
-                first_paths[value] = path
+                yield f"{path}.apiKeys", tenant, key
+
+    def _check_unique_steps(self, label: str, values: Iterator[_LocatedValue]) -> Steps[None]:
+        """Each value occurs in one item only, unless all of these items are kept."""
+        first_uses: dict[Any, tuple[str, bool]] = {}
+        for number, (path, item, value) in enumerate(values, 1):
+            first_path, first_is_kept = first_uses.setdefault(value, (path, id(item) in self.kept))
+            if first_path != path and not (first_is_kept and id(item) in self.kept):
+                self.errors.append(f"{path}: {label} is also used in {first_path}")
             if number % LOOKUPS_PER_STEP == 0:
                 yield
         yield
 
 
+def _text_errors(table: str, path: str, item: Mapping[str, Any]) -> list[str]:
+    """The errors of texts that nothing can carry as they are, in an item with valid fields."""
+    if table == "routes" and (reason := host_error(item["host"])):
+        return [f"{path}.host: {item['host']!r} {reason}"]
+    return []
+
+
 def _service_errors(path: str, route: Mapping[str, Any], services: set[str]) -> list[str]:
     errors: list[str] = []
     split = route.get("split")
--- a/cairndale/control/configuration_changes.py
+++ b/cairndale/control/configuration_changes.py
@@ -170,6 +170,6 @@
         command = Command(change.verb, change.digest, change.body)
         content = await run_in_steps(state.resulting_content_steps(command))
         with gc_paused(freeze=False):
-            errors = await run_in_steps(content_errors_steps(content))
+            errors = await run_in_steps(content_errors_steps(content, state.content))
         self._leader.require_leadership()
         return errors
--- a/cairndale/lookup/homes.py
+++ b/cairndale/lookup/homes.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 from cairndale.configuration.content_digest import iter_items
-from cairndale.configuration.route_table import normalize_host
+from cairndale.configuration.hosts import HostIndex, NormalHost, normalize_host
 
 
 class RouteHomes(Protocol):
@@ -27,12 +27,14 @@
 
     gen: int
 
-    def routes_of_host(self, host: bytes) -> Mapping[bytes, RouteHomes]:
-        """The routes of a host (with or without a port) by path prefix; empty if it has none."""
+    def routes_of_host(self, host: NormalHost) -> Sequence[RouteHomes]:
+        """The routes that clients of a host may use; without a port, those of all its ports."""
 
 
 @dataclass(frozen=True, slots=True)
 class _ContentRoute:
+    name: str
+    has_normal_host: bool
     home_regions: frozenset[str]
 
 
@@ -44,15 +46,16 @@
 
     def __init__(self, content: Mapping[str, Any]) -> None:
         self.gen: int = content.get("gen", 0)
-        self._by_host: dict[bytes, dict[bytes, _ContentRoute]] = {}
-        for _, raw in iter_items(content, "routes"):
-            routes = self._by_host.setdefault(raw["host"].lower().encode(), {})
+        self._by_host: HostIndex[_ContentRoute] = HostIndex()
+        for name, raw in iter_items(content, "routes"):
+            host = normalize_host(raw["host"].encode())
             homes = frozenset(raw.get("homeRegions") or ())
-            routes[raw["pathPrefix"].encode()] = _ContentRoute(homes)
+            route = _ContentRoute(name, raw["host"] == str(host), homes)
+            self._by_host.add(host, raw["pathPrefix"].encode(), route)
 
-    def routes_of_host(self, host: bytes) -> Mapping[bytes, RouteHomes]:
+    def routes_of_host(self, host: NormalHost) -> Sequence[RouteHomes]:
         """See `RoutesByHost`."""
-        return self._by_host.get(normalize_host(host), {})
+        return self._by_host.all_of_host(host)
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,9 +71,9 @@
     has_routes: bool = False
 
     @classmethod
-    def of(cls, configuration: RoutesByHost, host: str) -> HostHomes:
+    def of(cls, configuration: RoutesByHost, host: NormalHost) -> HostHomes:
         """The home regions of a host (with or without a port) in a configuration."""
-        routes = configuration.routes_of_host(host.encode()).values()
+        routes = configuration.routes_of_host(host)
         homes = tuple(route.home_regions for route in routes if route.home_regions)
         return cls(homes, bool(routes))
 
--- a/cairndale/lookup/selection.py
+++ b/cairndale/lookup/selection.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 from urllib.parse import parse_qs
 
+from cairndale.configuration.hosts import NormalHost, normalize_host
 from cairndale.http_api.server import Response, error_response, json_response
 from cairndale.lookup.homes import HostHomes, RoutesByHost
 from cairndale.lookup.ingresses import IngressGroup, Phase, group_ingresses
@@ -31,13 +32,13 @@
 
     region: str
     zone: str
-    host: str
+    host: NormalHost
 
 
 def _parse_query(target: str) -> _Query:
     query = parse_qs(target.partition("?")[2], max_num_fields=20)
     region, zone, host = (query.get(field, [""])[0] for field in ("region", "zone", "name"))
-    return _Query(region, zone, host)
+    return _Query(region, zone, normalize_host(host.encode()))
 
 
 class _Rank(NamedTuple):
@@ -116,7 +117,7 @@
         if self._redirects:
             self._redirects.record(
                 region=query.region,
-                host=query.host,
+                host=str(query.host),
                 generation=configuration.gen,
                 homes=str(homes),
                 selected=selected,
--- a/tests/lookup/test_homes_while_draining.py
+++ b/tests/lookup/test_homes_while_draining.py
@@ -24,6 +24,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cairndale.configuration.hosts import normalize_host
 from cairndale.configuration.route_table import RouteTable
 from cairndale.lookup.homes import ContentRoutes, HostHomes
 from cairndale.lookup.selection import LookupResponder
@@ -49,7 +50,8 @@
     """Zones of the ingresses that a client of a region is sent to."""
     configuration = content(routes=routes)
     table = RouteTable(configuration)
-    assert HostHomes.of(ContentRoutes(configuration), host) == HostHomes.of(table, host)
+    normal = normalize_host(host.encode())
+    assert HostHomes.of(ContentRoutes(configuration), normal) == HostHomes.of(table, normal)
     target = f"/-/lookup?name={host}&region={region}&zone={region}1"
     status, body = LookupResponder("own").answer(
         target, ingresses(draining), 5.0, table, version=None
@@ -69,10 +71,19 @@
 
 def test_home_regions_of_a_host_are_found_with_a_port_and_in_any_case() -> None:
     routes = [route(homeRegions=["t", "f"])]
-    for host in ("a.example", "a.example:8080", "A.Example"):
+    for host in ("a.example", "a.example:8080", "A.Example", "a.example.", "A.Example.:08080"):
         assert selected_zones(routes, draining={"t1", "t2"}, host=host) == {"f1"}
 
 
+def test_home_regions_of_a_host_with_a_port_are_those_of_this_port() -> None:
+    routes = [
+        route(homeRegions=["t", "f"]),
+        route("ported", host="a.example:8080", pathPrefix="/r1/", homeRegions=["s"]),
+    ]
+    for host, zone in (("a.example:8080", "s1"), ("a.example:1", "f1")):
+        assert selected_zones(routes, draining={"t1", "t2"}, host=host) == {zone}
+
+
 def test_without_a_region_for_all_routes_the_one_for_most_routes_is_selected() -> None:
     routes = [
         route(homeRegions=["f"]),
