Refuse ids of servers that a field cannot carry unchanged

Run on: the id `i%0D%0AX-Tenant:%20other` was read, and the head made for it had a second field X-Tenant; `i%FF` and `i%FE` were one id.

Change: heartbeats with such ids get 400 with the reason, also those of a batch of an earlier follower are left out; an ingress does not use a server with one that an earlier leader lists. Names in paths have to be UTF-8. tests/test_pages.py: dataplane may import json_text, which imports nothing.

--- a/cairndale/control/heartbeat_batch.py
+++ b/cairndale/control/heartbeat_batch.py
@@ -14,6 +14,7 @@
 from cairndale.control.endpoint_codec import endpoint_from_message, endpoint_to_message
 from cairndale.errors import CallError, CallTimeoutError, QueueFullError
 from cairndale.events import Event, log_event
+from cairndale.json_text import field_error
 from cairndale.registry.endpoints import REPORTED_STATES, Endpoint, EndpointRegistry
 from cairndale.rpc import protocol_pb2 as pb
 
@@ -36,7 +37,8 @@
     heartbeats = [
         endpoint_from_message(message, now)
         for message in report.endpoints
-        if message.state in REPORTED_STATES
+        # A follower of an earlier version does not check ids.
+        if message.state in REPORTED_STATES and not field_error(message.id)
     ]
     changed = [h for h in heartbeats if endpoint_registry.record_heartbeat(h)]
     if changed:
--- a/cairndale/dataplane/endpoint_list.py
+++ b/cairndale/dataplane/endpoint_list.py
@@ -10,6 +10,7 @@
 from cairndale.ingress.net.discovery import EndpointEntry, EndpointUpdate
 from cairndale.ingress.net.engine import Engine
 from cairndale.ingress.policy import interface as it
+from cairndale.json_text import field_error
 from cairndale.settings import Settings
 
 
@@ -43,7 +44,7 @@
     def update(self, changed: frozenset[str] | None) -> None:
         """Update the endpoints with these ids, some of which may be removed; None: a full update.
 
-        An endpoint with an invalid address is logged and treated as removed.
+        An endpoint with an invalid address or id is logged and treated as removed.
         """
         known, entries = self._config.endpoints, list[EndpointEntry]()
         for id in known if changed is None else changed:
@@ -60,6 +61,8 @@
 
     def _entry(self, known: KnownEndpoint) -> ListedEndpoint:
         endpoint = known.endpoint
+        if reason := field_error(endpoint.id):  # `X-Target-Instance` names it
+            raise ValueError(f"the id {reason}")
         draining = endpoint.state != "ready" or endpoint.zone in self._config.evacuated_zones
         raw = {
             "name": endpoint.id,
--- a/cairndale/http_api/router.py
+++ b/cairndale/http_api/router.py
@@ -112,9 +112,15 @@
     child: RouteMatcher
 
     def match(self, request: Request) -> RouteResult:
-        """Return the child's result, or 404 if the name is missing or too long."""
+        """Return the child's result; 404 if the name is missing or too long, 400 if it is no text.
+
+        Bytes that are not UTF-8 would make one name of several.
+        """
         part, rest = request.split()
-        name = unquote(part)
+        try:
+            name = unquote(part, errors="strict")
+        except UnicodeDecodeError:
+            return RouteFailure(400, f"the {self.key} is not UTF-8")
         if not name or len(name) > MAX_NAME_CHARS:
             return RouteFailure(404, f"the {self.key} is missing or too long")
         return self.child.match(Request(rest.method, rest.path, rest.path_args | {self.key: name}))
--- a/cairndale/registry/endpoints.py
+++ b/cairndale/registry/endpoints.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from cairndale.json_text import NOT_ENCODABLE, is_encodable
+from cairndale.json_text import NOT_ENCODABLE, field_error, is_encodable
 from cairndale.registry.departures import Departure, DepartureLookup
 from cairndale.settings import parse_duration
 
@@ -83,6 +83,8 @@
     Raises HeartbeatError with all errors.
     """
     errors: list[str] = []
+    if reason := field_error(id):  # `X-Target-Instance` names it
+        errors.append(f"id: {id!r} {reason}")
     details, status = (raw.get(n) if isinstance(raw, dict) else None for n in ("details", "status"))
     addr = _text(raw, "", "addr", errors)
     if addr and not _is_address(addr):
--- a/tests/configuration/test_names.py
+++ b/tests/configuration/test_names.py
@@ -14,8 +14,10 @@
 from cairndale.configuration.stepwise import run_to_completion
 from cairndale.configuration.validation import content_errors
 from cairndale.dataplane.request_router import RequestRouter
+from cairndale.http_api.router import CONTROL_ROUTES, RouteFailure, RouteMatch, match
 from cairndale.ingress.net.requests import BadRequest
-from tests.control.test_state_models import content, route
+from cairndale.registry.endpoints import HeartbeatError, read_heartbeat
+from tests.control.test_state_models import content, heartbeat, route
 
 ENDS_BLANK = "begins or ends with white space"
 CONTROL = "has a control character or a line break"
@@ -96,3 +98,24 @@
     with pytest.raises(BadRequest) as refusal:
         router.match(b"a.example", b"/r1/x", b"Token k2")
     assert refusal.value.status == 503
+
+
+# Guards against a server id that adds fields to requests, or that names another server.
+@pytest.mark.parametrize("name", NOT_CARRIED)
+def test_servers_that_no_field_can_name_are_refused(name: str) -> None:
+    with pytest.raises(HeartbeatError, match=r"^id: "):
+        read_heartbeat(name, heartbeat(1), 0.0)
+
+
+@pytest.mark.parametrize("name", CARRIED)
+def test_servers_with_other_names_are_taken(name: str) -> None:
+    assert read_heartbeat(name, heartbeat(1), 0.0).id == name
+
+
+@pytest.mark.parametrize("call", ["Instances.Heartbeat", "Instances.Deregister", "Drain.Begin"])
+def test_names_in_paths_are_text(call: str) -> None:
+    for name in ("i%FF", "i%ED%A0%80"):
+        refused = match(CONTROL_ROUTES, "POST", f"/-/{call}/{name}")
+        assert isinstance(refused, RouteFailure) and refused.status == 400, name
+    taken = match(CONTROL_ROUTES, "POST", f"/-/{call}/i%20%C3%B6%2F")
+    assert isinstance(taken, RouteMatch) and list(taken.args.values()) == ["i ö/"]
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -115,6 +115,7 @@
         "events",
         "http_api",
         "ingress",
+        "json_text",
         "lookup",
         "quota",
         "rpc",
