Keep each event on one line of the log, whatever the names in it

Change: log_event escapes control characters. A configuration with a new service of such a name, and an order for such a zone, get 400 with the reason. tests/test_pages.py: http_api may import json_text, which imports nothing.

--- a/cairndale/configuration/validation.py
+++ b/cairndale/configuration/validation.py
@@ -26,7 +26,7 @@
     list_of,
     one_of,
 )
-from cairndale.json_text import field_error
+from cairndale.json_text import field_error, line_error
 from cairndale.settings import parse_duration
 
 ROUTE_KINDS = ("idempotent", "mutating")
@@ -200,6 +200,8 @@
     match table:
         case "routes":
             return _host_errors(f"{path}.host", item["host"])
+        case "backends":  # the log names it
+            return _name_errors(f"{path}.name", item["name"], line_error(item["name"]))
         case "tenants":  # `X-Tenant` names it
             errors = _name_errors(f"{path}.name", item["name"], field_error(item["name"]))
             return errors + _key_errors(f"{path}.apiKeys", item["apiKeys"])
--- a/cairndale/events.py
+++ b/cairndale/events.py
@@ -12,6 +12,8 @@
 
 import picologging
 
+from cairndale.json_text import escape_line
+
 
 class Event(IntEnum):
     """The event of a log line; the name in the log is the member's name in lower case."""
@@ -78,7 +80,10 @@
 def log_event(event: Event, text: str, *args: object) -> None:
     """Log an event; `text % args` is formatted only if the line is written.
 
+    It stays one line, whatever the names in it: control characters are escaped.
     `WARNINGS` are logged as warnings, all others as information.
     """
     level = picologging.WARNING if event in WARNINGS else picologging.INFO
-    _log.log(level, f"{event.value} {event.name.lower()}: {text}", *args)
+    if _log.isEnabledFor(level):
+        line = escape_line(text % args if args else text)
+        _log.log(level, "%s", f"{event.value} {event.name.lower()}: {line}")
--- a/cairndale/http_api/router.py
+++ b/cairndale/http_api/router.py
@@ -11,6 +11,8 @@
 from enum import Enum
 from urllib.parse import unquote
 
+from cairndale.json_text import line_error
+
 MAX_NAME_CHARS = 256
 
 
@@ -114,7 +116,8 @@
     def match(self, request: Request) -> RouteResult:
         """Return the child's result; 404 if the name is missing or too long, 400 if it is no text.
 
-        Bytes that are not UTF-8 would make one name of several.
+        Bytes that are not UTF-8 would make one name of several, and a line of the log has no place
+        for control characters.
         """
         part, rest = request.split()
         try:
@@ -123,6 +126,8 @@
             return RouteFailure(400, f"the {self.key} is not UTF-8")
         if not name or len(name) > MAX_NAME_CHARS:
             return RouteFailure(404, f"the {self.key} is missing or too long")
+        if reason := line_error(name):
+            return RouteFailure(400, f"the {self.key} {reason}")
         return self.child.match(Request(rest.method, rest.path, rest.path_args | {self.key: name}))
 
 
--- a/cairndale/json_text.py
+++ b/cairndale/json_text.py
@@ -52,3 +52,8 @@
     if text != text.strip() or _BYTE_ORDER_MARK in (text[0], text[-1]):
         return "begins or ends with white space"
     return line_error(text)
+
+
+def escape_line(text: str) -> str:
+    """The text with each control character as an escape sequence, as one line of a log."""
+    return _CONTROL_CHARACTER.sub(lambda match: ascii(match[0])[1:-1], text)
--- a/tests/configuration/test_names.py
+++ b/tests/configuration/test_names.py
@@ -7,15 +7,20 @@
 from unittest.mock import Mock
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from cairndale import events
 from cairndale.configuration.commands import Command, Verb
 from cairndale.configuration.route_table import RouteTable
 from cairndale.configuration.state import State
 from cairndale.configuration.stepwise import run_to_completion
 from cairndale.configuration.validation import content_errors
 from cairndale.dataplane.request_router import RequestRouter
+from cairndale.events import Event, log_event
 from cairndale.http_api.router import CONTROL_ROUTES, RouteFailure, RouteMatch, match
 from cairndale.ingress.net.requests import BadRequest
+from cairndale.json_text import escape_line, field_error
 from cairndale.registry.endpoints import HeartbeatError, read_heartbeat
 from tests.control.test_state_models import content, heartbeat, route
 
@@ -67,6 +72,13 @@
     assert errors == [f"tenants[0].apiKeys[{number}]: {KEY_REASON}" for number in (1, 2, 3, 4)]
 
 
+@pytest.mark.parametrize("name", ["s\n1", "s\u20281", "s\x1b[2J"])
+def test_services_that_no_line_can_name_are_refused(name: str) -> None:
+    raw = content(backends=[{"name": name}], routes=[])
+    assert content_errors(raw) == [f"backends[0].name: {name!r} {CONTROL}"]
+    assert not content_errors(content(backends=[{"name": " s "}], routes=[route(backend=" s ")]))
+
+
 # Guards against a configuration of 23c1936 that no Update can change any longer.
 def test_names_of_an_earlier_version_do_not_stop_unrelated_updates() -> None:
     odd = {"name": "t1 ", "apiKeys": ["k 1"]}
@@ -113,9 +125,23 @@
 
 
 @pytest.mark.parametrize("call", ["Instances.Heartbeat", "Instances.Deregister", "Drain.Begin"])
-def test_names_in_paths_are_text(call: str) -> None:
-    for name in ("i%FF", "i%ED%A0%80"):
+def test_names_in_paths_are_text_of_one_line(call: str) -> None:
+    for name in ("i%FF", "i%ED%A0%80", "i%0A", "i%E2%80%A8"):
         refused = match(CONTROL_ROUTES, "POST", f"/-/{call}/{name}")
         assert isinstance(refused, RouteFailure) and refused.status == 400, name
     taken = match(CONTROL_ROUTES, "POST", f"/-/{call}/i%20%C3%B6%2F")
     assert isinstance(taken, RouteMatch) and list(taken.args.values()) == ["i ö/"]
+
+
+# Guards against names that write lines of their own into the log.
+@given(st.text(max_size=20))
+def test_an_event_is_one_line_of_the_log(name: str) -> None:
+    log = Mock(isEnabledFor=lambda level: True)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(events, "_log", log)
+        log_event(Event.ENDPOINTS_CHANGED, "%s gone", name)
+    line = log.log.call_args.args[1] % log.log.call_args.args[2:]
+    assert line.splitlines() == [line] and line.startswith("400 endpoints_changed: ")
+    if not field_error(name):
+        assert line.endswith(f" {name} gone")
+    assert escape_line(escape_line(name)) == escape_line(name)
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -94,7 +94,7 @@
     "registry": {"json_text", "rpc", "settings"},
     "quota": {"ingress", "settings"},
     "lookup": {"configuration", "http_api", "rpc"},
-    "http_api": {"events", "ingress", "rpc", "settings"},
+    "http_api": {"events", "ingress", "json_text", "rpc", "settings"},
     "control": {
         "configuration",
         "errors",
