Command line: send the name of a zone as it is

Change: the name is quoted.

Result: the new test in tests/cli failed on (the path was `/-/Drain.Begin/a/b?c d%`) and passes.

--- a/cairndale/cli/evacuation.py
+++ b/cairndale/cli/evacuation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import ClassVar
+from urllib.parse import quote
 
 from cleo.helpers import argument
 from cleo.io.inputs.argument import Argument
@@ -24,7 +25,7 @@
         zone = self.argument("zone")
         if not self.option("yes") and not self.confirm(self.confirmation.format(zone), False):
             return ExitCode.REJECTED
-        orders = self.call_api("POST", f"{self.api_call}/{zone}")["orders"]
+        orders = self.call_api("POST", f"{self.api_call}/{quote(zone, safe='')}")["orders"]
         self.line("done")
         if orders:
             self.line(f"orders that evacuate {zone}, each to be ended with take-back: {orders}")
--- a/tests/cli/test_control_client.py
+++ b/tests/cli/test_control_client.py
@@ -61,3 +61,14 @@
         done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60)
     assert done.returncode == 0 and "['own']" in done.stdout, done
     assert "wrong" not in done.stdout and len(server.requests) == 2
+
+
+# Guards against an order for another zone than the one that the operator named.
+def test_program_sends_the_name_of_the_zone_as_it_is() -> None:
+    response = VALID.replace(b"10", b"13").replace(BODY, b'{"orders": 1}')
+    with CannedServer(response) as server:
+        command = [sys.executable, "-m", "cairndale.cli", "evacuate", "a/b?c d%", "--yes"]
+        command += ["--at", f"{HOST}:{server.port}"]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 0, done
+    assert server.requests[0].startswith(b"POST /-/Drain.Begin/a%2Fb%3Fc%20d%25 HTTP/1.1\r\n")
