ironledge.toml: refuse names with a line break at the end

Cause: the pattern of names ended with `$`, which also matches before a line break at the end, so `"p\n"` was taken as the name of a plan or a server.

Change: the pattern ends where the text ends, in Python and in JSON Schema.

--- a/cairndale/ingress/cli/model.py
+++ b/cairndale/ingress/cli/model.py
@@ -98,7 +98,8 @@
 
 NonNegative = Annotated[float, Meta(ge=0)]
 Positive = Annotated[float, Meta(gt=0)]
-Name = Annotated[str, Meta(min_length=1, max_length=64, pattern="^[!-~]+$")]
+# `$` would also match before a line break at the end.
+Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[!-~]+(?![\s\S])")]
 
 
 class Fleet(Struct, forbid_unknown_fields=True):
--- a/tests/ingress/cli/test_cli.py
+++ b/tests/ingress/cli/test_cli.py
@@ -173,6 +173,7 @@
         "[[class]]\nname = 'a'\n[[class]]\nname = 'b'",
         "class[1].path: '/' is already the path of class[0]",
     ),
+    ('[[plan]]\nname = "p\\n"\nrate = 1\nburst = 1', "2: plan[0].name: found 'p\\n'"),
     ("[[plan]]\nname = 'p'\nrate = -1\nburst = 1", "3: plan[0].rate: found -1"),
     ("[[plan]]\nname = 'p'\nrate = 5\nburst = 0.5", "4: plan[0].burst"),
     (
