Find tenants by keys with a blank inside or beyond ASCII

Cause: such keys were acknowledged, and requests with them got 401, as the pattern of the Authorization field knew ASCII without blanks only.

Change: a key is what follows `Token` in the field. Refused are only keys that a field cannot carry: white space at the ends, control characters.

--- a/cairndale/configuration/route_table.py
+++ b/cairndale/configuration/route_table.py
@@ -12,18 +12,10 @@
 from cairndale.configuration.delta import ConfigDelta, DeltaError
 from cairndale.configuration.generation_id import generation_id
 from cairndale.configuration.hosts import HostIndex, NormalHost, normalize_host
-from cairndale.configuration.routes import (
-    API_KEY,
-    Item,
-    Route,
-    Service,
-    Tenant,
-    TopLevelField,
-    read_item,
-)
+from cairndale.configuration.routes import Item, Route, Service, Tenant, TopLevelField, read_item
 from cairndale.ingress.policy.interface import RequestClass
 
-AUTHORIZATION = re.compile(rb"[Tt][Oo][Kk][Ee][Nn] +(%b)" % API_KEY.pattern.encode())
+AUTHORIZATION = re.compile(rb"[Tt][Oo][Kk][Ee][Nn] +([^ ].*)")
 
 
 @dataclass(frozen=True, slots=True)
--- a/cairndale/configuration/routes.py
+++ b/cairndale/configuration/routes.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import random
-import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -18,7 +17,6 @@
 from cairndale.json_text import field_error
 from cairndale.settings import parse_duration
 
-API_KEY = re.compile(r"[!-~]+")  # what `Authorization: Token KEY` can carry
 DEFAULT_DEADLINE = "30s"  # of a route without one
 DEFAULT_TARGET_TIME = "1s"  # of a route without one
 LATE_ANSWER_VALUE = 0.5  # value of a response after the target time, relative to one in time
--- a/cairndale/configuration/validation.py
+++ b/cairndale/configuration/validation.py
@@ -11,7 +11,6 @@
 from cairndale.configuration.content import TABLES, Content
 from cairndale.configuration.hosts import host_error, normalize_host
 from cairndale.configuration.key_requirement import reserved_name_errors
-from cairndale.configuration.routes import API_KEY
 from cairndale.configuration.stepwise import Steps, run_to_completion
 from cairndale.field_rules import (
     NOT_A_DURATION,
@@ -218,12 +217,8 @@
 
 def _key_errors(path: str, keys: Sequence[str]) -> list[str]:
     """The errors of API keys, which are secrets: they are told by their number."""
-    return [
-        f"{path}[{number}]: has a character that no request can carry in a key: a blank, a control"
-        " character, or one beyond ASCII"
-        for number, key in enumerate(keys)
-        if not API_KEY.fullmatch(key)
-    ]
+    reasons = ((number, field_error(key)) for number, key in enumerate(keys))
+    return [f"{path}[{number}]: {reason}" for number, reason in reasons if reason]
 
 
 def _service_errors(path: str, route: Mapping[str, Any], services: set[str]) -> list[str]:
