Rules of single items in a module of their own, all errors at once

An item with a wrong field told nothing of a name that cannot be carried, though all errors are to be told at once; a host with half of a surrogate pair ended `config check` with a traceback. Four tests repeated the start of a system.

World.change sends a change on top of the configuration in force; tests/testing/worlds.py starts a system for a test.

--- a/cairndale/chaos/world.py
+++ b/cairndale/chaos/world.py
@@ -331,6 +331,16 @@
             self.gen = gen
         return status, answer
 
+    async def change(self, call: str, **parts: Any) -> tuple[int, Any]:
+        """Replace or update the configuration in force; return the status and the answer.
+
+        `call`: `Replace` or `Update`; `parts`: its body, but for the generations.
+        """
+        body = {"gen": self.gen + 1, "parent": self.gen, **parts}
+        status, answer = await self.order("POST", f"Config.{call}", body)
+        self.gen += status == 200
+        return status, answer
+
     async def ready(self, edges: int, within: float = 20.0) -> None:
         """Wait until that many ingresses and all running core machines report that they are ready,
         and look-ups name an ingress. Raises TimeoutError, which names those that are not ready."""
--- a/cairndale/configuration/validation.py
+++ b/cairndale/configuration/validation.py
@@ -2,102 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
-from schema import Optional
-
 from cairndale.configuration.content import TABLES, Content
-from cairndale.configuration.hosts import host_error, normalize_host
+from cairndale.configuration.hosts import normalize_host
+from cairndale.configuration.item_rules import item_errors
 from cairndale.configuration.key_requirement import reserved_name_errors
 from cairndale.configuration.stepwise import Steps, run_to_completion
-from cairndale.field_rules import (
-    NOT_A_DURATION,
-    ObjectRules,
-    Rules,
-    is_bool,
-    is_count,
-    is_duration,
-    is_number,
-    is_string,
-    is_text,
-    list_of,
-    one_of,
-)
-from cairndale.json_text import field_error, line_error
+from cairndale.field_rules import is_count
 from cairndale.settings import parse_duration
 
-ROUTE_KINDS = ("idempotent", "mutating")
 ITEMS_PER_STEP = 100  # items whose fields are checked; the leader renews its lease in between
 LOOKUPS_PER_STEP = 1_000  # look-ups of a value among the values of other items
 DURATION_LIMITS = ("headerTimeout", "idleTimeout")
 SIZE_LIMITS = ("maxHeaderBytes", "maxBodyBytes")
 
 
-def is_prefix(value: object) -> bool:
-    """A path that begins and ends with a slash."""
-    return isinstance(value, str) and value.startswith("/") and value.endswith("/")
-
-
-def is_path(value: object) -> bool:
-    """A path that begins with a slash."""
-    return isinstance(value, str) and value.startswith("/")
-
-
-def is_split_part(value: object) -> bool:
-    """A service of a split, with its weight."""
-    return (
-        isinstance(value, dict) and is_text(value.get("backend")) and is_number(value.get("weight"))
-    )
-
-
-_ROUTE_RULES: Rules = {
-    "name": is_text,
-    "host": is_text,
-    "pathPrefix": is_prefix,
-    "kind": one_of(*ROUTE_KINDS),
-    Optional("deadline"): is_duration,
-    Optional("target_time"): is_duration,
-    Optional("prio"): is_count,
-    Optional("tries"): is_count,
-    Optional("public"): is_bool,
-    Optional("backend"): is_text,
-    Optional("split"): list_of(is_split_part),
-    Optional("homeRegions"): list_of(is_string),
-    Optional(str): object,
-}
-_SERVICE_RULES: Rules = {
-    "name": is_text,
-    Optional("healthPath"): is_path,
-    Optional("maxConns"): is_count,
-    Optional("warmup"): is_duration,
-    Optional("warmupPerS"): is_number,
-    Optional(str): object,
-}
-_TENANT_RULES: Rules = {
-    "name": is_text,
-    "apiKeys": list_of(is_text),
-    Optional("prio"): is_count,
-    Optional("ratePerS"): is_number,
-    Optional("burst"): is_number,
-    Optional("homeRegions"): list_of(is_string),
-    Optional(str): object,
-}
-_EXPECTATIONS = {
-    "pathPrefix": "is not a path that begins and ends with a slash",
-    "kind": f"is not one of {', '.join(ROUTE_KINDS)}",
-    "deadline": NOT_A_DURATION,
-    "target_time": NOT_A_DURATION,
-    "warmup": NOT_A_DURATION,
-}
-ITEM_RULES = {
-    "routes": ObjectRules(_ROUTE_RULES, _EXPECTATIONS),
-    "backends": ObjectRules(_SERVICE_RULES, _EXPECTATIONS),
-    "tenants": ObjectRules(_TENANT_RULES, _EXPECTATIONS),
-}
-
-
 def content_errors(content: Content, in_force: Content | None = None) -> list[str]:
     """All errors of a complete configuration, as it would be in force.
 
@@ -151,12 +73,12 @@
         if not isinstance(items, list):
             self.errors.append(f"{table}: is not a list")
             return
-        rules, valid = ITEM_RULES[table], self.valid[table]
+        valid = self.valid[table]
         for number, item in enumerate(items):
             path = f"{table}[{number}]"
             if id(item) in self.kept:
                 valid.append((path, item))
-            elif errors := rules.errors(path, item) or _text_errors(table, path, item):
+            elif errors := item_errors(table, path, item):
                 self.errors += errors
             else:
                 valid.append((path, item))
@@ -194,33 +116,6 @@
         yield
 
 
-def _text_errors(table: str, path: str, item: Mapping[str, Any]) -> list[str]:
-    """The errors of texts that nothing can carry as they are, in an item with valid fields."""
-    match table:
-        case "routes":
-            return _host_errors(f"{path}.host", item["host"])
-        case "backends":  # the log names it
-            return _name_errors(f"{path}.name", item["name"], line_error(item["name"]))
-        case "tenants":  # `X-Tenant` names it
-            errors = _name_errors(f"{path}.name", item["name"], field_error(item["name"]))
-            return errors + _key_errors(f"{path}.apiKeys", item["apiKeys"])
-    return []
-
-
-def _host_errors(path: str, host: str) -> list[str]:
-    return _name_errors(path, host, field_error(host) or host_error(host))
-
-
-def _name_errors(path: str, name: str, reason: str) -> list[str]:
-    return [f"{path}: {name!r} {reason}"] if reason else []
-
-
-def _key_errors(path: str, keys: Sequence[str]) -> list[str]:
-    """The errors of API keys, which are secrets: they are told by their number."""
-    reasons = ((number, field_error(key)) for number, key in enumerate(keys))
-    return [f"{path}[{number}]: {reason}" for number, reason in reasons if reason]
-
-
 def _service_errors(path: str, route: Mapping[str, Any], services: set[str]) -> list[str]:
     errors: list[str] = []
     split = route.get("split")
--- a/cairndale/json_text.py
+++ b/cairndale/json_text.py
@@ -49,6 +49,8 @@
     """
     if not text:
         return "is empty"
+    if not is_encodable(text):
+        return NOT_ENCODABLE
     if text != text.strip() or _BYTE_ORDER_MARK in (text[0], text[-1]):
         return "begins or ends with white space"
     return line_error(text)
--- a/tests/configuration/test_names.py
+++ b/tests/configuration/test_names.py
@@ -20,7 +20,7 @@
 from cairndale.events import Event, log_event
 from cairndale.http_api.router import CONTROL_ROUTES, RouteFailure, RouteMatch, match
 from cairndale.ingress.net.requests import BadRequest
-from cairndale.json_text import escape_line, field_error
+from cairndale.json_text import NOT_ENCODABLE, escape_line, field_error
 from cairndale.registry.endpoints import HeartbeatError, read_heartbeat
 from tests.control.test_state_models import content, heartbeat, route
 
@@ -41,6 +41,7 @@
     "t\x7f1": CONTROL,
     "t\u00851": CONTROL,
     "t\u20281": CONTROL,
+    "t\ud8001": NOT_ENCODABLE,
 }
 CARRIED = ["t1", "t 1", "t  1", "Höhenprofil", "t,1", 't"1', "t:1", "T1", "\U0001f5fa", "=t\\1"]
 
@@ -54,6 +55,25 @@
     ]
 
 
+def test_errors_of_names_are_told_beside_those_of_other_fields() -> None:
+    raw = content(
+        routes=[route(host="::1", deadline="soon")],
+        backends=[{"name": "s1"}, {"name": "s\n2", "maxConns": -1}],
+        tenants=[{"name": "t1 ", "apiKeys": ["k\t1"], "prio": "high"}, {"name": 5, "apiKeys": "k"}],
+    )
+    assert sorted(error.partition(": ")[0] for error in content_errors(raw)) == [
+        "backends[1].maxConns",
+        "backends[1].name",
+        "routes[0].deadline",
+        "routes[0].host",
+        "tenants[0].apiKeys[0]",
+        "tenants[0].name",
+        "tenants[0].prio",
+        "tenants[1].apiKeys",
+        "tenants[1].name",
+    ]
+
+
 def test_all_other_names_are_taken() -> None:
     tenants = [{"name": name, "apiKeys": [f"k{n}"]} for n, name in enumerate(CARRIED)]
     assert not content_errors(content(tenants=tenants))
@@ -132,6 +152,11 @@
     assert read_heartbeat(name, heartbeat(1), 0.0).id == name
 
 
+def test_a_host_that_is_no_text_is_refused() -> None:
+    errors = content_errors(content(routes=[route(host="\ud800.example")]))
+    assert errors == [f"routes[0].host: {chr(0xD800) + '.example'!r} {NOT_ENCODABLE}"]
+
+
 @pytest.mark.parametrize("call", ["Instances.Heartbeat", "Instances.Deregister", "Drain.Begin"])
 def test_names_in_paths_are_text_of_one_line(call: str) -> None:
     for name in ("i%FF", "i%ED%A0%80", "i%0A", "i%E2%80%A8"):
--- a/tests/dataplane/test_hosts.py
+++ b/tests/dataplane/test_hosts.py
@@ -9,20 +9,15 @@
 import pytest_asyncio
 
 from cairndale.chaos.world import World
+from tests.testing.worlds import configured
 
 PORTED = "a.example:8206"
 
 
 @pytest_asyncio.fixture
 async def world(tmp_path: Path) -> AsyncIterator[World]:
-    world = World(tmp_path, cores=1, edges=1)
-    await world.begin()
-    try:
-        await world.configure()
-        await world.ready(1)
+    async with configured(World(tmp_path, cores=1, edges=1)) as world:
         yield world
-    finally:
-        await world.end()
 
 
 async def service_that_ran(world: World, host: str, path: str) -> str:
@@ -41,11 +36,7 @@
         {"name": "trial", "host": written, "pathPrefix": "/books/", **common},
         {"name": "alone", "host": "alone.example:8206", "pathPrefix": "/", **common},
     ]
-    status, answer = await world.order(
-        "POST",
-        "Config.Update",
-        {"gen": world.gen + 1, "parent": world.gen, "upsert": {"routes": routes}},
-    )
+    status, answer = await world.change("Update", upsert={"routes": routes})
     assert status == 200, answer
     for host in (PORTED, "A.EXAMPLE:8206", "a.example.:8206"):
         assert await service_that_ran(world, host, "/books/1") == "tiles"
--- a/tests/dataplane/test_malformed_responses.py
+++ b/tests/dataplane/test_malformed_responses.py
@@ -14,6 +14,7 @@
 from cairndale.chaos.scripted_response import BODY_BYTE
 from cairndale.chaos.world import KEY, World
 from cairndale.ingress.net.http import MAX_BUFFERED_BODY_BYTES
+from tests.testing.worlds import configured
 
 LARGE = MAX_BUFFERED_BODY_BYTES + 1
 PARALLEL_REQUESTS = 8
@@ -43,14 +44,8 @@
 
 @pytest_asyncio.fixture
 async def world(tmp_path: Path) -> AsyncIterator[IngressWorld]:
-    world = IngressWorld(tmp_path, cores=1, edges=1)
-    await world.begin()
-    try:
-        await world.configure()
-        await world.ready(1)
+    async with configured(IngressWorld(tmp_path, cores=1, edges=1)) as world:
         yield world
-    finally:
-        await world.end()
 
 
 async def test_malformed_responses_reach_no_client(world: IngressWorld) -> None:
--- a/tests/dataplane/test_names.py
+++ b/tests/dataplane/test_names.py
@@ -10,28 +10,20 @@
 import pytest_asyncio
 
 from cairndale.chaos.world import KEY, World
+from tests.testing.worlds import configured
 
 NEW_KEY = "kéy of the added tenant"
 
 
 @pytest_asyncio.fixture
 async def world(tmp_path: Path) -> AsyncIterator[World]:
-    world = World(tmp_path, cores=1, edges=1)
-    await world.begin()
-    try:
-        await world.configure()
-        await world.ready(1)
+    async with configured(World(tmp_path, cores=1, edges=1)) as world:
         yield world
-    finally:
-        await world.end()
 
 
 async def add_tenant(world: World, name: str) -> tuple[int, Any]:
-    body = {"gen": world.gen + 1, "parent": world.gen}
-    upsert = {"tenants": [{"name": name, "apiKeys": [NEW_KEY]}]}
-    answer = await world.order("POST", "Config.Update", body | {"upsert": upsert})
-    world.gen += answer[0] == 200
-    return answer
+    tenant = {"name": name, "apiKeys": [NEW_KEY]}
+    return await world.change("Update", upsert={"tenants": [tenant]})
 
 
 async def tenant_of(world: World, key: str) -> str:
--- a/tests/dataplane/test_removed_keys.py
+++ b/tests/dataplane/test_removed_keys.py
@@ -12,6 +12,7 @@
 import pytest_asyncio
 
 from cairndale.chaos.world import KEY, OTHER_KEY, World
+from tests.testing.worlds import configured
 
 NEVER_A_KEY = "never-a-key"
 KEYS = (KEY, OTHER_KEY, NEVER_A_KEY, "")
@@ -19,14 +20,8 @@
 
 @pytest_asyncio.fixture
 async def world(tmp_path: Path) -> AsyncIterator[World]:
-    world = World(tmp_path, cores=1, edges=1)
-    await world.begin()
-    try:
-        await world.configure()
-        await world.ready(1)
+    async with configured(World(tmp_path, cores=1, edges=1)) as world:
         yield world
-    finally:
-        await world.end()
 
 
 async def statuses(world: World, *keys: str) -> list[int]:
@@ -39,11 +34,9 @@
     return found
 
 
-async def change(world: World, call: str, **body: Any) -> None:
-    gen = world.gen + 1
-    answer = await world.order("POST", f"Config.{call}", {"gen": gen, "parent": world.gen, **body})
+async def change(world: World, call: str, **parts: Any) -> None:
+    answer = await world.change(call, **parts)
     assert answer[0] == 200, answer
-    world.gen = gen
 
 
 async def restart(world: World) -> None:
--- a/tests/golden/mixed_rules.py
+++ b/tests/golden/mixed_rules.py
@@ -49,12 +49,9 @@
     def __init__(self, scenario: Scenario) -> None:
         self.scenario, self.world = scenario, scenario.world
 
-    async def change(self, call: str, **body: Any) -> int:
+    async def change(self, call: str, **parts: Any) -> int:
         """The status of a change on top of the configuration in force."""
-        gen = self.world.gen + 1
-        raw = {"gen": gen, "parent": self.world.gen, **body}
-        status, _ = await self.world.order("POST", f"Config.{call}", raw)
-        self.world.gen += status == 200
+        status, _ = await self.world.change(call, **parts)
         return status
 
     async def upsert(self, **tables: Any) -> int:
