--- a/cairndale/chaos/control_soak.py
+++ b/cairndale/chaos/control_soak.py
@@ -105,6 +105,7 @@
         self.orders_in_force = 0
         self.disturbances: list[Disturbance] = []
         self.keyless_times: list[KeylessTime] = []
+        self.unanswered: list[str] = []  # actions that had no clear answer in time
         self.last_sent: dict[str, Any] = {}  # the configuration that was acknowledged last
         # One loss of control processes, or of data-plane processes, at a time.
         self._core_lock, self._edge_lock = asyncio.Lock(), asyncio.Lock()
@@ -161,8 +162,10 @@
     async def _repeat(self, action: Callable[[], Coroutine[Any, Any, None]]) -> None:
         while self.now() < self._until:
             await asyncio.sleep(self.rng.uniform(*self.plan.pause_s))
-            with suppress(TimeoutError):
+            try:
                 await action()
+            except TimeoutError:
+                self.unanswered.append(action.__name__)
 
     async def _load(self) -> None:
         while not self._load_ended:
@@ -378,7 +381,10 @@
         _, content = await self.order("GET", "Config.Read")
         sent = {name: value for name, value in self.last_sent.items() if name != "parent"}
         if content != sent:
-            wrong.append(f"gen {content.get('gen')} is read, gen {sent.get('gen')} was sent")
+            unanswered = f"; without a clear answer: {self.unanswered}" if self.unanswered else ""
+            wrong.append(
+                f"gen {content.get('gen')} is read, gen {sent.get('gen')} was sent{unanswered}"
+            )
         _, shown = await self.order("GET", "Fleet.Show")
         evacuated = shown["evacuated"].get(ORDERED_ZONE, 0)
         if evacuated != self.orders_in_force:
