--- a/tests/configuration/test_names.py
+++ b/tests/configuration/test_names.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any, cast
 from unittest.mock import Mock
@@ -16,12 +17,15 @@
 from cairndale.configuration.state import State
 from cairndale.configuration.stepwise import run_to_completion
 from cairndale.configuration.validation import content_errors
+from cairndale.control.endpoint_codec import endpoint_to_message
+from cairndale.control.heartbeat_batch import register_endpoints
 from cairndale.dataplane.request_router import RequestRouter
 from cairndale.events import Event, log_event
 from cairndale.http_api.router import CONTROL_ROUTES, RouteFailure, RouteMatch, match
 from cairndale.ingress.net.requests import BadRequest
 from cairndale.json_text import NOT_ENCODABLE, escape_line, field_error
-from cairndale.registry.endpoints import HeartbeatError, read_heartbeat
+from cairndale.registry.endpoints import EndpointRegistry, HeartbeatError, read_heartbeat
+from cairndale.rpc import protocol_pb2 as pb
 from tests.control.test_state_models import content, heartbeat, route
 
 ENDS_BLANK = "begins or ends with white space"
@@ -147,6 +151,16 @@
         read_heartbeat(name, heartbeat(1), 0.0)
 
 
+# Guards against such a server in a batch of a follower of 23c1936, which does not check ids.
+def test_servers_that_an_earlier_follower_reports_are_left_out() -> None:
+    registry, report = EndpointRegistry(), pb.EndpointReport()
+    for id in ("i", "i ", "i\r\nX-Tenant: other"):
+        endpoint = replace(read_heartbeat("i", heartbeat(1), 0.0), id=id)
+        report.endpoints.append(endpoint_to_message(endpoint, 0.0))
+    assert register_endpoints(registry, report, 0.0)
+    assert list(registry.endpoints) == ["i"]
+
+
 @pytest.mark.parametrize("name", CARRIED)
 def test_servers_with_other_names_are_taken(name: str) -> None:
     assert read_heartbeat(name, heartbeat(1), 0.0).id == name
--- a/tests/dataplane/test_node.py
+++ b/tests/dataplane/test_node.py
@@ -82,6 +82,15 @@
     return node
 
 
+# Guards against requests to a server that a field cannot name, which an earlier leader lists.
+async def test_servers_that_no_field_can_name_are_not_used() -> None:
+    node = node_in_contact()
+    listed = {"i ": "s1", "i\r\nX-Tenant: other": "s1", "i 2": "s1"}
+    node.applier.apply(watch_response("1", listed), node.describe(), node.serving.now())
+    assert [id for id in ("i", *listed) if node.ingress.engine.is_known(id)] == ["i", "i 2"]
+    node.ingress.backends.stop()
+
+
 async def test_lease_is_requested_again_if_the_empty_bucket_refills_within_the_pause() -> None:
     """A new leader's token buckets are empty: without the second request the first clients were
     rejected far below their quota."""
