Wait in World.ready until each ingress names all of them

Cause: World.ready returned once two ingresses were ready and one look-up named one address.

Change: it waits until each ready ingress names every ready ingress to clients of some region, and says which one does not.

--- a/cairndale/chaos/world.py
+++ b/cairndale/chaos/world.py
@@ -343,30 +343,40 @@
 
     async def ready(self, edges: int, within: float = 20.0) -> None:
         """Wait until that many ingresses and all running core machines report that they are ready,
-        and look-ups name an ingress. Raises TimeoutError, which names those that are not ready."""
-        not_ready: list[str] = []
+        and each of these ingresses names all of them to clients. Raises TimeoutError, which says
+        what is missing."""
+        missing: list[str] = []
         try:
             async with asyncio.timeout(within):
-                while True:
-                    running = [m for m in self.machines.values() if m.process]
-                    answers = await asyncio.gather(*(self._is_ready(m) for m in running))
-                    not_ready = [
-                        m.name for m, ready in zip(running, answers, strict=True) if not ready
-                    ]
-                    ready_ingresses = sum(
-                        1 for m in running if not m.core and m.name not in not_ready
-                    )
-                    core_ready = not any(m.core and m.name in not_ready for m in running)
-                    if (
-                        core_ready
-                        and ready_ingresses >= edges
-                        and len(await self.look_up("south")) >= min(1, edges)
-                    ):
-                        return
+                while missing := await self._missing(edges):
                     await asyncio.sleep(0.05)
         except TimeoutError:
-            shown = (self._describe(self.machines[name]) for name in not_ready)
-            raise TimeoutError(f"not ready: {' '.join(shown)}") from None
+            raise TimeoutError(f"not ready: {' '.join(missing)}") from None
+
+    async def _missing(self, edges: int) -> list[str]:
+        """Return the machines that are not ready, else the addresses that look-ups lack."""
+        running = [machine for machine in self.machines.values() if machine.process]
+        answers = await asyncio.gather(*(self._is_ready(machine) for machine in running))
+        ready = [m for m, is_ready in zip(running, answers, strict=True) if is_ready]
+        ingresses = [machine for machine in ready if not machine.core]
+        core_ready = all(machine in ready for machine in running if machine.core)
+        if not core_ready or len(ingresses) < edges:
+            unready = [self._describe(machine) for machine in running if machine not in ready]
+            return unready or [f"{len(ingresses)} of {edges} ingresses run"]
+        lists = await asyncio.gather(*(self._listed_addresses(m) for m in ingresses))
+        return [
+            f"{directory.name} does not name {ingress.name}"
+            for directory, listed in zip(ingresses, lists, strict=True)
+            for ingress in ingresses
+            if self.edge(ingress.name) not in listed
+        ]
+
+    async def _listed_addresses(self, directory: Machine) -> set[str]:
+        """Return the addresses of ingresses that a directory names to clients of any region."""
+        answers = await asyncio.gather(
+            *(self._look_up_at(directory, region) for region in set(self.zones.values()))
+        )
+        return {address for addresses in answers for address in addresses or ()}
 
     @staticmethod
     def _describe(machine: Machine) -> str:
@@ -389,19 +399,24 @@
         """Return the addresses of ingresses that the first responding directory names."""
         for machine in self.machines.values():
             if not machine.core and machine.process:
-                try:
-                    async with asyncio.timeout(1.0):
-                        address = self.address(machine, 2)
-                        status, body = await http_call(
-                            address, "GET", f"/-/lookup?name=a.example&region={region}&zone=x"
-                        )
-                except (OSError, ValueError, TimeoutError):
-                    continue
-                if status == 200:
-                    addrs: list[str] = json.loads(body)["addrs"]
-                    return addrs
+                addresses = await self._look_up_at(machine, region)
+                if addresses is not None:
+                    return addresses
         return []
 
+    async def _look_up_at(self, directory: Machine, region: str) -> list[str] | None:
+        """Return the addresses of ingresses that a directory names; None if it does not respond."""
+        target = f"/-/lookup?name=a.example&region={region}&zone=x"
+        try:
+            async with asyncio.timeout(1.0):
+                status, body = await http_call(self.address(directory, 2), "GET", target)
+        except (OSError, ValueError, TimeoutError):
+            return None
+        if status != 200:
+            return None
+        addresses: list[str] = json.loads(body)["addrs"]
+        return addresses
+
     async def request(
         self,
         method: str,
--- a/tests/chaos/test_world.py
+++ b/tests/chaos/test_world.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from pathlib import Path
+from unittest.mock import Mock
 
 import pytest
 
+from cairndale.chaos import world as world_module
 from cairndale.chaos.standins import Execution
 from cairndale.chaos.world import Attempt, World
 
@@ -25,6 +28,30 @@
     await world.end()
 
 
+# Guards against a run that goes on while an ingress does not know the others yet: once all control
+# nodes were killed, edge-1 never named edge-2 to clients.
+async def test_a_system_is_ready_once_each_ingress_names_all(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    world = World(tmp_path, cores=1, edges=2)
+    for machine in world.machines.values():
+        machine.process = Mock(**{"poll.return_value": None})
+    both = [world.edge("edge-1"), world.edge("edge-2")]
+    named = {world.address(world.machines[f"edge-{n}"], 2): both[n - 1 : n] for n in (1, 2)}
+
+    async def answer(address: str, _: str, target: str) -> tuple[int, bytes]:
+        if target == "/-/readyz":
+            return 200, b"{}"
+        return 200, json.dumps({"addrs": named[address]}).encode()
+
+    monkeypatch.setattr(world_module, "http_call", answer)
+    for directory in named:
+        with pytest.raises(TimeoutError, match="does not name edge-"):
+            await world.ready(2, within=0.2)
+        named[directory] = both
+    await world.ready(2, within=5.0)
+
+
 @pytest.mark.parametrize(
     ("attempt", "is_violated"),
     [
