Let stand-in servers announce their departure and make late heartbeats

Cause: the soak of acknowledged orders built a server's heartbeat and its departure from the inside of the stand-in; another soak needs the same.

Change: `Server.leave`, `heartbeat_body` and `send_late_heartbeat`; an id may be given, and is encoded in the path as any text needs.

--- a/cairndale/chaos/control_soak.py
+++ b/cairndale/chaos/control_soak.py
@@ -15,7 +15,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 import signal
 import sys
@@ -40,7 +39,7 @@
     odd_tenant,
 )
 from cairndale.chaos.soak_runner import parse_options, run_and_keep_logs, run_seeds
-from cairndale.chaos.standins import Server, http_call
+from cairndale.chaos.standins import Server
 from cairndale.chaos.supervised_world import SupervisedWorld, exit_violations
 
 ORDERED_ZONE = "south-c"  # without servers and ingresses: its orders disturb nothing else
@@ -239,29 +238,13 @@
         server = await self.add_server("tiles", self.rng.choice(["north-a", "south-a"]))
         await asyncio.sleep(1.0)
         ends = self.rng.random() < 0.7
-        body = self._heartbeat(server)
-        if ends:
-            server.stop_heartbeats()
-            while not await server.send_status(f"Instances.Deregister/{server.id}"):
-                await asyncio.sleep(0.1)
-        else:
-            await server.drain()
-            server.stop_heartbeats()
+        body = server.heartbeat_body()
+        await server.leave(by_ending=ends)
         self.departed.append(Departed(server, self.now()))
         self.actions.append(f"{server.id} {'ended' if ends else 'drains'}")
         for _ in range(3):
             await asyncio.sleep(self.rng.uniform(0.1, 3.0))
-            with suppress(OSError, ValueError, TimeoutError):
-                async with asyncio.timeout(CALL_TIMEOUT_S):
-                    address = self.rng.choice(self.control)
-                    await http_call(address, "POST", f"/-/Instances.Heartbeat/{server.id}", body)
-
-    def _heartbeat(self, server: Server) -> bytes:
-        server.seq += 1
-        details = {"backend": server.service, "gen": "v1", "zone": server.zone, "capacity": 4}
-        status = {"state": "ready", "seq": server.seq, "warmupLeft": "0ms"}
-        addr = f"{server.listen_address[0]}:{server.listen_address[1]}"
-        return json.dumps({"addr": addr, "details": details, "status": status}).encode()
+            await server.send_late_heartbeat(body, CALL_TIMEOUT_S)
 
     async def _kill_all(self) -> None:
         """Kill all control processes, or all processes, at once; they come back within a second."""
--- a/cairndale/chaos/standins.py
+++ b/cairndale/chaos/standins.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from urllib.parse import quote
 
 import httptools
 
@@ -93,9 +93,10 @@
         service_time: float = 0.005,
         heartbeat_interval: float = 0.3,
         warmup: float = 0.0,
+        id: str = "",
     ) -> None:
-        """`warmup`: seconds of slow start."""
-        self.id = f"i-{random.getrandbits(40):010x}"
+        """`warmup`: seconds of slow start; `id`: by default a random one."""
+        self.id = id or f"i-{random.getrandbits(40):010x}"
         self.service, self.zone, self.listen_address, self.ledger = (
             service,
             zone,
@@ -137,19 +138,32 @@
     async def drain(self) -> None:
         """Report the state "draining" until a heartbeat with it is acknowledged."""
         self.state = "draining"
-        while not await self.send_status(f"Instances.Heartbeat/{self.id}"):
+        while not await self.send_status(self._call("Heartbeat")):
             await asyncio.sleep(0.05)
 
     async def _send_heartbeats(self) -> None:
         while True:
-            await self.send_status(f"Instances.Heartbeat/{self.id}")
+            await self.send_status(self._call("Heartbeat"))
             await asyncio.sleep(self.heartbeat_interval * random.uniform(0.8, 1.2))
 
-    async def send_status(self, call: str) -> bool:
-        """Send the state to the first node that accepts it; return whether one did."""
+    async def leave(self, *, by_ending: bool) -> None:
+        """Announce the departure until it is acknowledged, and send no heartbeats after it.
+
+        `by_ending`: by `Instances.Deregister`, else by the state "draining". It serves on.
+        """
+        if not by_ending:
+            await self.drain()
+            self.stop_heartbeats()
+            return
+        self.stop_heartbeats()
+        while not await self.send_status(self._call("Deregister")):
+            await asyncio.sleep(0.1)
+
+    def heartbeat_body(self) -> bytes:
+        """The body of the next heartbeat."""
         self.seq += 1
         warmup_left = max(0.0, self.warm_at - asyncio.get_running_loop().time())
-        body: dict[str, Any] = {
+        body = {
             "addr": f"{self.listen_address[0]}:{self.listen_address[1]}",
             "details": {"backend": self.service, "gen": "v1", "zone": self.zone, "capacity": 4},
             "status": {
@@ -158,6 +172,21 @@
                 "warmupLeft": f"{warmup_left * 1000:.0f}ms",
             },
         }
+        return json.dumps(body).encode()
+
+    async def send_late_heartbeat(self, body: bytes, within: float) -> None:
+        """Send a heartbeat that was made earlier to one control node, whatever the answer."""
+        with contextlib.suppress(OSError, ValueError, TimeoutError):
+            async with asyncio.timeout(within):
+                call = f"/-/{self._call('Heartbeat')}"
+                await http_call(random.choice(self.control), "POST", call, body)
+
+    def _call(self, call: str) -> str:
+        return f"Instances.{call}/{quote(self.id, safe='')}"
+
+    async def send_status(self, call: str) -> bool:
+        """Send the state to the first node that accepts it; return whether one did."""
+        state, body = self.state, self.heartbeat_body()
         loop, preferred_address, self.preferred_address = (
             asyncio.get_running_loop(),
             self.preferred_address,
@@ -170,12 +199,10 @@
             sent_at = loop.time()
             with contextlib.suppress(OSError, TimeoutError, ValueError):
                 async with asyncio.timeout(HEARTBEAT_TIMEOUT_S):
-                    status, answer = await http_call(
-                        address, "POST", f"/-/{call}", json.dumps(body).encode()
-                    )
+                    status, answer = await http_call(address, "POST", f"/-/{call}", body)
                 if 200 <= status < 300:
                     self.ledger.heartbeats.append(
-                        Heartbeat(self.id, body["status"]["state"], address, sent_at, loop.time())
+                        Heartbeat(self.id, state, address, sent_at, loop.time())
                     )
                     self.preferred_address = (
                         json.loads(answer or b"{}").get("beatUrl", "").removeprefix("http://")
--- a/cairndale/chaos/world.py
+++ b/cairndale/chaos/world.py
@@ -231,10 +231,11 @@
             for number in range(self.servers):
                 await self.add_server(service, list(self.zones)[number % len(self.zones)])
 
-    async def add_server(self, service: str, zone: str) -> Server:
+    async def add_server(self, service: str, zone: str, id: str = "") -> Server:
+        """Start a server; `id`: by default a random one."""
         self._server_port += 1
         at = (self._server_ip, self._server_port)
-        server = Server(service, zone, at, self.ledger, self.control, warmup=self.warmup)
+        server = Server(service, zone, at, self.ledger, self.control, warmup=self.warmup, id=id)
         await server.start()
         self.started_servers.append(server)
         return server
