--- a/cairndale/chaos/faults.py
+++ b/cairndale/chaos/faults.py
@@ -15,6 +15,7 @@
 
 CATCH_UP_S = 4.0  # in which a restarted or new machine has to catch up (`sync_time`)
 FREEZE_RANGE_S = (1.0, 10.0)
+SLOW_RUNNING_S, SLOW_STOPPED_S = 0.01, 0.04  # in turn, while a process is slowed down
 
 
 class FaultInjector:
@@ -346,6 +347,21 @@
     )
 
 
+async def slow_down(injector: FaultInjector) -> None:
+    """Give a process a fifth of a processor for a while. Not among `FAULTS`."""
+    victim = injector.rng.choice([*injector.cores(), *injector.edges()])
+    async with injector.record_fault("slow-down", [victim]):
+        ends_at = asyncio.get_running_loop().time() + injector.duration(0.5, 5)
+        try:
+            while asyncio.get_running_loop().time() < ends_at:
+                injector.world.send_signal(victim, signal.SIGSTOP)
+                await asyncio.sleep(SLOW_STOPPED_S)
+                injector.world.send_signal(victim, signal.SIGCONT)
+                await asyncio.sleep(SLOW_RUNNING_S)
+        finally:
+            injector.world.send_signal(victim, signal.SIGCONT)
+
+
 # Disks.
 
 
--- a/cairndale/chaos/judge.py
+++ b/cairndale/chaos/judge.py
@@ -137,12 +137,15 @@
     return violations
 
 
-def check_drains(record: Record) -> list[str]:
-    """No request reaches a draining server later than the bound after its acknowledgement."""
+def check_drains(record: Record, calm_bound_s: float = DRAIN_BOUND_S) -> list[str]:
+    """No request reaches a draining server later than the bound after its acknowledgement.
+
+    `calm_bound_s`: the bound while no fault begins or ends.
+    """
     violations = []
     for id, acked in record.drained:
-        is_calm = record.has_no_fault_change(acked - CALM_BEFORE_S, acked + DRAIN_BOUND_S)
-        bound = DRAIN_BOUND_S if is_calm else DRAIN_BOUND_UNDER_FAULTS_S
+        is_calm = record.has_no_fault_change(acked - CALM_BEFORE_S, acked + calm_bound_s)
+        bound = calm_bound_s if is_calm else DRAIN_BOUND_UNDER_FAULTS_S
         late = [
             arrival
             for arrival in record.ledger.arrivals
