Take a route with a port once no earlier ingress serves

What callers saw: in a rolling upgrade an operator adds a route of jepu9.example:8206. Keys with a blank or beyond ASCII got 401 there, hosts in another form than the normal one 404, though they were acknowledged.

A change that adds or alters an item that some ingress would handle otherwise gets 503 and event 305, and is not committed; other changes go on.

Why this works: an ingress that cannot find the item no longer counts as one that has it.

--- a/cairndale/control/configuration_changes.py
+++ b/cairndale/control/configuration_changes.py
@@ -16,6 +16,7 @@
 from cairndale.configuration.commands import Command, Verb
 from cairndale.configuration.json_stream import LARGE_BODY_BYTES, loads_steps
 from cairndale.configuration.key_requirement import with_key_requirement
+from cairndale.configuration.rules_level import RULES_LEVEL, changed_items_of_this_level
 from cairndale.configuration.state import REJECTED, State
 from cairndale.configuration.stepwise import Steps, advance
 from cairndale.configuration.validation import change_errors, content_errors_steps
@@ -109,13 +110,30 @@
             validated_gen = state.gen  # the state may change during validation
             rejection = await self._validate(change, state)
             if rejection is None:
-                return await self._commit(change)
+                return self._postponement(change) or await self._commit(change)
             await leader.confirm(called_at, term, decided=True)
             state = leader.state
             if state.gen == validated_gen and change.digest not in state.idempotency_records:
                 log_event(Event.CONFIG_REJECTED, "%s", rejection[1].decode()[:300])
                 return ChangeOutcome(rejection)
 
+    def _postponement(self, change: _Change) -> ChangeOutcome | None:
+        """The answer to a valid change that some ingress would not handle requests by.
+
+        Operators send the change again until the ingresses of earlier versions are replaced.
+        """
+        leader = self._leader
+        registry = leader.require_leadership().node_registry
+        names = registry.ingresses_below_level(leader.now(), RULES_LEVEL)
+        if not names:
+            return None
+        items = changed_items_of_this_level(change.verb, change.body, leader.state.content)
+        if not items:
+            return None
+        reason = f"{', '.join(names)}: of an earlier version, or not heard yet"
+        log_event(Event.CONFIG_POSTPONED, "%s; changed items: %s", reason, ", ".join(items)[:300])
+        return ChangeOutcome(error_response(503, f"cannot be in force at {reason}"))
+
     async def _known_outcome(self, known: int, called_at: float, term: int) -> ChangeOutcome:
         await self._leader.confirm(called_at, term)
         if known == REJECTED:
--- a/cairndale/dataplane/node.py
+++ b/cairndale/dataplane/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 
+from cairndale.configuration.rules_level import RULES_LEVEL
 from cairndale.dataplane.config_applier import ConfigApplier
 from cairndale.dataplane.config_client import ConfigClient
 from cairndale.dataplane.config_watch import ConfigWatch
@@ -147,6 +148,7 @@
             kind="edge",
             ready=self.readiness.is_prepared(),
             draining=self.serving.draining,
+            rules_level=RULES_LEVEL,
         )
 
     def _control_addresses(self) -> list[str]:
--- a/cairndale/events.py
+++ b/cairndale/events.py
@@ -44,6 +44,7 @@
     ZONE_EVACUATED = 302  # no requests go to a zone's servers
     ZONE_RESTORED = 303  # an evacuated zone's servers are used again
     ORDER_EXPIRED = 304  # an order for a zone came late, and is not carried out
+    CONFIG_POSTPONED = 305  # a valid configuration cannot be in force at all ingresses yet
 
     # 4xx: the endpoint registry.
     ENDPOINTS_CHANGED = 400  # endpoints were added, changed state, or are gone
--- a/cairndale/registry/nodes.py
+++ b/cairndale/registry/nodes.py
@@ -200,6 +200,20 @@
             if lease.lease_end >= now and lease.node.kind == "edge"
         )
 
+    def ingresses_below_level(self, now: float, rules_level: int) -> list[str]:
+        """The names of ingresses that may serve, and may not follow the configuration's rules.
+
+        Those of earlier versions do not follow rules of a later level; of those that a new leader
+        has not heard yet it is not known.
+        """
+        return sorted(
+            lease.node.name
+            for lease in self.leases.values()
+            if lease.lease_end >= now
+            and lease.node.kind == "edge"
+            and lease.node.rules_level < rules_level
+        )
+
     def listed_nodes(self) -> list[pb.Node]:
         """The nodes that clients and peers may be sent to."""
         return [lease.node for lease in self.leases.values() if lease.is_listed]
--- a/cairndale/scale/simulated.py
+++ b/cairndale/scale/simulated.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from cairndale.chaos.standins import HEARTBEAT_TIMEOUT_S, http_call
+from cairndale.configuration.rules_level import RULES_LEVEL
 from cairndale.dataplane.config_client import ConfigClient
 from cairndale.dataplane.config_watch import WATCH_TIMEOUT_S
 from cairndale.dataplane.quota_client import LEASE_ATTEMPT_TIMEOUT_S, LEASE_TIMEOUT_S
@@ -133,6 +134,7 @@
             region=region,
             kind="edge",
             ready=bool(self.config_client.cursor.config_version),
+            rules_level=RULES_LEVEL,
         )
 
     async def _watch(self) -> None:
--- a/tests/golden/mixed_rules.py
+++ b/tests/golden/mixed_rules.py
@@ -14,12 +14,14 @@
 
 import argparse
 import asyncio
+import json
 import signal
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
+from cairndale.chaos.standins import http_call
 from cairndale.chaos.world import KEY, OTHER_KEY
 from tests.golden.mixed_versions import Program, Scenario, StepError, run, until
 
@@ -57,6 +59,13 @@
     async def upsert(self, **tables: Any) -> int:
         return await self.change("Update", upsert=tables)
 
+    async def try_upsert(self, address: str, **tables: Any) -> int:
+        """The status of a change that is sent to one control node, once."""
+        gen = self.world.gen
+        body = json.dumps({"gen": gen + 1, "parent": gen, "upsert": tables}).encode()
+        status, _ = await http_call(address, "POST", "/-/Config.Update", body)
+        return status
+
     async def remove(self, **tables: Any) -> None:
         expect(f"remove {tables}", await self.change("Update", remove=tables), 200)
 
@@ -135,10 +144,12 @@
         scenario.world.control = control
         expect("the odd tenant", await rules.upsert(tenants=[ODD_TENANT]), 400)
         expect("the equal route", await rules.upsert(routes=routes("twin")), 400)
-        expect("the route with a port", await rules.upsert(routes=routes("ported")), 200)
-    expect(
-        "the host with a port", await rules.ran(new_edge, "/books/1", host=PORTED), "tiles north"
-    )
+        for address in control:
+            status = await rules.try_upsert(address, routes=routes("ported"))
+            expect(f"a route that {old_edge} cannot serve", status, 503)
+    for edge in (old_edge, new_edge):  # it is in force nowhere
+        found = await rules.ran(edge, "/books/1", host=PORTED)
+        expect(f"the host with a port at {edge}", found, "books north")
     await rules.remove(tenants=["north", "south"])
     for restarts in (False, True):
         if restarts:
@@ -151,6 +162,12 @@
     for edge in (old_edge, new_edge):
         found = await rules.statuses(edge)
         expect(f"a key at {edge}", found, ["tiles x", "401", "401", "401"])
+    scenario.world.programs[old_edge] = new
+    await rules.restart(old_edge)
+    expect("the route with a port", await rules.upsert(routes=routes("ported")), 200)
+    for edge in (old_edge, new_edge):
+        found = await rules.ran(edge, "/books/1", host=PORTED)
+        expect(f"the host with a port at {edge}", found, "tiles x")
     scenario.say(f"leader {new.name}", f"held, with {old_core} and {old_edge} of {old.name}")
 
 
--- a/tests/testing/control_cluster.py
+++ b/tests/testing/control_cluster.py
@@ -17,6 +17,7 @@
 from typing import Any, ClassVar
 
 import cairndale.control.node
+from cairndale.configuration.rules_level import RULES_LEVEL
 from cairndale.control.node import ControlNode
 from cairndale.errors import CallError, CallTimeoutError, FaultCode, RejectedError, error_for_code
 from cairndale.raft.messages import (
@@ -265,6 +266,7 @@
         self.rpc_peer = RpcPeer((self.host, 7601), lambda envelope: None, self._refuse)
         self.leader_client = LeaderClient(self.rpc_peer, lambda: cluster.addresses, lambda: [])  # type: ignore[arg-type]
         self.config_version = self.gen = 0
+        self.rules_level = RULES_LEVEL
         self.zone = list(ZONES)[number % len(ZONES)]
 
     async def _refuse(self, envelope: pb.Envelope) -> pb.Envelope:
@@ -281,6 +283,7 @@
                 region=ZONES[self.zone],
                 kind="edge",
                 ready=True,
+                rules_level=self.rules_level,
             )
             request = pb.WatchRequest(
                 node=node, config_version=self.config_version, generation=self.gen, wait_ms=250
