Count the departure of a listed server, whatever its id

Change: a departure of a listed server counts. Heartbeats do not, as before. Why this works: the server is listed as draining at once, so that ingresses which still use it stop.

The test in tests/configuration/test_names.py fails without the change.

--- a/cairndale/chaos/world.py
+++ b/cairndale/chaos/world.py
@@ -93,6 +93,7 @@
     warmup: float = 0.0  # s of slow start of servers
     spares: int = 0  # core machines that may replace others, at addresses of their own
     zones: dict[str, str] = field(default_factory=lambda: dict(ZONES))  # regions by zone
+    heartbeat: str = "300ms"  # of servers, as the processes are told
 
     def __post_init__(self) -> None:
         self.port_base, block = free_port_base(), random.randrange(1, 250)
@@ -154,7 +155,7 @@
                 "zones": self.zones,
                 "peers": [self.address(machine, 1)] if machine.foreign else self.seeds,
             },
-            "infra": {"heartbeat": "300ms"},
+            "infra": {"heartbeat": self.heartbeat},
             "sla": {
                 "tolerance": {"nodes": 1, "zones": 1, "regions": 0},
                 "slo": {
--- a/cairndale/control/heartbeat_batch.py
+++ b/cairndale/control/heartbeat_batch.py
@@ -37,8 +37,7 @@
     heartbeats = [
         endpoint_from_message(message, now)
         for message in report.endpoints
-        # A follower of an earlier version does not check ids.
-        if message.state in REPORTED_STATES and not field_error(message.id)
+        if _is_registered(endpoint_registry, message)
     ]
     changed = [h for h in heartbeats if endpoint_registry.record_heartbeat(h)]
     if changed:
@@ -47,6 +46,18 @@
     return bool(changed)
 
 
+def _is_registered(endpoint_registry: EndpointRegistry, message: pb.Endpoint) -> bool:
+    """Whether the leader registers a heartbeat of a follower, which may be of an earlier version.
+
+    Such a follower does not check ids. A leader of that version may have listed a server whose id
+    this one refuses; the departure of that server is acknowledged, so it counts.
+    """
+    if message.state not in REPORTED_STATES:
+        return False
+    leaves = message.state == "draining" and message.id in endpoint_registry.endpoints
+    return leaves or not field_error(message.id)
+
+
 class HeartbeatBatch:
     """Heartbeats that are sent to the leader in one call."""
 
--- a/tests/configuration/test_names.py
+++ b/tests/configuration/test_names.py
@@ -161,6 +161,18 @@
     assert list(registry.endpoints) == ["i"]
 
 
+# Guards against requests to a server whose departure was acknowledged (DRAIN): an earlier leader
+# listed it, an earlier follower acknowledged it, and the new leader left it out for its id.
+def test_the_departure_of_a_server_that_an_earlier_leader_listed_counts() -> None:
+    registry, report = EndpointRegistry(), pb.EndpointReport()
+    listed = replace(read_heartbeat("i", heartbeat(1), 0.0), id="i ")
+    registry.apply_update([listed], version=1, is_full=True)
+    endpoint = replace(read_heartbeat("i", heartbeat(2, state="draining"), 0.5), id="i ")
+    report.endpoints.append(endpoint_to_message(endpoint, 0.5))
+    assert register_endpoints(registry, report, 0.5)
+    assert registry.endpoints["i "].state == "draining"
+
+
 @pytest.mark.parametrize("name", CARRIED)
 def test_servers_with_other_names_are_taken(name: str) -> None:
     assert read_heartbeat(name, heartbeat(1), 0.0).id == name
--- a/tests/golden/mixed_rules.py
+++ b/tests/golden/mixed_rules.py
@@ -5,9 +5,10 @@
     git worktree add ../23c1936 23c1936
     python -m tests.golden.mixed_rules ../23c1936
 
-Four scenarios: ingresses of this version beside an earlier leader; an earlier follower and an
+Five scenarios: ingresses of this version beside an earlier leader; an earlier follower and an
 earlier ingress beside a leader of this version; a state that the earlier version stored; and one
-that this version stored, read by the earlier one. The exit status is 1 after a failure.
+that this version stored, read by the earlier one; the departure of a server whose id this version
+refuses. The exit status is 1 after a failure.
 """
 
 from __future__ import annotations
@@ -28,8 +29,13 @@
 ODD_KEY, NEVER_A_KEY, NO_KEY = "key-of-an-odd-name", "never-a-key", ""
 ALL_KEYS = (KEY, OTHER_KEY, NEVER_A_KEY, NO_KEY)
 PORTED = "a.example:8206"
+# Some servers trim an em space from a field, so this version refuses it; others do not.
+ODD_SERVER_ID = "i\u2003"
 ODD_TENANT = {"name": "north ", "apiKeys": [ODD_KEY]}
 READY_WITHIN_S = 40.0
+HEARTBEAT_S = 1.5  # as on the platform, of servers that leave
+DRAIN_S = 3.0  # `drain` in the settings of the processes
+WATCHED_S = 8.0
 ROUTES = {
     "ported": {"host": PORTED, "pathPrefix": "/books/", "backend": "tiles"},
     "twin": {"host": "a.example.", "pathPrefix": "/tiles/", "backend": "books"},
@@ -222,11 +228,49 @@
     )
 
 
+async def departure(scenario: Scenario, old: Program, new: Program) -> None:
+    """The departure of a server whose id this version refuses counts, if it was acknowledged."""
+    world, edge = scenario.world, scenario.edges[0]
+    world.heartbeat = f"{HEARTBEAT_S}s"
+    rules = await begin(scenario)
+    server = await world.add_server("tiles", "north-a", id=ODD_SERVER_ID)
+    server.heartbeat_interval = HEARTBEAT_S
+
+    async def is_listed() -> bool:
+        await rules.ran(edge, "/tiles/1")
+        return any(e.server == server.id for e in world.ledger.executions)
+
+    await until("a request at the server", is_listed, READY_WITHIN_S)
+    first_leader = await scenario.leader()
+    follower = scenario.cores[-1]  # a learner, which never leads
+    for name in set(scenario.cores) - {first_leader, follower}:
+        world.programs[name] = new
+        await rules.restart(name)
+    await world.kill(first_leader)
+    await scenario.leader()
+    server.control = [world.address(world.machines[follower], 1)]
+    await server.drain()
+    server.stop_heartbeats()
+    acknowledged_at = asyncio.get_running_loop().time()
+    leader = await scenario.leader()
+    while asyncio.get_running_loop().time() < acknowledged_at + WATCHED_S:
+        await asyncio.gather(*(rules.ran(edge, "/tiles/1") for edge in scenario.edges))
+    late = [e.at - acknowledged_at for e in world.ledger.executions if e.server == server.id]
+    last = max(late, default=0.0)
+    scenario.say(
+        "a departure",
+        f"leader {leader} of {world.programs[leader].name}",
+        f"last request after {last:.1f} s",
+    )
+    expect("requests after `drain`", last > DRAIN_S, False)
+
+
 SCENARIOS: dict[str, Callable[[Scenario, Program, Program], Awaitable[None]]] = {
     "earlier leader": earlier_leader,
     "later leader": later_leader,
     "stored before": stored_before,
     "stored now": stored_now,
+    "departure": departure,
 }
 
 
