Soak of changes: deltas, ingresses cut off from all, faults counted

Change: 120 routes that no change names stand beside the others; an ingress is at times cut off from every process; the injector counts the faults of a machine, as storms may overlap them too.

--- a/cairndale/chaos/change_model.py
+++ b/cairndale/chaos/change_model.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from functools import cache
 from typing import Any
 
 NEVER = float("inf")
@@ -97,6 +98,7 @@
     )
 
 
+@cache
 def _split_host(host: str) -> tuple[str, str]:
     """Name and port; upper case and a dot at the end of the name make no difference."""
     name, colon, port = host.rpartition(":")
--- a/cairndale/chaos/change_series.py
+++ b/cairndale/chaos/change_series.py
@@ -66,6 +66,26 @@
     remove: dict[str, list[Any]] = field(default_factory=dict)
 
 
+def unchanged_routes(count: int) -> list[dict[str, Any]]:
+    """Routes that no change and no request names."""
+    return [
+        _common_route(f"unchanged-{n}", f"{n}.example", f"/{n}/") | {"backend": "tiles"}
+        for n in range(count)
+    ]
+
+
+def _common_route(name: str, host: str, prefix: str) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": host,
+        "pathPrefix": prefix,
+        "kind": "idempotent",
+        "deadline": "4000ms",
+        "tries": 2,
+        "prio": 1,
+    }
+
+
 def _other_service(route: dict[str, Any]) -> str:
     return "books" if route["backend"] == "tiles" else "tiles"
 
@@ -198,14 +218,7 @@
 
     def _route(self, host: str, prefix: str) -> dict[str, Any]:
         self._serial += 1
-        return {
-            "name": f"added-{self._serial}",
-            "host": host,
-            "pathPrefix": prefix,
-            "kind": "idempotent",
-            "deadline": "4000ms",
-            "tries": 2,
-            "prio": 1,
+        return _common_route(f"added-{self._serial}", host, prefix) | {
             "backend": self.rng.choice(("tiles", "books")),
             "public": self.rng.random() < 0.2,
         }
@@ -238,7 +251,8 @@
         return _Draft({"routes": [first | places[0], second | places[1]]})
 
     def _switch_service(self, content: Content) -> _Draft:
-        route = self.rng.choice(content["routes"])
+        named = [r for r in content["routes"] if not r["name"].startswith("unchanged-")]
+        route = self.rng.choice(named)
         return _Draft({"routes": [route | {"backend": _other_service(route)}]})
 
     # Invalid items.
--- a/cairndale/chaos/change_soak.py
+++ b/cairndale/chaos/change_soak.py
@@ -20,7 +20,7 @@
 from cairndale.chaos import judge
 from cairndale.chaos.change_judge import Probe, change_violations
 from cairndale.chaos.change_model import Content, Version, handling
-from cairndale.chaos.change_series import Change, ChangeSeries
+from cairndale.chaos.change_series import Change, ChangeSeries, unchanged_routes
 from cairndale.chaos.faults import FaultInjector, slow_down
 from cairndale.chaos.records import Record
 from cairndale.chaos.relayed import RelayedWorld
@@ -37,8 +37,10 @@
 GENERATION_STEPS = (1, 2, 7)
 PROBE_PAUSE_S = 0.02
 END_PROBES = 40  # of each ingress
+UNCHANGED_ROUTES = 120  # beside which a change is small, so that ingresses get it as a delta
 FAULT_PAUSE_S = (0.3, 2.0)
 INGRESS_RESTART_PAUSE_S = (0.5, 3.0)
+ISOLATION_S = (1.0, 8.0)  # less and more than a lease
 FAULT_KINDS = (
     "cut-leader",
     "cut-follower",
@@ -115,7 +117,7 @@
         platform = asyncio.ensure_future(injector.supervise())
         series = [self._operate(), self._join_and_leave(), self._join_ingress()]
         series += [self._inject_faults(injector), self._slow_down(injector)]
-        series.append(self._restart_ingresses(injector))
+        series += [self._restart_ingresses(injector), self._isolate_ingresses(injector)]
         tasks = [asyncio.ensure_future(one) for one in series]
         probes = [
             asyncio.ensure_future(self._probe(name))
@@ -149,6 +151,7 @@
 
     def _first_content(self) -> Content:
         content = self.content()
+        content["routes"] += unchanged_routes(UNCHANGED_ROUTES)
         for tenant in content["tenants"]:
             tenant |= {"ratePerS": 0, "burst": 0}
         return content
@@ -287,6 +290,15 @@
                 await self.kill(victim, signal_number, within=READY_WITHIN_S)  # it may be frozen
                 injector.start(victim)
 
+    async def _isolate_ingresses(self, injector: FaultInjector) -> None:
+        """An ingress that reaches no other process has to stop before a change is acknowledged."""
+        while self.now() < self._until:
+            await asyncio.sleep(self.rng.uniform(*FAULT_PAUSE_S))
+            victim = self.rng.choice(injector.edges())
+            others = [*injector.cores(), *(name for name in injector.edges() if name != victim)]
+            duration = injector.duration(*ISOLATION_S)
+            await injector.partition("isolate-ingress", victim, others, "both", duration)
+
     # Clients.
 
     async def _probe(self, name: str) -> None:
--- a/cairndale/chaos/faults.py
+++ b/cairndale/chaos/faults.py
@@ -7,6 +7,7 @@
 import contextlib
 import random
 import signal
+from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
@@ -29,7 +30,7 @@
         self.fault_log: list[str] = []
         # by machine: until when its disk counts as lost
         self._disk_lost_until: dict[str, float] = {}
-        self._faulty: set[str] = set()  # machines with a fault now
+        self._faulty: Counter[str] = Counter()  # faults now, by machine
         self.replacing = False  # one machine is replaced at a time
         self._loop = asyncio.get_running_loop()
 
@@ -92,11 +93,11 @@
         began_at, victims = self._loop.time(), list(victims)
         interval = FaultInterval(kind, began_at, self.until + 60.0)
         self.record.faults.append(interval)
-        self._faulty |= set(victims)
+        self._faulty.update(victims)
         try:
             yield interval
         finally:
-            self._faulty -= set(victims)
+            self._faulty.subtract(victims)
             interval.end = self._loop.time()
             self.fault_log.append(
                 f"{kind} {' '.join(victims)} {began_at % 1000:.1f}+{interval.end - began_at:.1f}"
@@ -172,7 +173,7 @@
                     machine.is_deployed
                     and process
                     and process.poll() is not None
-                    and name not in self._faulty
+                    and not self._faulty[name]
                 ):
                     self.record.unexpected_exits.append(
                         f"{name} exited unexpectedly with status {process.returncode}"
