--- a/tests/ingress/test_wire.py
+++ b/tests/ingress/test_wire.py
@@ -253,7 +253,7 @@
         ["git", "ls-files"], cwd=ROOT, capture_output=True, text=True, check=True
     ).stdout
     for name in files.split():
-        if name.startswith("cairndale/") or name == "requirements.txt":
+        if name.startswith(("cairndale/", "deploy/")) or name == "requirements.txt":
             (tmp_path / name).parent.mkdir(parents=True, exist_ok=True)
             (tmp_path / name).write_bytes((ROOT / name).read_bytes())
     (tmp_path / ".venv").mkdir()  # left by an interrupted build
